--- /dev/null
+++ b/quetzal/contract/contract.cc
@@ -0,0 +1,217 @@
+#include "quetzal/contract/contract.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace quetzal {
+namespace {
+
+// Allowance for clocks that run at different speeds, as a divisor of a lease.
+constexpr int kDriftDivisor = 50;
+// Grants to one worker whose answers are awaited at a time.
+constexpr size_t kMostUnanswered = 16;
+
+Milliseconds WithDrift(Milliseconds lease) {
+  return lease + lease / kDriftDivisor;
+}
+
+}  // namespace
+
+ContractBook::ContractBook(PlacerId self, ContractTimes times)
+    : self_(std::move(self)), times_(times) {}
+
+void ContractBook::SetWorkers(const std::vector<WorkerId>& workers) {
+  for (const WorkerId& worker : workers) contracts_.try_emplace(worker);
+}
+
+void ContractBook::Drop(const WorkerId& worker) { contracts_.erase(worker); }
+
+void ContractBook::BeginTerm(Epoch epoch, bool fenced) {
+  epoch_ = epoch;
+  fenced_ = fenced;
+  majority_at_.reset();
+  for (auto& [worker, contract] : contracts_) {
+    const bool linked = contract.linked;
+    contract = Contract();
+    contract.linked = linked;
+  }
+}
+
+void ContractBook::EndTerm() {
+  epoch_.reset();
+  majority_at_.reset();
+}
+
+bool ContractBook::Due(const Contract& contract, Time now) const {
+  if (!contract.linked) return false;
+  if (!contract.last_sent || contract.want_inventory) return true;
+  const Milliseconds since = now - *contract.last_sent;
+  const bool answered = contract.unanswered.empty() && contract.reached;
+  const bool renews_tasks = contract.echoed_received.has_value();
+  if (answered && !renews_tasks) return true;
+  return since >= (answered ? times_.renew_every : times_.regrant_after);
+}
+
+wire::PlacerToWorker ContractBook::MakeGrant(Contract* contract, bool majority,
+                                             Time now) {
+  wire::PlacerToWorker message;
+  message.set_epoch(static_cast<uint64_t>(epoch()));
+  wire::Grant* const grant = message.mutable_grant();
+  grant->set_epoch(message.epoch());
+  grant->set_holder(self_.text());
+  grant->set_ttl_ms(static_cast<uint32_t>(times_.ttl.count()));
+  grant->set_task_lease_ms(static_cast<uint32_t>(times_.task_lease.count()));
+  grant->set_fenced(fenced_);
+  grant->set_want_inventory(contract->want_inventory || !contract->reached);
+  grant->set_serial(next_serial_);
+  // Only the one placer that may decide for the domain keeps tasks alive.
+  if (contract->stamp_received && majority) {
+    grant->set_echoed_stamp_ms(contract->stamp_ms);
+    contract->echoed_received = contract->stamp_received;
+  }
+  contract->unanswered[next_serial_++] = now;
+  if (contract->unanswered.size() > kMostUnanswered) {
+    contract->unanswered.erase(contract->unanswered.begin());
+  }
+  contract->last_sent = now;
+  contract->want_inventory = false;
+  return message;
+}
+
+std::vector<DueGrant> ContractBook::GrantsDue(Time now) {
+  std::vector<DueGrant> due;
+  if (!in_term()) return due;
+  NoteMajority(now);
+  const bool majority = HasMajority(now);
+  for (auto& [worker, contract] : contracts_) {
+    if (!Due(contract, now)) continue;
+    // Without a majority there is nothing to renew before the usual time.
+    const bool only_for_tasks =
+        contract.reached && contract.unanswered.empty() &&
+        !contract.echoed_received && !contract.want_inventory;
+    if (only_for_tasks && !majority && contract.last_sent &&
+        now - *contract.last_sent < times_.renew_every) {
+      continue;
+    }
+    due.push_back({worker, MakeGrant(&contract, majority, now)});
+  }
+  return due;
+}
+
+void ContractBook::AskInventory(const WorkerId& worker) {
+  const auto found = contracts_.find(worker);
+  if (found != contracts_.end()) found->second.want_inventory = true;
+}
+
+void ContractBook::OnLink(const WorkerId& worker, bool up) {
+  const auto found = contracts_.find(worker);
+  if (found == contracts_.end()) return;
+  Contract& contract = found->second;
+  contract.linked = up;
+  contract.unanswered.clear();
+  // Messages may have been lost with the link: ask what the worker has.
+  contract.want_inventory = up && in_term();
+}
+
+bool ContractBook::OnGranted(const WorkerId& worker,
+                             const wire::Granted& message, Time now) {
+  const auto found = contracts_.find(worker);
+  if (found == contracts_.end() || !in_term()) return false;
+  if (message.epoch() != static_cast<uint64_t>(epoch())) return false;
+  if (message.holder() != self_.text()) return false;
+  Contract& contract = found->second;
+  const auto sent = contract.unanswered.find(message.serial());
+  if (sent == contract.unanswered.end()) return false;
+  if (!contract.confirmed_sent || *contract.confirmed_sent < sent->second) {
+    contract.confirmed_sent = sent->second;
+  }
+  contract.unanswered.erase(contract.unanswered.begin(), std::next(sent));
+  contract.refused = false;
+  contract.reached = contract.reached || message.has_inventory();
+  contract.stamp_ms = message.stamp_ms();
+  contract.stamp_received = now;
+  contract.uptime = Milliseconds(message.uptime_ms());
+  NoteMajority(now);
+  return true;
+}
+
+void ContractBook::OnRefused(const WorkerId& worker) {
+  const auto found = contracts_.find(worker);
+  if (found == contracts_.end()) return;
+  found->second.refused = true;
+  found->second.unanswered.clear();
+  found->second.confirmed_sent.reset();
+}
+
+bool ContractBook::MayStart(const WorkerId& worker, Time now) const {
+  const auto found = contracts_.find(worker);
+  if (found == contracts_.end() || !in_term()) return false;
+  const Contract& contract = found->second;
+  return contract.linked && contract.reached && contract.echoed_received &&
+         contract.confirmed_sent && now < *contract.confirmed_sent + times_.ttl;
+}
+
+size_t ContractBook::CountLive(Time now) const {
+  return static_cast<size_t>(std::count_if(
+      contracts_.begin(), contracts_.end(), [&](const auto& entry) {
+        const Contract& contract = entry.second;
+        return contract.confirmed_sent &&
+               now < *contract.confirmed_sent + times_.ttl;
+      }));
+}
+
+bool ContractBook::HasMajority(Time now) const {
+  return in_term() && CountLive(now) * 2 > contracts_.size();
+}
+
+bool ContractBook::MajoritySince(Time since) const {
+  const auto confirmed = std::count_if(
+      contracts_.begin(), contracts_.end(), [&](const auto& entry) {
+        const auto& sent = entry.second.confirmed_sent;
+        return sent && *sent >= since;
+      });
+  return in_term() &&
+         static_cast<size_t>(confirmed) * 2 > contracts_.size();
+}
+
+void ContractBook::NoteMajority(Time now) {
+  if (!majority_at_ && HasMajority(now)) majority_at_ = now;
+}
+
+bool ContractBook::Reached(const WorkerId& worker) const {
+  const auto found = contracts_.find(worker);
+  return in_term() && found != contracts_.end() && found->second.reached;
+}
+
+std::optional<Time> ContractBook::LapseAt(const WorkerId& worker) const {
+  const auto found = contracts_.find(worker);
+  if (found == contracts_.end() || !majority_at_) return std::nullopt;
+  // An earlier holder may have renewed the tasks until its own majority ended.
+  const Time earlier =
+      *majority_at_ + WithDrift(times_.ttl) + WithDrift(times_.task_lease);
+  const auto& echoed = found->second.echoed_received;
+  // Once this placer was granted the worker, no earlier holder renews it.
+  if (!echoed) return earlier;
+  return *echoed + WithDrift(times_.task_lease);
+}
+
+bool ContractBook::Lapsed(const WorkerId& worker, Time now) const {
+  const std::optional<Time> at = LapseAt(worker);
+  return at && now >= *at && HasMajority(now) && MajoritySince(*at);
+}
+
+Milliseconds ContractBook::Uptime(const WorkerId& worker, Time now) const {
+  const auto found = contracts_.find(worker);
+  if (found == contracts_.end() || !found->second.stamp_received) {
+    return Milliseconds(0);
+  }
+  return found->second.uptime + (now - *found->second.stamp_received);
+}
+
+std::vector<WorkerId> ContractBook::Workers() const {
+  std::vector<WorkerId> workers;
+  for (const auto& [worker, contract] : contracts_) workers.push_back(worker);
+  return workers;
+}
+
+}  // namespace quetzal
--- /dev/null
+++ b/quetzal/ledger/ledger.cc
@@ -0,0 +1,204 @@
+#include "quetzal/ledger/ledger.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace quetzal {
+namespace {
+
+// Puts workers that are set aside behind every other one.
+constexpr double kAsidePenalty = 1e6;
+// Weight of one more task of the same group in a rack.
+constexpr double kRackPenalty = 1e3;
+
+}  // namespace
+
+size_t Ledger::RackIndex(const RackId& rack) {
+  return racks_.try_emplace(rack, racks_.size()).first->second;
+}
+
+Ledger::Slot* Ledger::Find(const WorkerId& worker) {
+  const auto found = index_.find(worker);
+  return found == index_.end() ? nullptr : &slots_[found->second];
+}
+
+const Ledger::Slot* Ledger::Find(const WorkerId& worker) const {
+  const auto found = index_.find(worker);
+  return found == index_.end() ? nullptr : &slots_[found->second];
+}
+
+void Ledger::SetWorker(const WorkerFacts& facts) {
+  Slot* slot = Find(facts.id);
+  if (slot == nullptr) {
+    index_[facts.id] = slots_.size();
+    slot = &slots_.emplace_back();
+    slot->present = true;
+  } else {
+    total_ -= slot->facts.capacity;
+  }
+  slot->facts = facts;
+  slot->rack = RackIndex(facts.rack);
+  total_ += facts.capacity;
+  Refresh(slot);
+}
+
+void Ledger::RemoveWorker(const WorkerId& worker) {
+  const auto found = index_.find(worker);
+  if (found == index_.end()) return;
+  const size_t hole = found->second;
+  total_ -= slots_[hole].facts.capacity;
+  index_.erase(found);
+  if (hole + 1 < slots_.size()) {
+    slots_[hole] = std::move(slots_.back());
+    index_[slots_[hole].facts.id] = hole;
+  }
+  slots_.pop_back();
+}
+
+void Ledger::SetOpen(const WorkerId& worker, bool open) {
+  if (Slot* const slot = Find(worker)) slot->open = open;
+}
+
+void Ledger::SetLeaving(const WorkerId& worker) {
+  if (Slot* const slot = Find(worker)) slot->facts.leaving = true;
+}
+
+void Ledger::SetAside(const WorkerId& worker, bool aside) {
+  if (Slot* const slot = Find(worker)) slot->aside = aside;
+}
+
+void Ledger::SetUsage(const WorkerId& worker, const Resources& in_use) {
+  Slot* const slot = Find(worker);
+  if (slot == nullptr) return;
+  slot->reported = in_use;
+  Refresh(slot);
+}
+
+void Ledger::Reserve(const WorkerId& worker, const std::string& group) {
+  if (Slot* const slot = Find(worker)) slot->reserved_for = group;
+}
+
+void Ledger::Refresh(Slot* slot) {
+  slot->free = slot->facts.capacity - Max(slot->charged, slot->reported);
+}
+
+void Ledger::Charge(const AttemptId& attempt, const ChargedAttempt& charge) {
+  if (!charges_.emplace(attempt, charge).second) return;
+  usage_[charge.team] += charge.size;
+  Slot* const slot = Find(charge.worker);
+  if (slot == nullptr) return;
+  slot->charged += charge.size;
+  Refresh(slot);
+  if (charge.group.empty()) return;
+  auto& racks = racks_of_group_[charge.group];
+  if (racks.size() <= slot->rack) racks.resize(racks_.size());
+  ++racks[slot->rack];
+}
+
+void Ledger::Settle(const AttemptId& attempt) {
+  const auto found = charges_.find(attempt);
+  if (found == charges_.end()) return;
+  const ChargedAttempt charge = found->second;
+  charges_.erase(found);
+  const auto usage = usage_.find(charge.team);
+  usage->second -= charge.size;
+  if (usage->second.IsZero()) usage_.erase(usage);
+  Slot* const slot = Find(charge.worker);
+  if (slot == nullptr) return;
+  slot->charged -= charge.size;
+  Refresh(slot);
+  const auto group = racks_of_group_.find(charge.group);
+  if (group == racks_of_group_.end()) return;
+  auto& racks = group->second;
+  if (slot->rack < racks.size() && racks[slot->rack] > 0) --racks[slot->rack];
+  const bool none = std::all_of(racks.begin(), racks.end(),
+                                [](int count) { return count == 0; });
+  if (none) racks_of_group_.erase(group);
+}
+
+const ChargedAttempt* Ledger::Find(const AttemptId& attempt) const {
+  const auto found = charges_.find(attempt);
+  return found == charges_.end() ? nullptr : &found->second;
+}
+
+std::vector<AttemptId> Ledger::AttemptsOn(const WorkerId& worker) const {
+  std::vector<AttemptId> attempts;
+  for (const auto& [attempt, charge] : charges_) {
+    if (charge.worker == worker) attempts.push_back(attempt);
+  }
+  std::sort(attempts.begin(), attempts.end());
+  return attempts;
+}
+
+double Ledger::Score(const Slot& slot, const PlacementQuery& query,
+                     const std::vector<int>* group_racks) const {
+  const Resources left = slot.free - query.size;
+  const double room = left.DominantShare(slot.facts.capacity);
+  double score = query.policy == PlacementPolicy::kPackTight ? room : -room;
+  if (query.policy == PlacementPolicy::kSpreadRacks && group_racks != nullptr &&
+      slot.rack < group_racks->size()) {
+    score += kRackPenalty * (*group_racks)[slot.rack];
+  }
+  return slot.aside ? score + kAsidePenalty : score;
+}
+
+std::optional<WorkerId> Ledger::Pick(const PlacementQuery& query) const {
+  const auto group = racks_of_group_.find(query.group);
+  const std::vector<int>* const racks =
+      group == racks_of_group_.end() ? nullptr : &group->second;
+  const Slot* best = nullptr;
+  double best_score = std::numeric_limits<double>::max();
+  for (const Slot& slot : slots_) {
+    if (!slot.open || slot.facts.leaving) continue;
+    if (!query.size.FitsIn(slot.free)) continue;
+    if (!slot.reserved_for.empty() && slot.reserved_for != query.group) {
+      continue;
+    }
+    const double score = Score(slot, query, racks);
+    if (score >= best_score) continue;
+    best = &slot;
+    best_score = score;
+  }
+  if (best == nullptr) return std::nullopt;
+  return best->facts.id;
+}
+
+bool Ledger::EverFits(const Resources& size) const {
+  return std::any_of(slots_.begin(), slots_.end(), [&](const Slot& slot) {
+    return size.FitsIn(slot.facts.capacity);
+  });
+}
+
+Resources Ledger::LargestWorker() const {
+  Resources largest;
+  for (const Slot& slot : slots_) largest = Max(largest, slot.facts.capacity);
+  return largest;
+}
+
+const WorkerFacts* Ledger::Facts(const WorkerId& worker) const {
+  const Slot* const slot = Find(worker);
+  return slot == nullptr ? nullptr : &slot->facts;
+}
+
+Resources Ledger::Free(const WorkerId& worker) const {
+  const Slot* const slot = Find(worker);
+  return slot == nullptr ? Resources() : slot->free;
+}
+
+Resources Ledger::Charged(const WorkerId& worker) const {
+  const Slot* const slot = Find(worker);
+  return slot == nullptr ? Resources() : slot->charged;
+}
+
+Resources Ledger::UsedBy(const TeamId& team) const {
+  const auto found = usage_.find(team);
+  return found == usage_.end() ? Resources() : found->second;
+}
+
+Resources Ledger::TotalCharged() const {
+  Resources sum;
+  for (const auto& [team, used] : usage_) sum += used;
+  return sum;
+}
+
+}  // namespace quetzal
--- /dev/null
+++ b/quetzal/placer/internal/placement.cc
@@ -0,0 +1,245 @@
+#include "quetzal/placer/internal/placement.h"
+
+#include <algorithm>
+#include <limits>
+#include <queue>
+#include <utility>
+
+#include "quetzal/placer/internal/flow.h"
+
+namespace quetzal::placer_internal {
+namespace {
+
+// Pieces of a team's work looked at behind one that doesn't fit.
+constexpr int kLookAhead = 16;
+// Different sizes remembered as not fitting within a pass.
+constexpr size_t kMostMisfits = 16;
+constexpr Milliseconds kReservationLife{5'000};
+
+struct TeamTurn {
+  double ratio;
+  TeamId team;
+  // The lowest ratio comes out of a priority queue first.
+  bool operator<(const TeamTurn& other) const {
+    return ratio != other.ratio ? ratio > other.ratio : other.team < team;
+  }
+};
+
+PlacementPolicy PolicyOf(const WorkItem& item) {
+  switch (item.work.work_class()) {
+    case wire::WORK_CLASS_BATCH:
+    case wire::WORK_CLASS_GANG:
+      return PlacementPolicy::kPackTight;
+    case wire::WORK_CLASS_SERVICE:
+      return PlacementPolicy::kSpreadRacks;
+    default:
+      return PlacementPolicy::kLeastLoaded;
+  }
+}
+
+std::string GroupFor(const WorkItem& item) {
+  return item.job ? item.job->text() : item.id.text();
+}
+
+}  // namespace
+
+void Placement::Pass(Time now) {
+  state_->placement_due = false;
+  if (!state_->contracts.HasMajority(now)) return;
+  misfits_.clear();
+  if (state_->settings.order == OrderPolicy::kFifo) {
+    ServeFifo(now);
+    return;
+  }
+  for (const Lane lane : kLanes) ServeLane(lane, now);
+}
+
+void Placement::ServeLane(Lane lane, Time now) {
+  std::priority_queue<TeamTurn> turns;
+  for (const TeamId& team : state_->queue.TeamsIn(lane)) {
+    turns.push({state_->ShareRatio(team), team});
+  }
+  while (!turns.empty()) {
+    const TeamId team = turns.top().team;
+    turns.pop();
+    if (TryTeam(lane, team, now) != Tried::kStarted) continue;
+    turns.push({state_->ShareRatio(team), team});
+  }
+}
+
+void Placement::ServeFifo(Time now) {
+  // The baseline: whatever came first, from any team, and nothing overtakes.
+  while (true) {
+    WorkItem* first = nullptr;
+    for (const Lane lane : kLanes) {
+      for (const TeamId& team : state_->queue.TeamsIn(lane)) {
+        WorkItem* const item = state_->FindWork(
+            state_->queue.Waiting({lane, team}).front());
+        if (first == nullptr || item->submitted < first->submitted) {
+          first = item;
+        }
+      }
+    }
+    if (first == nullptr || !WithinLimit(*first) || !TryItem(first, now)) {
+      return;
+    }
+  }
+}
+
+Placement::Tried Placement::TryTeam(Lane lane, const TeamId& team, Time now) {
+  int looked_at = 0;
+  for (const WorkId& id : state_->queue.Waiting({lane, team})) {
+    if (++looked_at > kLookAhead) break;
+    WorkItem* const item = state_->FindWork(id);
+    if (!WithinLimit(*item) || KnownNotToFit(*item)) continue;
+    // Starting takes the work out of the list, so the walk must end here.
+    if (TryItem(item, now)) return Tried::kStarted;
+    if (misfits_.size() < kMostMisfits && lane != Lane::kGang) {
+      misfits_.push_back(item->size);
+    }
+  }
+  return looked_at == 0 ? Tried::kNothing : Tried::kNoRoom;
+}
+
+bool Placement::KnownNotToFit(const WorkItem& item) const {
+  return std::any_of(
+      misfits_.begin(), misfits_.end(),
+      [&](const Resources& misfit) { return misfit.FitsIn(item.size); });
+}
+
+bool Placement::WithinLimit(const WorkItem& item) const {
+  if (!state_->settings.enforces_limits) return true;
+  const Resources room = state_->Room(item.team);
+  if (item.lane != Lane::kGang || !item.job) return item.size.FitsIn(room);
+  const int64_t parts = gangs_->PartCount(*item.job);
+  return (item.size * parts).FitsIn(room);
+}
+
+bool Placement::TryItem(WorkItem* item, Time now) {
+  if (item->lane == Lane::kGang && item->job) {
+    return gangs_->TryStart(*item, now);
+  }
+  const PlacementQuery query = {.size = item->size,
+                                .policy = PolicyOf(*item),
+                                .group = GroupFor(*item)};
+  const std::optional<WorkerId> worker = state_->ledger.Pick(query);
+  if (!worker) return false;
+  const WorkId id = item->id;
+  const Milliseconds waited = now - item->submitted;
+  const std::string queue = item->queue.text();
+  if (!StartAttempt(state_, item, *worker, Milliseconds(0), now)) return false;
+  state_->metrics->Observe("quetzal_wait_ms", {{"queue", queue}},
+                           static_cast<double>(waited.count()));
+  for (const Reservation& reservation : reservations_) {
+    if (reservation.work == id) state_->ledger.Reserve(reservation.worker, "");
+  }
+  std::erase_if(reservations_, [&](const Reservation& reservation) {
+    return reservation.work == id;
+  });
+  return true;
+}
+
+void Placement::ReleaseOldReservations(Time now) {
+  std::erase_if(reservations_, [&](const Reservation& reservation) {
+    const bool old = now - reservation.at >= kReservationLife ||
+                     state_->FindWork(reservation.work) == nullptr;
+    if (old) state_->ledger.Reserve(reservation.worker, "");
+    return old;
+  });
+}
+
+void Placement::MakeRoomForUrgent(Time now) {
+  if (state_->settings.order == OrderPolicy::kFifo) return;
+  ReleaseOldReservations(now);
+  if (!state_->contracts.HasMajority(now)) return;
+  for (const TeamId& team : state_->queue.TeamsIn(Lane::kUrgent)) {
+    int looked_at = 0;
+    for (const WorkId& id : state_->queue.Waiting({Lane::kUrgent, team})) {
+      if (++looked_at > kLookAhead) break;
+      const WorkItem* const item = state_->FindWork(id);
+      if (now - item->submitted < state_->settings.urgent_patience) continue;
+      const bool reserved = std::any_of(
+          reservations_.begin(), reservations_.end(),
+          [&](const Reservation& reservation) {
+            return reservation.work == id;
+          });
+      if (reserved || !WithinLimit(*item)) continue;
+      if (!StopVictims(*item, now)) break;
+    }
+  }
+}
+
+bool Placement::StopVictims(const WorkItem& item, Time now) {
+  const double own = state_->ShareRatio(item.team);
+  std::map<WorkerId, std::vector<AttemptInfo*>> stoppable;
+  for (auto& [id, attempt] : state_->attempts) {
+    const bool batch = attempt.work.work_class() == wire::WORK_CLASS_BATCH;
+    const bool may_stop = batch && attempt.work.idempotent() &&
+                          !attempt.work.urgent() && !attempt.stop_sent_at &&
+                          attempt.state == AttemptState::kRunning;
+    if (!may_stop) continue;
+    if (state_->ShareRatio(TeamId(attempt.work.team())) < own) continue;
+    stoppable[attempt.worker].push_back(&attempt);
+  }
+  std::vector<AttemptInfo*> best;
+  std::optional<WorkerId> chosen;
+  for (auto& [worker, attempts] : stoppable) {
+    const WorkerFacts* const facts = state_->ledger.Facts(worker);
+    const bool taken = std::any_of(
+        reservations_.begin(), reservations_.end(),
+        [&](const Reservation& other) { return other.worker == worker; });
+    if (taken || facts == nullptr || facts->leaving) continue;
+    if (!state_->contracts.MayStart(worker, now)) continue;
+    std::sort(attempts.begin(), attempts.end(),
+              [](const AttemptInfo* a, const AttemptInfo* b) {
+                return a->id < b->id;
+              });
+    Resources room = state_->ledger.Free(worker);
+    std::vector<AttemptInfo*> victims;
+    for (AttemptInfo* const attempt : attempts) {
+      if (item.size.FitsIn(room)) break;
+      room += FromWire(attempt->work.size());
+      victims.push_back(attempt);
+    }
+    if (!item.size.FitsIn(room)) continue;
+    if (chosen && victims.size() >= best.size()) continue;
+    best = victims;
+    chosen = worker;
+  }
+  if (!chosen) return false;
+  state_->ledger.Reserve(*chosen, GroupFor(item));
+  reservations_.push_back({*chosen, item.id, now});
+  for (AttemptInfo* const victim : best) {
+    state_->metrics->Count("quetzal_preemptions_total");
+    StopAttempt(state_, victim, true, now);
+  }
+  return true;
+}
+
+Resources Placement::DemandOf(const WorkQueue::Place& place) const {
+  const std::list<WorkId>& queued = state_->queue.Waiting(place);
+  Resources sample;
+  int64_t looked_at = 0;
+  for (const WorkId& id : queued) {
+    if (looked_at == kLookAhead) break;
+    ++looked_at;
+    const WorkItem* const item = state_->FindWork(id);
+    const bool gang = item->lane == Lane::kGang && item->job;
+    sample += item->size * (gang ? gangs_->PartCount(*item->job) : 1);
+  }
+  if (looked_at == 0) return sample;
+  // The rest of the queue is taken to be like its beginning.
+  const auto total = static_cast<int64_t>(queued.size());
+  return sample * ((total + looked_at - 1) / looked_at);
+}
+
+void Placement::NoteDemand() {
+  for (const TeamRecord* const team : state_->records->Teams()) {
+    Resources waiting;
+    for (const Lane lane : kLanes) waiting += DemandOf({lane, team->name});
+    state_->allotments.NoteDemand(team->name,
+                                  state_->ledger.UsedBy(team->name), waiting);
+  }
+}
+
+}  // namespace quetzal::placer_internal
--- /dev/null
+++ b/quetzal/placer/internal/requests.h
@@ -0,0 +1,58 @@
+// Requests: admitted, tried, and settled once with a known fate.
+//
+// A request is refused as "not run" only when no attempt of it can have run;
+// otherwise its outcome is the worker's answer or "unknown". A request key
+// makes a caller's resend the same request as its first one.
+#ifndef QUETZAL_PLACER_INTERNAL_REQUESTS_H_
+#define QUETZAL_PLACER_INTERNAL_REQUESTS_H_
+
+#include <string>
+
+#include "quetzal/placer/internal/state.h"
+
+namespace quetzal::placer_internal {
+
+class Requests {
+ public:
+  explicit Requests(State* state) : state_(state) {}
+
+  void OnSubmit(const EntryId& entry, const wire::Submit& submit, Time now);
+  void OnCancel(const EntryId& entry, const WorkId& id, Time now);
+  void OnSettleReceived(const EntryId& entry, const WorkId& id);
+
+  // An attempt ended and its worker keeps the evidence.
+  void OnEnded(WorkItem* item, const Evidence& evidence, Time now);
+  // An attempt was refused, lost or stopped; the worker keeps nothing of it.
+  void OnInterrupted(WorkItem* item, bool may_have_run, Time now);
+
+  // Decides about work that waited for evidence, once there is enough.
+  void ResolveAwaiting(Time now);
+  // Deadlines, and evidence that was kept long enough.
+  void Tick(Time now);
+
+  // Settles work as refused and forgets it.
+  void Refuse(WorkItem* item, Refusal reason, wire::RunFate fate,
+              const std::string& detail, Time now);
+
+ private:
+  bool JoinByKey(const EntryId& entry, const wire::Submit& submit, Time now);
+  void Admit(WorkItem* item, Time now);
+  bool Attach(WorkItem* item, Time now);
+  void Decide(WorkItem* item, Time now);
+  void OnFinished(WorkItem* item, const Evidence& evidence, Time now);
+  void Settle(WorkItem* item, wire::Settled outcome, const Evidence* evidence,
+              Time now);
+  void Tell(const SettledRequest& request, const Asker& asker);
+  void Expire(WorkItem* item, Time now);
+  void Wake(const WorkId& id, Time now);
+  void DropLostEntries(Time now);
+  void ForgetSettled(Time now);
+  void ForgetOrphans(Time now);
+
+  State* state_;
+  Time swept_at_;
+};
+
+}  // namespace quetzal::placer_internal
+
+#endif  // QUETZAL_PLACER_INTERNAL_REQUESTS_H_
--- /dev/null
+++ b/quetzal/placer/internal/workers.cc
@@ -0,0 +1,410 @@
+#include "quetzal/placer/internal/workers.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "quetzal/placer/internal/flow.h"
+
+namespace quetzal::placer_internal {
+namespace {
+
+constexpr Milliseconds kCheckEvery{250};
+
+}  // namespace
+
+void Workers::OnListed(const std::vector<ListedWorker>& listed) {
+  std::vector<WorkerId> present;
+  std::set<WorkerId> gone;
+  for (const ListedWorker& worker : listed) {
+    if (worker.gone) {
+      gone.insert(worker.id);
+      continue;
+    }
+    present.push_back(worker.id);
+    state_->listed[worker.id] = worker;
+    if (worker.leaving) state_->ledger.SetLeaving(worker.id);
+    const bool known = state_->ledger.Facts(worker.id) != nullptr;
+    if (known || !state_->contracts.in_term()) continue;
+    state_->ledger.SetWorker({.id = worker.id,
+                              .rack = worker.rack,
+                              .capacity = worker.capacity,
+                              .leaving = worker.leaving});
+  }
+  state_->contracts.SetWorkers(present);
+  for (const WorkerId& worker : gone) {
+    // A worker never reached in this term took what it knew with it.
+    const bool news = state_->seen_gone.insert(worker).second;
+    if (news && !state_->contracts.Reached(worker)) {
+      state_->evidence_lost = true;
+    }
+    state_->listed.erase(worker);
+  }
+  std::vector<WorkerId> unlisted;
+  for (const auto& [id, worker] : state_->listed) {
+    if (std::find(present.begin(), present.end(), id) == present.end()) {
+      unlisted.push_back(id);
+    }
+  }
+  for (const WorkerId& worker : unlisted) state_->listed.erase(worker);
+}
+
+void Workers::BeginTerm() {
+  superseded_ = false;
+  state_->evidence_lost = !state_->seen_gone.empty();
+  for (const auto& [id, worker] : state_->listed) {
+    state_->ledger.SetWorker({.id = id,
+                              .rack = worker.rack,
+                              .capacity = worker.capacity,
+                              .leaving = worker.leaving});
+  }
+  // Those that left the list between terms have nobody left to ask.
+  for (const WorkerId& worker : state_->contracts.Workers()) {
+    if (state_->listed.contains(worker)) continue;
+    state_->contracts.Drop(worker);
+    state_->evidence_lost = true;
+  }
+}
+
+void Workers::OnLink(const WorkerId& worker, bool up, Time now) {
+  state_->contracts.OnLink(worker, up);
+  if (!up) state_->ledger.SetOpen(worker, false);
+  if (up) Tick(now);
+}
+
+void Workers::OnMessage(const WorkerId& worker,
+                        const wire::WorkerToPlacer& message, Time now) {
+  switch (message.kind_case()) {
+    case wire::WorkerToPlacer::kGranted:
+      OnGranted(worker, message.granted(), now);
+      break;
+    case wire::WorkerToPlacer::kGrantRefused:
+      OnRefused(worker, message.grant_refused(), now);
+      break;
+    case wire::WorkerToPlacer::kStarted:
+      OnStarted(message.started(), now);
+      break;
+    case wire::WorkerToPlacer::kStartRefused:
+      OnStartRefused(message.start_refused(), now);
+      break;
+    case wire::WorkerToPlacer::kEnded:
+      OnEnded(worker, message.ended(), now);
+      break;
+    case wire::WorkerToPlacer::kUsage:
+      state_->ledger.SetUsage(worker, FromWire(message.usage().in_use()));
+      state_->placement_due = true;
+      break;
+    case wire::WorkerToPlacer::kLeaving:
+      OnLeaving(worker, now);
+      break;
+    case wire::WorkerToPlacer::KIND_NOT_SET:
+      break;
+  }
+}
+
+void Workers::OnGranted(const WorkerId& worker, const wire::Granted& granted,
+                        Time now) {
+  epoch_seen_ = std::max(epoch_seen_.value_or(Epoch{0}),
+                         Epoch{granted.epoch()});
+  if (!state_->contracts.OnGranted(worker, granted, now)) return;
+  if (granted.leaving()) OnLeaving(worker, now);
+  const auto known = state_->incarnations.find(worker);
+  const bool restarted = known != state_->incarnations.end() &&
+                         known->second != granted.incarnation();
+  if (granted.has_inventory()) {
+    state_->incarnations[worker] = granted.incarnation();
+    if (state_->lapsed.erase(worker) > 0 || !state_->booted_at.contains(worker)) {
+      state_->booted_at[worker] = now - Milliseconds(granted.uptime_ms());
+    }
+    OnInventory(worker, granted.inventory(), restarted, now);
+  }
+  const bool may_start = state_->contracts.MayStart(worker, now);
+  state_->ledger.SetOpen(worker, may_start);
+  state_->placement_due = state_->placement_due || may_start;
+}
+
+void Workers::OnRefused(const WorkerId& worker,
+                        const wire::GrantRefused& refused, Time now) {
+  const Epoch current{refused.current_epoch()};
+  epoch_seen_ = std::max(epoch_seen_.value_or(Epoch{0}), current);
+  state_->contracts.OnRefused(worker);
+  state_->ledger.SetOpen(worker, false);
+  const bool higher = current > state_->contracts.epoch();
+  if (higher && !state_->contracts.HasMajority(now)) superseded_ = true;
+}
+
+std::optional<Epoch> Workers::TakeEpochSeen() {
+  return std::exchange(epoch_seen_, std::nullopt);
+}
+
+void Workers::OnStarted(const wire::Started& started, Time now) {
+  AttemptInfo* const attempt =
+      state_->FindAttempt(AttemptId(started.attempt_id()));
+  if (attempt == nullptr) return;
+  attempt->state =
+      started.held() ? AttemptState::kHeld : AttemptState::kRunning;
+  if (!started.held() && !attempt->started_at) attempt->started_at = now;
+  jobs_->OnTaskStarted(*attempt, now);
+}
+
+void Workers::OnStartRefused(const wire::StartRefused& refused, Time now) {
+  const AttemptId id(refused.attempt_id());
+  if (state_->FindAttempt(id) == nullptr) return;
+  state_->Count("quetzal_start_refusals_total", refused.reason());
+  Interrupt(id, false, now);
+}
+
+void Workers::Interrupt(const AttemptId& id, bool may_have_run, Time now) {
+  const AttemptInfo* const attempt = state_->FindAttempt(id);
+  if (attempt == nullptr) return;
+  const WorkId work = attempt->work_id;
+  Evidence trace{.worker = attempt->worker, .at = now};
+  trace.ended.set_attempt_id(id.text());
+  trace.ended.set_outcome(wire::OUTCOME_STOPPED);
+  *trace.ended.mutable_work() = attempt->work;
+  CloseAttempt(state_, id);
+  WorkItem* const item = state_->FindWork(work);
+  if (item == nullptr) {
+    // Its entry may yet ask for it: remember that it ran.
+    if (may_have_run && !TaskOf(work)) state_->evidence[work] = trace;
+    return;
+  }
+  if (!item->attempt.empty()) return;
+  if (item->job) {
+    jobs_->OnTaskInterrupted(item, may_have_run, now);
+  } else {
+    requests_->OnInterrupted(item, may_have_run, now);
+  }
+}
+
+void Workers::Learn(const AttemptInfo& attempt,
+                    const wire::EndedAttempt& ended, Time now) {
+  const bool ran = ended.outcome() == wire::OUTCOME_ANSWERED ||
+                   ended.outcome() == wire::OUTCOME_FAILED;
+  if (!ran || !state_->settings.learns) return;
+  const bool failed = ended.outcome() == wire::OUTCOME_FAILED;
+  state_->failures.OnEnded(attempt.worker, failed);
+  if (failed) {
+    SetAsideOutlier(attempt.worker, now);
+  } else if (attempt.started_at) {
+    state_->run_times.Learn(QueueId(attempt.work.queue()),
+                            now - *attempt.started_at);
+  }
+}
+
+void Workers::SetAsideOutlier(const WorkerId& worker, Time now) {
+  const bool aside = state_->set_aside.contains(worker);
+  if (aside || !state_->failures.IsOutlier(worker)) return;
+  state_->set_aside[worker] = now;
+  state_->ledger.SetAside(worker, true);
+  state_->metrics->Count("quetzal_workers_set_aside_total");
+}
+
+void Workers::OnEnded(const WorkerId& worker, const wire::EndedAttempt& ended,
+                      Time now) {
+  const AttemptId id(ended.attempt_id());
+  const AttemptInfo* const attempt = state_->FindAttempt(id);
+  if (attempt == nullptr) {
+    // Either told before and not acknowledged yet, or of a former term; in
+    // that case the next inventory brings its work along.
+    return;
+  }
+  const bool ran = ended.outcome() != wire::OUTCOME_NOT_STARTED;
+  const bool was_running = attempt->state == AttemptState::kRunning;
+  const bool kept = ended.outcome() == wire::OUTCOME_ANSWERED ||
+                    ended.outcome() == wire::OUTCOME_FAILED;
+  Learn(*attempt, ended, now);
+  const WorkId work = attempt->work_id;
+  const wire::Work described = attempt->work;
+  if (!kept) {
+    Acknowledge(state_, worker, id);
+    Interrupt(id, ran || was_running, now);
+    return;
+  }
+  CloseAttempt(state_, id);
+  Evidence evidence{.ended = ended, .worker = worker, .at = now};
+  *evidence.ended.mutable_work() = described;
+  WorkItem* const item = state_->FindWork(work);
+  if (item == nullptr || !item->attempt.empty()) {
+    if (TaskOf(work) && jobs_->loaded()) {
+      jobs_->OnForeignEvidence(evidence, now);
+    } else {
+      state_->evidence[work] = std::move(evidence);
+    }
+  } else if (item->job) {
+    jobs_->OnTaskEnded(*item, evidence.ended, worker, now);
+  } else {
+    requests_->OnEnded(item, evidence, now);
+  }
+}
+
+void Workers::OnLeaving(const WorkerId& worker, Time now) {
+  const WorkerFacts* const facts = state_->ledger.Facts(worker);
+  if (facts == nullptr || facts->leaving) return;
+  state_->ledger.SetLeaving(worker);
+  // Services move away; everything else may end where it is.
+  for (const AttemptId& id : state_->ledger.AttemptsOn(worker)) {
+    AttemptInfo* const attempt = state_->FindAttempt(id);
+    if (attempt == nullptr) continue;
+    if (attempt->work.work_class() != wire::WORK_CLASS_SERVICE) continue;
+    StopAttempt(state_, attempt, true, now);
+  }
+}
+
+void Workers::OnInventory(const WorkerId& worker,
+                          const wire::Inventory& inventory, bool restarted,
+                          Time now) {
+  const bool was_leaving = state_->ledger.Facts(worker) != nullptr &&
+                           state_->ledger.Facts(worker)->leaving;
+  state_->ledger.SetWorker({.id = worker,
+                            .rack = RackId(inventory.rack()),
+                            .capacity = FromWire(inventory.capacity()),
+                            .leaving = was_leaving || inventory.leaving()});
+  std::set<AttemptId> told;
+  for (const wire::EndedAttempt& ended : inventory.ended()) {
+    const AttemptId id(ended.attempt_id());
+    told.insert(id);
+    if (state_->FindAttempt(id) != nullptr) {
+      OnEnded(worker, ended, now);
+      continue;
+    }
+    const WorkId work(ended.work().work_id());
+    const bool settled = state_->settled.contains(work) ||
+                         state_->evidence.contains(work);
+    if (settled) continue;
+    const Evidence evidence{.ended = ended, .worker = worker, .at = now};
+    if (TaskOf(work) && jobs_->loaded()) {
+      jobs_->OnForeignEvidence(evidence, now);
+      continue;
+    }
+    state_->evidence[work] = evidence;
+    const std::string key = ScopedKey(ended.work());
+    if (!key.empty()) state_->work_of_key.try_emplace(key, work);
+  }
+  for (const wire::Attempt& attempt : inventory.running()) {
+    told.insert(AttemptId(attempt.attempt_id()));
+    AdoptAttempt(worker, attempt, now);
+  }
+  for (const AttemptId& id : state_->ledger.AttemptsOn(worker)) {
+    AttemptInfo* const attempt = state_->FindAttempt(id);
+    if (attempt != nullptr && !told.contains(id)) {
+      OnMissing(attempt, restarted, now);
+    }
+  }
+  state_->RefreshAccounting(now);
+}
+
+void Workers::OnMissing(AttemptInfo* attempt, bool restarted, Time now) {
+  if (restarted) {
+    Interrupt(attempt->id, true, now);
+    return;
+  }
+  // A start sent lately may still be on its way.
+  if (now - attempt->sent_at < state_->settings.start_timeout) return;
+  // The worker's answer to a stop is definite: it ends the attempt, or marks
+  // one it never saw so that a late start is refused.
+  StopAttempt(state_, attempt, false, now);
+}
+
+void Workers::AdoptAttempt(const WorkerId& worker,
+                           const wire::Attempt& attempt, Time now) {
+  const AttemptId id(attempt.attempt_id());
+  const AttemptState seen =
+      attempt.held() ? AttemptState::kHeld : AttemptState::kRunning;
+  if (AttemptInfo* const known = state_->FindAttempt(id)) {
+    if (known->state == AttemptState::kSent) known->state = seen;
+    jobs_->OnTaskStarted(*known, now);
+    return;
+  }
+  AttemptInfo info;
+  info.id = id;
+  info.work = attempt.work();
+  info.work.clear_payload();
+  info.work_id = WorkId(attempt.work().work_id());
+  info.worker = worker;
+  info.state = seen;
+  info.sent_at = now;
+  const auto task = TaskOf(info.work_id);
+  state_->ledger.Charge(
+      id, {.worker = worker,
+           .team = TeamId(info.work.team()),
+           .size = FromWire(info.work.size()),
+           .group = task ? task->first.text() : info.work_id.text()});
+  ++state_->running_in_queue[QueueId(info.work.queue())];
+  const std::string key = ScopedKey(info.work);
+  if (!key.empty()) state_->work_of_key.try_emplace(key, info.work_id);
+  const bool first =
+      state_->attempt_of_work.try_emplace(info.work_id, id).second;
+  AttemptInfo* const kept = &state_->attempts.emplace(id, info).first->second;
+  if (!first) {
+    state_->metrics->Count("quetzal_errors_total",
+                           {{"reason", "second_attempt_found"}});
+    StopAttempt(state_, kept, false, now);
+    return;
+  }
+  if (task && state_->accounted) jobs_->OnForeignAttempt(kept, now);
+}
+
+void Workers::Tick(Time now) {
+  for (DueGrant& due : state_->contracts.GrantsDue(now)) {
+    state_->outbox.emplace_back(
+        ToWorker{due.worker, std::move(due.message)});
+  }
+  if (now - checked_at_ < kCheckEvery) return;
+  checked_at_ = now;
+  for (const WorkerId& worker : state_->contracts.Workers()) {
+    state_->ledger.SetOpen(worker, state_->contracts.MayStart(worker, now));
+  }
+  CheckLapses(now);
+  CheckAttempts(now);
+  for (auto at = state_->set_aside.begin(); at != state_->set_aside.end();) {
+    if (now - at->second < state_->settings.probe_after) {
+      ++at;
+      continue;
+    }
+    state_->ledger.SetAside(at->first, false);
+    state_->failures.Forgive(at->first);
+    at = state_->set_aside.erase(at);
+  }
+}
+
+void Workers::CheckLapses(Time now) {
+  for (const WorkerId& worker : state_->contracts.Workers()) {
+    if (state_->lapsed.contains(worker)) continue;
+    if (state_->contracts.Lapsed(worker, now)) Lapse(worker, now);
+  }
+}
+
+void Workers::Lapse(const WorkerId& worker, Time now) {
+  if (!state_->contracts.Reached(worker)) state_->evidence_lost = true;
+  state_->metrics->Count("quetzal_workers_lapsed_total");
+  state_->lapsed.insert(worker);
+  state_->ledger.SetOpen(worker, false);
+  for (const AttemptId& id : state_->ledger.AttemptsOn(worker)) {
+    Interrupt(id, true, now);
+  }
+  if (!state_->listed.contains(worker)) {
+    state_->ledger.RemoveWorker(worker);
+    state_->contracts.Drop(worker);
+    state_->incarnations.erase(worker);
+    state_->booted_at.erase(worker);
+    state_->lapsed.erase(worker);
+  }
+  state_->RefreshAccounting(now);
+}
+
+void Workers::CheckAttempts(Time now) {
+  for (auto& [id, attempt] : state_->attempts) {
+    if (attempt.stop_sent_at) {
+      const bool again = now - *attempt.stop_sent_at >=
+                         state_->settings.stop_again_after;
+      if (again) StopAttempt(state_, &attempt, attempt.checkpoint, now);
+      continue;
+    }
+    const bool silent =
+        attempt.state == AttemptState::kSent &&
+        now - attempt.sent_at >= state_->settings.start_timeout;
+    if (silent) state_->contracts.AskInventory(attempt.worker);
+  }
+}
+
+}  // namespace quetzal::placer_internal
--- /dev/null
+++ b/quetzal/placer/internal/workers.h
@@ -0,0 +1,70 @@
+// The placer's dealings with workers: contracts, inventories, and what became
+// of each attempt.
+//
+// An attempt ends only by its worker's word or by the lapse of the worker's
+// task lease. Until then it stays charged and blocks a successor.
+#ifndef QUETZAL_PLACER_INTERNAL_WORKERS_H_
+#define QUETZAL_PLACER_INTERNAL_WORKERS_H_
+
+#include <set>
+#include <vector>
+
+#include "quetzal/placer/internal/jobs.h"
+#include "quetzal/placer/internal/requests.h"
+#include "quetzal/placer/internal/state.h"
+
+namespace quetzal::placer_internal {
+
+class Workers {
+ public:
+  Workers(State* state, Requests* requests, Jobs* jobs)
+      : state_(state), requests_(requests), jobs_(jobs) {}
+
+  void OnListed(const std::vector<ListedWorker>& listed);
+  void OnLink(const WorkerId& worker, bool up, Time now);
+  void OnMessage(const WorkerId& worker, const wire::WorkerToPlacer& message,
+                 Time now);
+  // Sends due grants, opens and closes workers, finds lapses and stuck starts.
+  void Tick(Time now);
+  // Puts every listed worker into a new term's ledger, closed.
+  void BeginTerm();
+
+  // Highest epoch that a worker reported since the last call.
+  std::optional<Epoch> TakeEpochSeen();
+  // True once workers under a higher epoch cost this placer its majority.
+  bool superseded() const { return superseded_; }
+
+ private:
+  void OnGranted(const WorkerId& worker, const wire::Granted& granted,
+                 Time now);
+  void OnRefused(const WorkerId& worker, const wire::GrantRefused& refused,
+                 Time now);
+  void OnStarted(const wire::Started& started, Time now);
+  void OnStartRefused(const wire::StartRefused& refused, Time now);
+  void OnEnded(const WorkerId& worker, const wire::EndedAttempt& ended,
+               Time now);
+  void OnLeaving(const WorkerId& worker, Time now);
+  void OnInventory(const WorkerId& worker, const wire::Inventory& inventory,
+                   bool restarted, Time now);
+  void OnMissing(AttemptInfo* attempt, bool restarted, Time now);
+  void AdoptAttempt(const WorkerId& worker, const wire::Attempt& attempt,
+                    Time now);
+  void Interrupt(const AttemptId& id, bool may_have_run, Time now);
+  void Learn(const AttemptInfo& attempt, const wire::EndedAttempt& ended,
+             Time now);
+  void SetAsideOutlier(const WorkerId& worker, Time now);
+  void CheckLapses(Time now);
+  void Lapse(const WorkerId& worker, Time now);
+  void CheckAttempts(Time now);
+
+  State* state_;
+  Requests* requests_;
+  Jobs* jobs_;
+  std::optional<Epoch> epoch_seen_;
+  bool superseded_ = false;
+  Time checked_at_;
+};
+
+}  // namespace quetzal::placer_internal
+
+#endif  // QUETZAL_PLACER_INTERNAL_WORKERS_H_
--- /dev/null
+++ b/quetzal/placer/placer.cc
@@ -0,0 +1,495 @@
+#include "quetzal/placer/placer.h"
+
+#include <google/protobuf/util/json_util.h>
+
+#include <algorithm>
+#include <unordered_map>
+#include <utility>
+
+#include "quetzal/placer/internal/jobs.h"
+#include "quetzal/placer/internal/placement.h"
+#include "quetzal/placer/internal/requests.h"
+#include "quetzal/placer/internal/state.h"
+#include "quetzal/placer/internal/workers.h"
+
+namespace quetzal {
+namespace {
+
+using placer_internal::Jobs;
+using placer_internal::Placement;
+using placer_internal::Requests;
+using placer_internal::State;
+using placer_internal::Workers;
+
+constexpr Milliseconds kHelloEvery{2'000};
+constexpr Milliseconds kDemandEvery{250};
+constexpr Milliseconds kListAgainAfter{500};
+// Without an answer for so long, the allotments last seen are used.
+constexpr Milliseconds kListPatience{6'000};
+// A process that was not run for so long treats what it knew as out of date.
+constexpr Milliseconds kPauseNoticed{300};
+
+std::string ToText(const wire::TeamAllotment& value) {
+  std::string text;
+  const auto status = google::protobuf::util::MessageToJsonString(value, &text);
+  return status.ok() ? text : "{}";
+}
+
+}  // namespace
+
+class PlacerCore::Impl {
+ public:
+  Impl(PlacerSettings settings, RecordStore* records, Metrics* metrics)
+      : state_(std::move(settings), records, metrics),
+        records_(records),
+        jobs_(&state_),
+        requests_(&state_),
+        workers_(&state_, &requests_, &jobs_),
+        placement_(&state_, jobs_.gangs()),
+        seat_(state_.settings.seat) {}
+
+  void OnTick(Time now) {
+    NoticePause(now);
+    TickSeat(now);
+    FollowTerm(now);
+    if (Active()) {
+      workers_.Tick(now);
+      jobs_.Tick(now);
+      requests_.Tick(now);
+      TickAllotments(now);
+      placement_.MakeRoomForUrgent(now);
+      seat_.OnMajority(state_.contracts.HasMajority(now), now);
+    }
+    if (now - hello_at_ >= kHelloEvery) Greet(now);
+    Advance(now);
+  }
+
+  void OnWorkers(const std::vector<ListedWorker>& listed, Time now) {
+    workers_.OnListed(listed);
+    if (Active()) state_.RefreshAccounting(now);
+    Advance(now);
+  }
+
+  void OnWorkerLink(const WorkerId& worker, bool up, Time now) {
+    workers_.OnLink(worker, up, now);
+    Advance(now);
+  }
+
+  void OnWorkerMessage(const WorkerId& worker,
+                       const wire::WorkerToPlacer& message, Time now) {
+    NoticePause(now);
+    if (!Active()) return;
+    workers_.OnMessage(worker, message, now);
+    if (const auto epoch = workers_.TakeEpochSeen()) seat_.OnEpochSeen(*epoch);
+    if (workers_.superseded()) seat_.OnSuperseded(now);
+    Advance(now);
+  }
+
+  void OnEntryLink(const EntryId& entry, bool up, Time now) {
+    if (up) {
+      state_.entries.insert(entry);
+      state_.entry_lost_at.erase(entry);
+      state_.Send(entry, Hello(now));
+    } else {
+      state_.entries.erase(entry);
+      state_.entry_lost_at[entry] = now;
+    }
+  }
+
+  void OnEntryMessage(const EntryId& entry, const wire::EntryToPlacer& message,
+                      Time now) {
+    NoticePause(now);
+    switch (message.kind_case()) {
+      case wire::EntryToPlacer::kHello:
+        OnEntryHello(entry, message.hello(), now);
+        return;
+      case wire::EntryToPlacer::kRecords:
+        if (records_->Apply(message.records(), now) == ApplyResult::kApplied) {
+          OnRecordsChanged(now);
+        }
+        return;
+      default:
+        break;
+    }
+    // An entry sends everything again once another placer is active.
+    if (!Active()) return;
+    OnWorkMessage(entry, message, now);
+    Advance(now);
+  }
+
+  void OnKvAnswer(const KvAnswer& answer, Time now) {
+    if (seat_call_ && seat_call_->first == answer.id) {
+      const SeatCall::Kind kind = seat_call_->second;
+      seat_call_.reset();
+      seat_.OnAnswer(ToSeatAnswer(kind, answer), now);
+    } else if (list_call_ == answer.id) {
+      OnAllotmentsListed(answer);
+    } else if (const auto call = allotment_calls_.extract(answer.id)) {
+      OnAllotmentAnswer(call.mapped(), answer);
+    } else if (const auto read = allotment_reads_.extract(answer.id)) {
+      for (const KvItem& item : answer.items) StoreAllotment(item);
+      state_.allotments.OnWritten(read.mapped(), std::nullopt);
+    } else {
+      jobs_.OnKvAnswer(answer, now);
+    }
+    FollowTerm(now);
+    Advance(now);
+  }
+
+  void OnAllotmentChange(const KvChange& change, Time now) {
+    if (!change.deleted) StoreAllotment(change.item);
+    state_.placement_due = true;
+    Advance(now);
+  }
+
+  void OnRecordsChanged(Time now) {
+    state_.placement_due = true;
+    Advance(now);
+  }
+
+  void BeginShutdown(Time now) {
+    if (Active()) {
+      for (const WorkerId& worker : state_.contracts.Workers()) {
+        wire::PlacerToWorker message;
+        message.mutable_release();
+        state_.Send(worker, std::move(message));
+      }
+    }
+    shutting_down_ = true;
+    seat_.BeginRelease();
+    TickSeat(now);
+    FollowTerm(now);
+  }
+
+  bool ShutdownDone() const { return shutting_down_ && !seat_call_; }
+
+  std::vector<PlacerEffect> TakeEffects() {
+    return std::exchange(state_.outbox, {});
+  }
+
+  PlacerStatus Status(Time now) const {
+    PlacerStatus status;
+    status.active = Active() && state_.contracts.HasMajority(now);
+    status.epoch = state_.contracts.epoch();
+    status.workers = state_.contracts.size();
+    for (const WorkerId& worker : state_.contracts.Workers()) {
+      if (state_.contracts.Reached(worker)) ++status.workers_reached;
+    }
+    status.waiting = state_.queue.size();
+    status.attempts = state_.attempts.size();
+    status.jobs = jobs_.size();
+    status.accounted = state_.accounted;
+    status.packing = state_.ledger.TotalCharged().DominantShare(
+        state_.ledger.TotalCapacity());
+    return status;
+  }
+
+  std::map<TeamId, Resources> Usage() const { return state_.ledger.Usage(); }
+
+ private:
+  bool Active() const { return state_.contracts.in_term(); }
+
+  // After a pause everything that depends on time is looked at anew before
+  // any message is acted on.
+  void NoticePause(Time now) {
+    if (now - last_event_ >= kPauseNoticed && Active()) {
+      state_.RefreshAccounting(now);
+      for (const WorkerId& worker : state_.contracts.Workers()) {
+        state_.ledger.SetOpen(worker, state_.contracts.MayStart(worker, now));
+      }
+    }
+    last_event_ = now;
+  }
+
+  void OnWorkMessage(const EntryId& entry, const wire::EntryToPlacer& message,
+                     Time now) {
+    switch (message.kind_case()) {
+      case wire::EntryToPlacer::kSubmit:
+        requests_.OnSubmit(entry, message.submit(), now);
+        break;
+      case wire::EntryToPlacer::kCancel:
+        requests_.OnCancel(entry, WorkId(message.cancel().work_id()), now);
+        break;
+      case wire::EntryToPlacer::kSettleReceived:
+        requests_.OnSettleReceived(
+            entry, WorkId(message.settle_received().work_id()));
+        break;
+      case wire::EntryToPlacer::kSubmitJob:
+        jobs_.OnSubmit(entry, message.submit_job(), now);
+        break;
+      case wire::EntryToPlacer::kQueryJob:
+        jobs_.OnQuery(entry, message.query_job());
+        break;
+      case wire::EntryToPlacer::kCancelJob:
+        jobs_.OnCancel(entry, message.cancel_job(), now);
+        break;
+      default:
+        break;
+    }
+  }
+
+  void OnEntryHello(const EntryId& entry, const wire::EntryHello& hello,
+                    Time now) {
+    if (hello.record_revision() >= static_cast<uint64_t>(records_->revision())) {
+      return;
+    }
+    wire::PlacerToEntry reply;
+    *reply.mutable_records() =
+        records_->UpdateSince(Revision{hello.record_revision()}, now);
+    state_.Send(entry, std::move(reply));
+  }
+
+  wire::PlacerToEntry Hello(Time now) const {
+    wire::PlacerToEntry message;
+    wire::PlacerHello* const hello = message.mutable_hello();
+    hello->set_placer(state_.settings.self.text());
+    hello->set_active(Active());
+    hello->set_epoch(static_cast<uint64_t>(state_.contracts.epoch()));
+    hello->set_record_revision(static_cast<uint64_t>(records_->revision()));
+    hello->set_confirmed_ago_ms(
+        static_cast<uint32_t>(records_->ConfirmedAgo(now).count()));
+    return message;
+  }
+
+  void Greet(Time now) {
+    hello_at_ = now;
+    for (const EntryId& entry : state_.entries) state_.Send(entry, Hello(now));
+  }
+
+  // ---- seat and terms ----
+
+  void TickSeat(Time now) {
+    const std::optional<SeatCall> call = seat_.Tick(now);
+    if (!call) return;
+    const std::string key =
+        std::string(kSeatPrefix) + state_.settings.domain.text();
+    KvCall kv{.key = key};
+    switch (call->kind) {
+      case SeatCall::Kind::kLook:
+        kv.kind = KvCall::Kind::kGet;
+        break;
+      case SeatCall::Kind::kTake:
+        kv.kind = KvCall::Kind::kPut;
+        kv.value = state_.settings.self.text();
+        kv.expected = Revision{0};
+        kv.lease = state_.settings.seat.lease;
+        break;
+      case SeatCall::Kind::kRenew:
+        kv.kind = KvCall::Kind::kKeepAlive;
+        kv.expected = call->revision;
+        break;
+      case SeatCall::Kind::kRelease:
+        kv.kind = KvCall::Kind::kDelete;
+        kv.expected = call->revision;
+        break;
+    }
+    seat_call_ = std::pair(state_.Call(std::move(kv)), call->kind);
+  }
+
+  SeatAnswer ToSeatAnswer(SeatCall::Kind kind, const KvAnswer& answer) const {
+    if (answer.kind == KvAnswer::Kind::kNoAnswer) return {};
+    const bool done = answer.kind == KvAnswer::Kind::kDone;
+    switch (kind) {
+      case SeatCall::Kind::kLook:
+        if (!done || answer.items.empty()) {
+          return {.kind = SeatAnswer::Kind::kFree};
+        }
+        // A take whose answer was lost shows as a seat of one's own.
+        if (answer.items.front().value == state_.settings.self.text()) {
+          return {.kind = SeatAnswer::Kind::kTaken,
+                  .revision = answer.items.front().revision};
+        }
+        return {.kind = SeatAnswer::Kind::kHeld};
+      case SeatCall::Kind::kTake:
+        if (done) {
+          return {.kind = SeatAnswer::Kind::kTaken,
+                  .revision = answer.revision};
+        }
+        return {.kind = SeatAnswer::Kind::kHeld};
+      case SeatCall::Kind::kRenew:
+        return {.kind = done ? SeatAnswer::Kind::kRenewed
+                             : SeatAnswer::Kind::kLost};
+      case SeatCall::Kind::kRelease:
+        break;
+    }
+    return {.kind = SeatAnswer::Kind::kLost};
+  }
+
+  void FollowTerm(Time now) {
+    if (seat_.term() == term_) return;
+    if (term_) EndTerm();
+    term_ = seat_.term();
+    if (term_) BeginTerm(now);
+    Greet(now);
+  }
+
+  void EndTerm() {
+    state_.contracts.EndTerm();
+    state_.Clear();
+    jobs_.Clear();
+    list_call_.reset();
+    allotment_calls_.clear();
+    allotment_reads_.clear();
+    state_.allotments.ForgetWrites();
+    work_resumed_ = false;
+    state_.metrics->Count("quetzal_terms_ended_total");
+  }
+
+  void BeginTerm(Time now) {
+    state_.term_began = now;
+    state_.contracts.BeginTerm(term_->epoch, term_->fenced);
+    workers_.BeginTerm();
+    state_.RefreshAccounting(now);
+    allotments_ready_ = !term_->fenced;
+    allotments_listed_ = false;
+    ListAllotments(now);
+    jobs_.Load(now);
+    workers_.Tick(now);
+    state_.metrics->Count("quetzal_terms_begun_total",
+                          {{"fenced", term_->fenced ? "yes" : "no"}});
+  }
+
+  // ---- allotments ----
+
+  void ListAllotments(Time now) {
+    listed_at_ = now;
+    list_call_ = state_.Call({.kind = KvCall::Kind::kList,
+                              .key = std::string(kAllotmentPrefix)});
+  }
+
+  void OnAllotmentsListed(const KvAnswer& answer) {
+    list_call_.reset();
+    if (answer.kind != KvAnswer::Kind::kDone) return;
+    for (const KvItem& item : answer.items) StoreAllotment(item);
+    allotments_ready_ = true;
+    allotments_listed_ = true;
+    state_.placement_due = true;
+  }
+
+  void StoreAllotment(const KvItem& item) {
+    wire::TeamAllotment value;
+    const auto status =
+        google::protobuf::util::JsonStringToMessage(item.value, &value);
+    if (!status.ok() || item.key.size() <= kAllotmentPrefix.size()) {
+      state_.Count("quetzal_errors_total", "unreadable_allotment");
+      return;
+    }
+    state_.allotments.OnStored(TeamId(item.key.substr(kAllotmentPrefix.size())),
+                               value, item.revision);
+  }
+
+  void TickAllotments(Time now) {
+    if (!allotments_ready_ && now - state_.term_began >= kListPatience) {
+      allotments_ready_ = true;
+    }
+    if (!allotments_listed_ && !list_call_ &&
+        now - listed_at_ >= kListAgainAfter) {
+      ListAllotments(now);
+    }
+    if (!allotments_listed_ || now - demand_at_ < kDemandEvery) return;
+    demand_at_ = now;
+    placement_.NoteDemand();
+    for (const TeamRecord* const team : records_->Teams()) {
+      // A value that exists after all shows as a conflict.
+      state_.allotments.OnMissing(team->name);
+      const auto write =
+          state_.allotments.NextWrite(team->name, team->limit, now);
+      if (!write) continue;
+      const uint64_t id = state_.Call(
+          {.kind = KvCall::Kind::kPut,
+           .key = std::string(kAllotmentPrefix) + team->name.text(),
+           .value = ToText(write->value),
+           .expected = write->expected});
+      allotment_calls_[id] = team->name;
+    }
+  }
+
+  void OnAllotmentAnswer(const TeamId& team, const KvAnswer& answer) {
+    if (answer.kind == KvAnswer::Kind::kDone) {
+      state_.allotments.OnWritten(team, answer.revision);
+      state_.placement_due = true;
+      return;
+    }
+    state_.Count("quetzal_retries_total", "allotment_write");
+    const uint64_t id =
+        state_.Call({.kind = KvCall::Kind::kGet,
+                     .key = std::string(kAllotmentPrefix) + team.text()});
+    allotment_reads_[id] = team;
+  }
+
+  // ---- progress after each event ----
+
+  void Advance(Time now) {
+    FollowTerm(now);
+    if (!Active()) return;
+    if (state_.accounted) requests_.ResolveAwaiting(now);
+    if (state_.accounted && jobs_.loaded() && !work_resumed_) {
+      work_resumed_ = true;
+      jobs_.QueueMissingTasks(now);
+      state_.placement_due = true;
+    }
+    if (state_.placement_due && allotments_ready_) placement_.Pass(now);
+  }
+
+  State state_;
+  RecordStore* records_;
+  Jobs jobs_;
+  Requests requests_;
+  Workers workers_;
+  Placement placement_;
+  SeatKeeper seat_;
+  std::optional<Term> term_;
+  std::optional<std::pair<uint64_t, SeatCall::Kind>> seat_call_;
+  std::optional<uint64_t> list_call_;
+  std::unordered_map<uint64_t, TeamId> allotment_calls_;
+  std::unordered_map<uint64_t, TeamId> allotment_reads_;
+  bool allotments_ready_ = false;
+  bool allotments_listed_ = false;
+  bool work_resumed_ = false;
+  bool shutting_down_ = false;
+  Time hello_at_;
+  Time listed_at_;
+  Time demand_at_;
+  Time last_event_;
+};
+
+PlacerCore::PlacerCore(PlacerSettings settings, RecordStore* records,
+                       Metrics* metrics)
+    : impl_(std::make_unique<Impl>(std::move(settings), records, metrics)) {}
+PlacerCore::~PlacerCore() = default;
+
+void PlacerCore::OnTick(Time now) { impl_->OnTick(now); }
+void PlacerCore::OnWorkers(const std::vector<ListedWorker>& listed, Time now) {
+  impl_->OnWorkers(listed, now);
+}
+void PlacerCore::OnWorkerLink(const WorkerId& worker, bool up, Time now) {
+  impl_->OnWorkerLink(worker, up, now);
+}
+void PlacerCore::OnWorkerMessage(const WorkerId& worker,
+                                 const wire::WorkerToPlacer& message,
+                                 Time now) {
+  impl_->OnWorkerMessage(worker, message, now);
+}
+void PlacerCore::OnEntryLink(const EntryId& entry, bool up, Time now) {
+  impl_->OnEntryLink(entry, up, now);
+}
+void PlacerCore::OnEntryMessage(const EntryId& entry,
+                                const wire::EntryToPlacer& message, Time now) {
+  impl_->OnEntryMessage(entry, message, now);
+}
+void PlacerCore::OnKvAnswer(const KvAnswer& answer, Time now) {
+  impl_->OnKvAnswer(answer, now);
+}
+void PlacerCore::OnAllotmentChange(const KvChange& change, Time now) {
+  impl_->OnAllotmentChange(change, now);
+}
+void PlacerCore::OnRecordsChanged(Time now) { impl_->OnRecordsChanged(now); }
+void PlacerCore::BeginShutdown(Time now) { impl_->BeginShutdown(now); }
+bool PlacerCore::ShutdownDone() const { return impl_->ShutdownDone(); }
+std::vector<PlacerEffect> PlacerCore::TakeEffects() {
+  return impl_->TakeEffects();
+}
+PlacerStatus PlacerCore::Status(Time now) const { return impl_->Status(now); }
+std::map<TeamId, Resources> PlacerCore::Usage() const { return impl_->Usage(); }
+
+}  // namespace quetzal
--- /dev/null
+++ b/quetzal/run_time/run_time.cc
@@ -0,0 +1,56 @@
+#include "quetzal/run_time/run_time.h"
+
+#include <algorithm>
+
+namespace quetzal {
+namespace {
+
+// Weight of the newest run time in the mean.
+constexpr double kRunTimeWeight = 0.1;
+// Weights of the newest end in the failure rates of one and of all workers.
+constexpr double kWorkerWeight = 0.25;
+constexpr double kFleetWeight = 0.02;
+constexpr double kFailsNearlyAll = 0.7;
+constexpr double kTimesThePeers = 3.0;
+constexpr int kLeastEnds = 5;
+
+}  // namespace
+
+void RunTimes::Learn(const QueueId& queue, Milliseconds took) {
+  const auto sample = static_cast<double>(took.count());
+  const auto [found, first] = mean_ms_.try_emplace(queue, sample);
+  if (!first) found->second += kRunTimeWeight * (sample - found->second);
+}
+
+std::optional<Milliseconds> RunTimes::Mean(const QueueId& queue) const {
+  const auto found = mean_ms_.find(queue);
+  if (found == mean_ms_.end()) return std::nullopt;
+  return Milliseconds(static_cast<int64_t>(found->second));
+}
+
+Milliseconds RunTimes::ExpectedWait(const QueueId& queue, size_t waiting,
+                                    size_t running) const {
+  const std::optional<Milliseconds> mean = Mean(queue);
+  if (!mean || running == 0) return Milliseconds(0);
+  return *mean * static_cast<int64_t>(waiting) / static_cast<int64_t>(running);
+}
+
+void FailureRates::OnEnded(const WorkerId& worker, bool failed) {
+  const double sample = failed ? 1 : 0;
+  Rate& rate = rates_[worker];
+  rate.failed += kWorkerWeight * (sample - rate.failed);
+  ++rate.seen;
+  all_.failed += kFleetWeight * (sample - all_.failed);
+  ++all_.seen;
+}
+
+bool FailureRates::IsOutlier(const WorkerId& worker) const {
+  const auto found = rates_.find(worker);
+  if (found == rates_.end() || found->second.seen < kLeastEnds) return false;
+  return found->second.failed >= kFailsNearlyAll &&
+         found->second.failed >= kTimesThePeers * all_.failed;
+}
+
+void FailureRates::Forgive(const WorkerId& worker) { rates_.erase(worker); }
+
+}  // namespace quetzal
--- /dev/null
+++ b/quetzal/seat/seat.cc
@@ -0,0 +1,120 @@
+#include "quetzal/seat/seat.h"
+
+#include <algorithm>
+
+namespace quetzal {
+namespace {
+
+// Low bits of an epoch count the fallback terms since a platform revision.
+constexpr int kFallbackBits = 16;
+
+}  // namespace
+
+Epoch EpochOfRevision(Revision revision) {
+  return Epoch{static_cast<uint64_t>(revision) << kFallbackBits};
+}
+
+Epoch NextFallbackEpoch(Epoch highest_seen) {
+  return Epoch{static_cast<uint64_t>(highest_seen) + 1};
+}
+
+SeatKeeper::SeatKeeper(SeatTimes times) : times_(times) {}
+
+std::optional<SeatCall> SeatKeeper::Tick(Time now) {
+  if (!first_tick_) first_tick_ = now;
+  if (awaiting_ && now - *last_call_ >= times_.call_timeout) {
+    awaiting_ = false;
+    platform_answers_ = false;
+  }
+  if (MayFallBack(now)) {
+    highest_seen_ = NextFallbackEpoch(highest_seen_);
+    term_ = Term{.epoch = highest_seen_, .fenced = false};
+    term_began_ = now;
+  }
+  if (awaiting_) return std::nullopt;
+  const bool due = take_next_ || !last_call_ || releasing_ ||
+                   now - *last_call_ >= times_.renew_every;
+  if (!due) return std::nullopt;
+  SeatCall call;
+  if (releasing_) {
+    if (!held_) return std::nullopt;
+    call = {.kind = SeatCall::Kind::kRelease, .revision = *held_};
+    held_.reset();
+  } else if (held_) {
+    call = {.kind = SeatCall::Kind::kRenew, .revision = *held_};
+  } else {
+    call.kind = take_next_ ? SeatCall::Kind::kTake : SeatCall::Kind::kLook;
+  }
+  take_next_ = false;
+  awaiting_ = true;
+  last_call_ = now;
+  last_kind_ = call.kind;
+  return call;
+}
+
+void SeatKeeper::OnAnswer(const SeatAnswer& answer, Time now) {
+  awaiting_ = false;
+  platform_answers_ = answer.kind != SeatAnswer::Kind::kNoAnswer;
+  if (platform_answers_) last_answer_ = now;
+  switch (answer.kind) {
+    case SeatAnswer::Kind::kFree:
+      take_next_ = !releasing_;
+      break;
+    case SeatAnswer::Kind::kTaken:
+      if (releasing_) break;
+      held_ = answer.revision;
+      term_ = Term{.epoch = EpochOfRevision(answer.revision), .fenced = true};
+      term_began_ = now;
+      OnEpochSeen(term_->epoch);
+      break;
+    case SeatAnswer::Kind::kHeld:
+      // Another placer is active by the platform's word.
+      if (!held_) EndTerm(now);
+      break;
+    case SeatAnswer::Kind::kLost:
+      held_.reset();
+      EndTerm(now);
+      break;
+    case SeatAnswer::Kind::kRenewed:
+    case SeatAnswer::Kind::kNoAnswer:
+      break;
+  }
+}
+
+void SeatKeeper::OnEpochSeen(Epoch epoch) {
+  highest_seen_ = std::max(highest_seen_, epoch);
+}
+
+void SeatKeeper::OnMajority(bool held, Time now) {
+  if (held) {
+    majority_at_ = now;
+    return;
+  }
+  if (!term_ || term_->fenced) return;
+  const Time since = std::max(*term_began_, majority_at_.value_or(*term_began_));
+  if (now - since >= times_.fallback_patience) EndTerm(now);
+}
+
+void SeatKeeper::OnSuperseded(Time now) {
+  held_.reset();
+  EndTerm(now);
+}
+
+void SeatKeeper::BeginRelease() {
+  releasing_ = true;
+  term_.reset();
+}
+
+void SeatKeeper::EndTerm(Time now) {
+  if (term_) term_ended_ = now;
+  term_.reset();
+}
+
+bool SeatKeeper::MayFallBack(Time now) const {
+  if (term_ || releasing_ || platform_answers_) return false;
+  const Time heard = last_answer_.value_or(*first_tick_);
+  const Time since = std::max(heard, term_ended_.value_or(heard));
+  return now - since >= times_.fallback_after;
+}
+
+}  // namespace quetzal
