--- /dev/null
+++ b/programs/entry/caller_api.cc
@@ -0,0 +1,140 @@
+#include "programs/entry/caller_api.h"
+
+#include <utility>
+
+namespace quetzal {
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kAccepted = 202;
+constexpr int64_t kDefaultDeadlineMs = 10'000;
+constexpr int64_t kMostDeadlineMs = 600'000;
+constexpr int64_t kMostTasks = 10'000;
+constexpr size_t kLongestRequestKey = 200;
+constexpr Resources kDefaultRequestSize = {
+    .cpu_milli = 100, .memory_mib = 64, .slots = 1};
+constexpr Resources kDefaultTaskSize = {.cpu_milli = 100, .memory_mib = 64};
+
+void ReadWork(ObjectReader* reader, const Resources& default_size,
+              wire::Work* work) {
+  work->set_queue(reader->Text("queue"));
+  work->set_idempotent(reader->Flag("idempotent", false));
+  work->set_urgent(reader->Flag("urgent", false));
+  work->set_payload(reader->Text("payload", ""));
+  const bool sized = reader->Has("size");
+  const Resources size = reader->Amounts("size");
+  *work->mutable_size() = ToWire(sized ? size : default_size);
+  if (sized && size.IsZero()) {
+    reader->Report("size", "nothing asked for",
+                   "at least one amount above 0 of cpu_milli, memory_mib, "
+                   "accelerators, slots");
+  }
+}
+
+const char* NameOf(wire::RunFate fate) {
+  switch (fate) {
+    case wire::RUN_FATE_NOT_RUN:
+      return "not_run";
+    case wire::RUN_FATE_RAN:
+      return "ran";
+    default:
+      return "unknown";
+  }
+}
+
+// Bytes that are not UTF-8 are replaced: JSON has no other way to carry them.
+std::string Dump(const nlohmann::json& json) {
+  return json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+}  // namespace
+
+Checked<CallerRequest> ReadRequest(HttpCall call, const HttpRequest& request) {
+  Problems problems;
+  const nlohmann::json json = ParseObject(request.body, "body", &problems);
+  if (!problems.empty()) return problems;
+  ObjectReader reader(json, "body", &problems);
+  CallerRequest caller;
+  caller.call = CallId{static_cast<uint64_t>(call)};
+  caller.key = request.bearer;
+  ReadWork(&reader, kDefaultRequestSize, &caller.work);
+  caller.work.set_work_class(wire::WORK_CLASS_REQUEST);
+  caller.work.set_request_key(reader.Text("request_key", ""));
+  if (caller.work.request_key().size() > kLongestRequestKey) {
+    reader.Report("request_key", "too long", "at most 200 bytes");
+  }
+  caller.deadline = Milliseconds(reader.Integer(
+      "deadline_ms",
+      {.least = 1, .most = kMostDeadlineMs, .fallback = kDefaultDeadlineMs}));
+  reader.Finish();
+  if (!problems.empty()) return problems;
+  return caller;
+}
+
+Checked<CallerJob> ReadJob(HttpCall call, const HttpRequest& request) {
+  Problems problems;
+  const nlohmann::json json = ParseObject(request.body, "body", &problems);
+  if (!problems.empty()) return problems;
+  ObjectReader reader(json, "body", &problems);
+  CallerJob job;
+  job.call = CallId{static_cast<uint64_t>(call)};
+  job.key = request.bearer;
+  wire::Work* const work = job.spec.mutable_work();
+  ReadWork(&reader, kDefaultTaskSize, work);
+  const std::string kind =
+      reader.Choice("kind", {"batch", "gang", "service"}, "batch");
+  work->set_work_class(kind == "gang"      ? wire::WORK_CLASS_GANG
+                       : kind == "service" ? wire::WORK_CLASS_SERVICE
+                                           : wire::WORK_CLASS_BATCH);
+  job.spec.set_tasks(static_cast<uint32_t>(reader.Integer(
+      "tasks", {.least = 1, .most = kMostTasks, .fallback = 1})));
+  reader.Finish();
+  if (!problems.empty()) return problems;
+  return job;
+}
+
+HttpReply ToHttp(const AnswerReply& reply) {
+  const nlohmann::json json = {{"request", reply.request.text()},
+                               {"answer", reply.answer},
+                               {"worker", reply.worker.text()},
+                               {"attempt", reply.attempt.text()},
+                               {"waited_ms", reply.waited.count()}};
+  return {.status = kOk, .body = Dump(json)};
+}
+
+HttpReply ToHttp(const RefusalReply& reply) {
+  nlohmann::json json = {{"error", std::string(Code(reply.reason))},
+                         {"run", NameOf(reply.fate)},
+                         {"remedy", std::string(Remedy(reply.reason))}};
+  if (!reply.detail.empty()) json["detail"] = reply.detail;
+  if (!reply.request.empty()) json["request"] = reply.request.text();
+  if (!reply.answer.empty()) json["answer"] = reply.answer;
+  return {.status = HttpStatus(reply.reason),
+          .body = Dump(json),
+          .retry_after = reply.retry_after};
+}
+
+HttpReply ToHttp(const JobStateReply& reply) {
+  const nlohmann::json json = {
+      {"job", reply.job.text()},      {"state", reply.state.state()},
+      {"tasks", reply.state.tasks()}, {"running", reply.state.running()},
+      {"ended", reply.state.ended()}, {"failed", reply.state.failed()}};
+  return {.status = reply.accepted ? kAccepted : kOk, .body = Dump(json)};
+}
+
+HttpReply ToHttp(const Problems& problems) {
+  nlohmann::json list = nlohmann::json::array();
+  for (const Problem& problem : problems) {
+    list.push_back({{"path", problem.path},
+                    {"wrong", problem.wrong},
+                    {"allowed", problem.allowed}});
+  }
+  const Refusal reason = Refusal::kBadRequest;
+  const nlohmann::json json = {{"error", std::string(Code(reason))},
+                               {"run", NameOf(wire::RUN_FATE_NOT_RUN)},
+                               {"remedy", std::string(Remedy(reason))},
+                               {"problems", list}};
+  return {.status = HttpStatus(reason), .body = Dump(json)};
+}
+
+}  // namespace quetzal
--- /dev/null
+++ b/programs/entry/main.cc
@@ -0,0 +1,322 @@
+// quetzal-entry: takes callers' work over HTTP, checks it and hands it to the
+// failure domain's active placer. Runs on every entry VM.
+#include <glog/logging.h>
+
+#include <map>
+#include <memory>
+#include <utility>
+
+#include "programs/entry/caller_api.h"
+#include "quetzal/follow/follow.h"
+#include "quetzal/platform/platform.h"
+#include "quetzal/program/program.h"
+#include "quetzal/rpc/rpc.h"
+
+namespace quetzal {
+namespace {
+
+constexpr Milliseconds kTick{50};
+constexpr Milliseconds kVmListEvery{5'000};
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kMethodNotAllowed = 405;
+constexpr int kUnavailable = 503;
+
+struct PlacerAddress {
+  PlacerId name;
+  std::string address;
+};
+
+struct ProgramSettings {
+  std::string name;
+  FailureDomainId domain;
+  std::string http_address;
+  HttpLimits http;
+  HttpPlatformSettings platform;
+  std::vector<PlacerAddress> placers;
+  Milliseconds drain_grace{0};
+  EntrySettings entry;
+};
+
+class EntryService : public Service {
+ public:
+  explicit EntryService(ProgramSettings settings)
+      : settings_(std::move(settings)),
+        platform_(Platform::OverHttp(settings_.platform, &metrics_)),
+        core_(settings_.entry, &records_, &metrics_),
+        follower_({.prefix = std::string(kRecordPrefix)}, platform_.get(),
+                  &records_, FollowHandlersOf()) {
+    for (const Refusal reason : AllRefusals()) {
+      metrics_.Count("quetzal_refusals_total",
+                     {{"reason", std::string(Code(reason))}}, 0);
+    }
+  }
+
+  bool Start() {
+    auto server = HttpServer::Listen(
+        settings_.http_address, settings_.http,
+        {.on_request =
+             [this](HttpCall call, const HttpRequest& request) {
+               OnHttp(call, request);
+               Flush();
+             },
+         .on_gone =
+             [this](HttpCall call) {
+               core_.OnCallerGone(CallId{static_cast<uint64_t>(call)}, Now());
+               Flush();
+             }});
+    if (!server) {
+      LOG(ERROR) << settings_.http_address << ": " << server.error().message();
+      return false;
+    }
+    server_ = std::move(server.value());
+    for (const PlacerAddress& placer : settings_.placers) Connect(placer);
+    follower_.Start();
+    ListVms();
+    Every(kVmListEvery, [this] { ListVms(); });
+    Every(kTick, [this] { Tick(); });
+    LOG(INFO) << settings_.name << " serves callers on port "
+              << server_->port();
+    return true;
+  }
+
+  // The balancer sees /healthz fail at once; work that still comes meanwhile
+  // is served, then refused, and the program ends when none is pending.
+  void BeginShutdown() override {
+    if (leaving_) return;
+    leaving_ = true;
+    LOG(INFO) << settings_.name << " drains, pending " << core_.pending();
+    After(settings_.drain_grace, [this] { core_.BeginDrain(); });
+  }
+
+ private:
+  FollowHandlers FollowHandlersOf() {
+    return {
+        .now = Now,
+        .after = After,
+        .on_records =
+            [this] {
+              LOG(INFO) << "records in force up to revision "
+                        << static_cast<uint64_t>(records_.revision());
+            },
+        .on_other = [](const KvChange&) {},
+        .on_health =
+            [this](PlatformHealth health) { core_.OnPlatformHealth(health); }};
+  }
+
+  void Connect(const PlacerAddress& placer) {
+    if (links_.contains(placer.name)) return;
+    const PlacerId name = placer.name;
+    links_[name] = PlacerLink::Open(
+        placer.address, {.on_link =
+                             [this, name](bool up) {
+                               core_.OnPlacerLink(name, up, Now());
+                               Flush();
+                             },
+                         .on_message =
+                             [this, name](const wire::PlacerToEntry& message) {
+                               core_.OnPlacerMessage(name, message, Now());
+                               Flush();
+                             }});
+  }
+
+  void ListVms() {
+    platform_->ListVms([this](const std::optional<std::vector<Vm>>& vms) {
+      if (!vms) return;  // what was known stays
+      for (const Vm& vm : *vms) {
+        const bool placer = vm.role == VmRole::kEntry &&
+                            vm.domain == settings_.domain &&
+                            !vm.placer_address.empty();
+        if (!placer) continue;
+        if (vm.state == VmState::kGone) {
+          if (links_.erase(PlacerId(vm.name)) > 0) {
+            core_.OnPlacerLink(PlacerId(vm.name), false, Now());
+          }
+        } else {
+          Connect({PlacerId(vm.name), vm.placer_address});
+        }
+      }
+    });
+  }
+
+  void OnHttp(HttpCall call, const HttpRequest& request) {
+    const std::string jobs = "/v1/jobs/";
+    if (request.path == "/v1/requests") {
+      if (OnlyMethod(call, request, "POST")) OnRequest(call, request);
+    } else if (request.path == "/v1/jobs") {
+      if (OnlyMethod(call, request, "POST")) OnJob(call, request);
+    } else if (request.path.starts_with(jobs)) {
+      const bool cancel = request.method == "DELETE";
+      if (!cancel && !OnlyMethod(call, request, "GET")) return;
+      core_.OnJobQuestion({.call = CallId{static_cast<uint64_t>(call)},
+                           .key = request.bearer,
+                           .job = JobId(request.path.substr(jobs.size())),
+                           .cancel = cancel},
+                          Now());
+    } else if (request.path == "/healthz") {
+      server_->Reply(call, Health());
+    } else if (request.path == "/metrics") {
+      server_->Reply(call, Page());
+    } else if (request.path == "/v1/status") {
+      server_->Reply(call, Status());
+    } else {
+      server_->Reply(call, {.status = kNotFound,
+                            .body = R"({"error":"not_found","run":"not_run",)"
+                                    R"("remedy":"use /v1/requests, /v1/jobs, )"
+                                    R"(/v1/status, /healthz or /metrics"})"});
+    }
+  }
+
+  bool OnlyMethod(HttpCall call, const HttpRequest& request,
+                  const std::string& method) {
+    if (request.method == method) return true;
+    server_->Reply(call, {.status = kMethodNotAllowed,
+                          .body = R"({"error":"method_not_allowed",)"
+                                  R"("run":"not_run","remedy":"use )" +
+                                  method + "\"}"});
+    return false;
+  }
+
+  void OnRequest(HttpCall call, const HttpRequest& http) {
+    const Checked<CallerRequest> request = ReadRequest(call, http);
+    if (!request) {
+      RefuseBody(call, request.error());
+      return;
+    }
+    core_.OnRequest(request.value(), Now());
+  }
+
+  void OnJob(HttpCall call, const HttpRequest& http) {
+    const Checked<CallerJob> job = ReadJob(call, http);
+    if (!job) {
+      RefuseBody(call, job.error());
+      return;
+    }
+    core_.OnJob(job.value(), Now());
+  }
+
+  void RefuseBody(HttpCall call, const Problems& problems) {
+    metrics_.Count("quetzal_refusals_total",
+                   {{"reason", std::string(Code(Refusal::kBadRequest))}});
+    server_->Reply(call, ToHttp(problems));
+  }
+
+  HttpReply Health() const {
+    const bool healthy =
+        !leaving_ && records_.ready() && core_.active_placer().has_value();
+    return {.status = healthy ? kOk : kUnavailable,
+            .body = healthy ? R"({"healthy":true})" : R"({"healthy":false})"};
+  }
+
+  HttpReply Page() {
+    const RpcTraffic traffic = TotalTraffic();
+    metrics_.Set("quetzal_rpc_sent_bytes", {},
+                 static_cast<double>(traffic.sent_bytes));
+    metrics_.Set("quetzal_rpc_received_bytes", {},
+                 static_cast<double>(traffic.received_bytes));
+    metrics_.Set("quetzal_pending", {}, static_cast<double>(core_.pending()));
+    metrics_.Set("quetzal_record_revision", {},
+                 static_cast<double>(records_.revision()));
+    return {.body = metrics_.Render(), .content_type = "text/plain"};
+  }
+
+  HttpReply Status() const {
+    const std::optional<PlacerId> placer = core_.active_placer();
+    const nlohmann::json json = {
+        {"name", settings_.name},
+        {"failure_domain", settings_.domain.text()},
+        {"record_revision", static_cast<uint64_t>(records_.revision())},
+        {"records_confirmed_ago_ms", records_.ConfirmedAgo(Now()).count()},
+        {"active_placer", placer ? placer->text() : ""},
+        {"pending", core_.pending()},
+        {"draining", leaving_}};
+    return {.body = json.dump()};
+  }
+
+  void Tick() {
+    core_.OnTick(Now());
+    Flush();
+    const bool over =
+        core_.draining() && core_.pending() == 0 && server_->open_calls() == 0;
+    if (over) Quit(kExitDone);
+  }
+
+  void Flush() {
+    for (const EntryEffect& effect : core_.TakeEffects()) {
+      std::visit([this](const auto& each) { CarryOut(each); }, effect);
+    }
+  }
+  void CarryOut(const ToPlacer& effect) {
+    const auto link = links_.find(effect.placer);
+    if (link != links_.end()) link->second->Send(effect.message);
+  }
+  void CarryOut(const RefusalReply& reply) {
+    LOG(INFO) << "refused request=" << reply.request
+              << " reason=" << Code(reply.reason) << " fate=" << reply.fate;
+    server_->Reply(HttpCall{static_cast<uint64_t>(reply.call)}, ToHttp(reply));
+  }
+  template <typename Reply>
+  void CarryOut(const Reply& reply) {
+    server_->Reply(HttpCall{static_cast<uint64_t>(reply.call)}, ToHttp(reply));
+  }
+
+  ProgramSettings settings_;
+  Metrics metrics_;
+  RecordStore records_;
+  std::unique_ptr<Platform> platform_;
+  EntryCore core_;
+  Follower follower_;
+  std::unique_ptr<HttpServer> server_;
+  std::map<PlacerId, std::unique_ptr<PlacerLink>> links_;
+  bool leaving_ = false;
+};
+
+ProgramSettings ReadSettings(const nlohmann::json& json, Problems* problems) {
+  ObjectReader reader(json, "settings", problems);
+  ProgramSettings settings;
+  settings.name = reader.Text("name");
+  settings.domain = FailureDomainId(reader.Text("failure_domain"));
+  settings.http_address = reader.Text("http_address");
+  settings.platform.address = reader.Text("platform_address");
+  settings.platform.call_timeout = Milliseconds(
+      reader.Integer("platform_timeout_ms", {.least = 10, .fallback = 1'500}));
+  settings.drain_grace = Milliseconds(
+      reader.Integer("drain_grace_ms", {.least = 0, .fallback = 3'000}));
+  settings.http.body_bytes = static_cast<size_t>(reader.Integer(
+      "most_body_bytes",
+      {.least = 1024, .most = 16 * 1024 * 1024, .fallback = 256 * 1024}));
+  settings.http.read_time = Milliseconds(
+      reader.Integer("read_time_ms", {.least = 100, .fallback = 30'000}));
+  settings.entry.self = EntryId(NameOfThisStart(settings.name));
+  settings.entry.freshness = Milliseconds(
+      reader.Integer("freshness_ms", {.least = 1'000, .fallback = 12'000}));
+  settings.entry.most_pending = static_cast<size_t>(
+      reader.Integer("most_pending", {.least = 1, .fallback = 20'000}));
+  for (ObjectReader& each : reader.Objects("placers")) {
+    settings.placers.push_back(
+        {PlacerId(each.Text("name")), each.Text("address")});
+    each.Finish();
+  }
+  reader.Finish();
+  return settings;
+}
+
+std::unique_ptr<Service> StartEntry(const nlohmann::json& json, bool only_check,
+                                    Problems* problems) {
+  ProgramSettings settings = ReadSettings(json, problems);
+  if (only_check || !problems->empty()) return nullptr;
+  auto service = std::make_unique<EntryService>(std::move(settings));
+  if (!service->Start()) return nullptr;
+  return service;
+}
+
+}  // namespace
+}  // namespace quetzal
+
+int main(int argc, char** argv) {
+  return quetzal::RunProgram(
+      {.name = "quetzal-entry",
+       .purpose = "Takes callers' work and hands it to the active placer",
+       .start = quetzal::StartEntry},
+      argc, argv);
+}
--- /dev/null
+++ b/programs/placer/main.cc
@@ -0,0 +1,381 @@
+// quetzal-placer: decides where the work of a failure domain runs. Runs on
+// every entry VM; one of a domain is active at a time.
+#include <glog/logging.h>
+
+#include <map>
+#include <memory>
+#include <set>
+#include <utility>
+
+#include "quetzal/follow/follow.h"
+#include "quetzal/http/http.h"
+#include "quetzal/placer/placer.h"
+#include "quetzal/platform/platform.h"
+#include "quetzal/program/program.h"
+#include "quetzal/rpc/rpc.h"
+
+namespace quetzal {
+namespace {
+
+constexpr Milliseconds kTick{50};
+constexpr Milliseconds kVmListEvery{2'000};
+constexpr Milliseconds kShutdownPatience{3'000};
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+
+struct ProgramSettings {
+  std::string name;
+  std::string listen_address;
+  std::string http_address;
+  HttpPlatformSettings platform;
+  PlacerSettings placer;
+};
+
+class PlacerService : public Service {
+ public:
+  explicit PlacerService(ProgramSettings settings)
+      : settings_(std::move(settings)),
+        platform_(Platform::OverHttp(settings_.platform, &metrics_)),
+        core_(settings_.placer, &records_, &metrics_),
+        follower_({.prefix = std::string(kSharedPrefix)}, platform_.get(),
+                  &records_, FollowHandlersOf()) {}
+
+  bool Start() {
+    if (!ListenForEntries() || !ListenForHttp()) return false;
+    follower_.Start();
+    ListVms();
+    Every(kVmListEvery, [this] { ListVms(); });
+    Every(kTick, [this] { Tick(); });
+    LOG(INFO) << settings_.placer.self << " serves entries on port "
+              << entries_->port();
+    return true;
+  }
+
+  // Contracts are handed over and the seat given back; tasks go on under
+  // their leases and entries send pending work to the next placer.
+  void BeginShutdown() override {
+    if (leaving_) return;
+    leaving_ = true;
+    LOG(INFO) << settings_.placer.self << " hands over";
+    core_.BeginShutdown(Now());
+    Flush();
+    After(kShutdownPatience, [] { Quit(kExitDone); });
+  }
+
+ private:
+  FollowHandlers FollowHandlersOf() {
+    return {.now = Now,
+            .after = After,
+            .on_records =
+                [this] {
+                  core_.OnRecordsChanged(Now());
+                  Flush();
+                },
+            .on_other =
+                [this](const KvChange& change) {
+                  core_.OnAllotmentChange(change, Now());
+                  Flush();
+                },
+            .on_health = [](PlatformHealth) {}};
+  }
+
+  bool ListenForEntries() {
+    auto server = PlacerServer::Listen(
+        settings_.listen_address,
+        {.on_open = [](PeerId) {},
+         .on_message =
+             [this](PeerId peer, const wire::EntryToPlacer& message) {
+               OnEntryMessage(peer, message);
+               Flush();
+             },
+         .on_close =
+             [this](PeerId peer) {
+               OnEntryClosed(peer);
+               Flush();
+             }});
+    if (!server) {
+      LOG(ERROR) << settings_.listen_address << ": "
+                 << server.error().message();
+      return false;
+    }
+    entries_ = std::move(server.value());
+    return true;
+  }
+
+  bool ListenForHttp() {
+    auto server = HttpServer::Listen(
+        settings_.http_address, {},
+        {.on_request =
+             [this](HttpCall call, const HttpRequest& request) {
+               http_->Reply(call, Serve(request));
+             },
+         .on_gone = [](HttpCall) {}});
+    if (!server) {
+      LOG(ERROR) << settings_.http_address << ": " << server.error().message();
+      return false;
+    }
+    http_ = std::move(server.value());
+    return true;
+  }
+
+  // An entry names itself in the first message of its stream.
+  void OnEntryMessage(PeerId peer, const wire::EntryToPlacer& message) {
+    const Time now = Now();
+    if (message.has_hello() && !entry_of_peer_.contains(peer)) {
+      const EntryId entry(message.hello().entry());
+      entry_of_peer_[peer] = entry;
+      peer_of_entry_[entry] = peer;
+      core_.OnEntryLink(entry, true, now);
+    }
+    const auto entry = entry_of_peer_.find(peer);
+    if (entry == entry_of_peer_.end()) return;
+    core_.OnEntryMessage(entry->second, message, now);
+  }
+
+  void OnEntryClosed(PeerId peer) {
+    const auto entry = entry_of_peer_.extract(peer);
+    if (!entry) return;
+    const auto current = peer_of_entry_.find(entry.mapped());
+    // The entry may have connected again before its old stream ended.
+    if (current == peer_of_entry_.end() || current->second != peer) return;
+    peer_of_entry_.erase(current);
+    core_.OnEntryLink(entry.mapped(), false, Now());
+  }
+
+  void ListVms() {
+    platform_->ListVms([this](const std::optional<std::vector<Vm>>& vms) {
+      if (!vms) return;  // what was known stays
+      std::vector<ListedWorker> listed;
+      for (const Vm& vm : *vms) {
+        if (vm.role != VmRole::kWorker) continue;
+        if (vm.domain != settings_.placer.domain) continue;
+        const WorkerId worker(vm.name);
+        listed.push_back({.id = worker,
+                          .rack = vm.rack,
+                          .capacity = vm.capacity,
+                          .leaving = vm.state == VmState::kLeaving,
+                          .gone = vm.state == VmState::kGone});
+        addresses_[worker] = vm.contract_address;
+      }
+      core_.OnWorkers(listed, Now());
+      Flush();
+    });
+  }
+
+  // Only the active placer keeps links: a standby costs the workers nothing.
+  void FollowLinks() {
+    const bool wanted = core_.Status(Now()).in_term;
+    if (!wanted) {
+      if (!links_.empty()) DropLinks();
+      return;
+    }
+    for (const auto& [worker, address] : addresses_) {
+      if (!links_.contains(worker)) Connect(worker, address);
+    }
+  }
+
+  void Connect(const WorkerId& worker, const std::string& address) {
+    links_[worker] = ContractLink::Open(
+        address, {.on_link =
+                      [this, worker](bool up) {
+                        core_.OnWorkerLink(worker, up, Now());
+                        Flush();
+                      },
+                  .on_message =
+                      [this, worker](const wire::WorkerToPlacer& message) {
+                        core_.OnWorkerMessage(worker, message, Now());
+                        Flush();
+                      }});
+  }
+
+  void DropLinks() {
+    for (const auto& [worker, link] : links_) {
+      core_.OnWorkerLink(worker, false, Now());
+    }
+    links_.clear();
+  }
+
+  HttpReply Serve(const HttpRequest& request) {
+    const PlacerStatus status = core_.Status(Now());
+    if (request.path == "/healthz") {
+      return {.status = leaving_ ? kUnavailable : kOk,
+              .body = R"({"healthy":true})"};
+    }
+    if (request.path == "/metrics") return Page(status);
+    if (request.path != "/v1/status") {
+      return {.status = kNotFound, .body = "{}"};
+    }
+    nlohmann::json usage = nlohmann::json::object();
+    for (const auto& [team, used] : core_.Usage()) {
+      usage[team.text()] = {{"cpu_milli", used.cpu_milli},
+                            {"memory_mib", used.memory_mib},
+                            {"accelerators", used.accelerators},
+                            {"slots", used.slots}};
+    }
+    const nlohmann::json json = {
+        {"name", settings_.placer.self.text()},
+        {"failure_domain", settings_.placer.domain.text()},
+        {"active", status.active},
+        {"epoch", static_cast<uint64_t>(status.epoch)},
+        {"workers", status.workers},
+        {"workers_reached", status.workers_reached},
+        {"accounted", status.accounted},
+        {"waiting", status.waiting},
+        {"attempts", status.attempts},
+        {"jobs", status.jobs},
+        {"packing", status.packing},
+        {"record_revision", static_cast<uint64_t>(records_.revision())},
+        {"usage", usage}};
+    return {.body = json.dump()};
+  }
+
+  HttpReply Page(const PlacerStatus& status) {
+    const RpcTraffic traffic = TotalTraffic();
+    metrics_.Set("quetzal_rpc_sent_bytes", {},
+                 static_cast<double>(traffic.sent_bytes));
+    metrics_.Set("quetzal_rpc_received_bytes", {},
+                 static_cast<double>(traffic.received_bytes));
+    metrics_.Set("quetzal_active", {}, status.active ? 1 : 0);
+    metrics_.Set("quetzal_waiting", {}, static_cast<double>(status.waiting));
+    metrics_.Set("quetzal_attempts", {}, static_cast<double>(status.attempts));
+    metrics_.Set("quetzal_packing", {}, status.packing);
+    metrics_.Set("quetzal_workers_reached", {},
+                 static_cast<double>(status.workers_reached));
+    return {.body = metrics_.Render(), .content_type = "text/plain"};
+  }
+
+  void Tick() {
+    core_.OnTick(Now());
+    FollowLinks();
+    Flush();
+    if (leaving_ && core_.ShutdownDone()) Quit(kExitDone);
+  }
+
+  void Flush() {
+    for (const PlacerEffect& effect : core_.TakeEffects()) {
+      std::visit([this](const auto& each) { CarryOut(each); }, effect);
+    }
+  }
+  void CarryOut(const ToWorker& effect) {
+    const auto link = links_.find(effect.worker);
+    if (link != links_.end()) link->second->Send(effect.message);
+  }
+  void CarryOut(const ToEntry& effect) {
+    const auto peer = peer_of_entry_.find(effect.entry);
+    if (peer != peer_of_entry_.end()) {
+      entries_->Send(peer->second, effect.message);
+    }
+  }
+  void CarryOut(const KvCall& call) {
+    platform_->Call(call, [this](const KvAnswer& answer) {
+      core_.OnKvAnswer(answer, Now());
+      Flush();
+    });
+  }
+
+  ProgramSettings settings_;
+  Metrics metrics_;
+  RecordStore records_;
+  std::unique_ptr<Platform> platform_;
+  PlacerCore core_;
+  Follower follower_;
+  std::unique_ptr<PlacerServer> entries_;
+  std::unique_ptr<HttpServer> http_;
+  std::map<PeerId, EntryId> entry_of_peer_;
+  std::map<EntryId, PeerId> peer_of_entry_;
+  std::map<WorkerId, std::string> addresses_;
+  std::map<WorkerId, std::unique_ptr<ContractLink>> links_;
+  bool leaving_ = false;
+};
+
+ContractTimes ReadContract(ObjectReader reader) {
+  ContractTimes times;
+  times.ttl = Milliseconds(
+      reader.Integer("ttl_ms", {.least = 200, .fallback = times.ttl.count()}));
+  times.renew_every = Milliseconds(reader.Integer(
+      "renew_every_ms", {.least = 50, .fallback = times.renew_every.count()}));
+  times.task_lease = Milliseconds(reader.Integer(
+      "task_lease_ms", {.least = 500, .fallback = times.task_lease.count()}));
+  if (times.renew_every * 2 > times.ttl) {
+    reader.Report("renew_every_ms", "too long for ttl_ms",
+                  "at most half of ttl_ms");
+  }
+  if (times.ttl > times.task_lease) {
+    reader.Report("task_lease_ms", "shorter than ttl_ms", "at least ttl_ms");
+  }
+  reader.Finish();
+  return times;
+}
+
+SeatTimes ReadSeat(ObjectReader reader) {
+  SeatTimes times;
+  times.lease = Milliseconds(reader.Integer(
+      "lease_ms", {.least = 200, .fallback = times.lease.count()}));
+  times.renew_every = Milliseconds(reader.Integer(
+      "renew_every_ms", {.least = 50, .fallback = times.renew_every.count()}));
+  times.fallback_after = Milliseconds(
+      reader.Integer("fallback_after_ms",
+                     {.least = 200, .fallback = times.fallback_after.count()}));
+  if (times.renew_every * 2 > times.lease) {
+    reader.Report("renew_every_ms", "too long for lease_ms",
+                  "at most half of lease_ms");
+  }
+  reader.Finish();
+  return times;
+}
+
+ProgramSettings ReadSettings(const nlohmann::json& json, Problems* problems) {
+  ObjectReader reader(json, "settings", problems);
+  ProgramSettings settings;
+  settings.name = reader.Text("name");
+  settings.placer.self = PlacerId(NameOfThisStart(settings.name));
+  settings.placer.domain = FailureDomainId(reader.Text("failure_domain"));
+  settings.listen_address = reader.Text("listen_address");
+  settings.http_address = reader.Text("http_address");
+  settings.platform.address = reader.Text("platform_address");
+  settings.platform.call_timeout = Milliseconds(
+      reader.Integer("platform_timeout_ms", {.least = 10, .fallback = 1'000}));
+  for (ObjectReader& each : reader.Objects("failure_domains")) {
+    settings.placer.domains.emplace_back(each.Text("name"));
+    each.Finish();
+  }
+  settings.placer.contract = ReadContract(reader.Object("contract"));
+  settings.placer.seat = ReadSeat(reader.Object("seat"));
+  settings.placer.gang_patience =
+      Milliseconds(reader.Integer("gang_patience_ms", {.fallback = 5'000}));
+  settings.placer.urgent_patience =
+      Milliseconds(reader.Integer("urgent_patience_ms", {.fallback = 500}));
+  const std::string division =
+      reader.Choice("limit_division", {"demand", "static"}, "demand");
+  settings.placer.division =
+      division == "static" ? DivisionPolicy::kStatic : DivisionPolicy::kDemand;
+  const auto& domains = settings.placer.domains;
+  if (std::find(domains.begin(), domains.end(), settings.placer.domain) ==
+      domains.end()) {
+    reader.Report("failure_domains", "this failure domain is not in the list",
+                  "every failure domain of the fleet, this one included");
+  }
+  reader.Finish();
+  return settings;
+}
+
+std::unique_ptr<Service> StartPlacer(const nlohmann::json& json,
+                                     bool only_check, Problems* problems) {
+  ProgramSettings settings = ReadSettings(json, problems);
+  if (only_check || !problems->empty()) return nullptr;
+  auto service = std::make_unique<PlacerService>(std::move(settings));
+  if (!service->Start()) return nullptr;
+  return service;
+}
+
+}  // namespace
+}  // namespace quetzal
+
+int main(int argc, char** argv) {
+  return quetzal::RunProgram(
+      {.name = "quetzal-placer",
+       .purpose = "Decides where the work of a failure domain runs",
+       .start = quetzal::StartPlacer},
+      argc, argv);
+}
--- a/quetzal/allotment/allotment.cc
+++ b/quetzal/allotment/allotment.cc
@@ -100,8 +100,7 @@
   const auto found = teams_.find(team);
   if (found == teams_.end() || !found->second.stored) return {};
   const TeamState& state = found->second;
-  const Resources own =
-      Scale(OwnStored(state), SumOf(*state.stored), limit);
+  const Resources own = Scale(OwnStored(state), SumOf(*state.stored), limit);
   return state.pledged ? Min(own, *state.pledged) : own;
 }
 
@@ -141,9 +140,8 @@
   const Resources goal =
       policy_ == DivisionPolicy::kDemand ? Max(demand, part) : part;
   if (OthersWant(*state) && policy_ == DivisionPolicy::kDemand) {
-    const Resources kept =
-        Max(Divide(part, kKeptDivisor),
-            demand + Divide(state->used, kHeadroomDivisor));
+    const Resources kept = Max(Divide(part, kKeptDivisor),
+                               demand + Divide(state->used, kHeadroomDivisor));
     const Resources lowered = Min(target, kept);
     if (!(lowered == target)) {
       state->pledged = lowered;
@@ -158,8 +156,7 @@
                                : Resources();
   // Only whether more is wanted matters to the others: writing each change of
   // the amount would cost the platform a write for each change of a queue.
-  const bool same_wish =
-      wanted.IsZero() == FromWire(entry.wanted()).IsZero();
+  const bool same_wish = wanted.IsZero() == FromWire(entry.wanted()).IsZero();
   if (target == own && same_wish) return std::nullopt;
   *entry.mutable_amount() = ToWire(target);
   *entry.mutable_wanted() = ToWire(wanted);
--- a/quetzal/contract/contract.cc
+++ b/quetzal/contract/contract.cc
@@ -170,8 +170,7 @@
         const auto& sent = entry.second.confirmed_sent;
         return sent && *sent >= since;
       });
-  return in_term() &&
-         static_cast<size_t>(confirmed) * 2 > contracts_.size();
+  return in_term() && static_cast<size_t>(confirmed) * 2 > contracts_.size();
 }
 
 void ContractBook::NoteMajority(Time now) {
--- a/quetzal/contract/contract.h
+++ b/quetzal/contract/contract.h
@@ -28,9 +28,9 @@
 namespace quetzal {
 
 struct ContractTimes {
-  Milliseconds ttl{20'000};          // life of a contract after a grant
-  Milliseconds renew_every{6'000};   // between grants to one worker
-  Milliseconds task_lease{60'000};   // life of tasks after a grant
+  Milliseconds ttl{20'000};           // life of a contract after a grant
+  Milliseconds renew_every{6'000};    // between grants to one worker
+  Milliseconds task_lease{60'000};    // life of tasks after a grant
   Milliseconds regrant_after{1'000};  // for a grant that was not answered
 };
 
@@ -102,8 +102,8 @@
     bool want_inventory = false;
     std::optional<Time> last_sent;
     uint64_t last_serial = 0;
-    std::map<uint64_t, Time> unanswered;   // serial to time sent
-    std::optional<Time> confirmed_sent;    // when the newest answered was sent
+    std::map<uint64_t, Time> unanswered;  // serial to time sent
+    std::optional<Time> confirmed_sent;   // when the newest answered was sent
     std::optional<Time> stamp_received;
     uint64_t stamp_ms = 0;
     // When the stamp in the newest grant sent was received.
--- /dev/null
+++ b/quetzal/dispatch/dispatch.h
@@ -0,0 +1,181 @@
+// The decision core of an entry: checks a caller's work, hands it to the
+// domain's active placer, and gives the caller the whole outcome.
+//
+//   EntryCore core(settings, &records, &metrics);
+//   core.OnRequest(request, now);
+//   core.OnPlacerMessage(placer, message, now);
+//   for (const EntryEffect& effect : core.TakeEffects()) carry_out(effect);
+//
+// No sockets, threads or clocks. Each call of a caller gets exactly one reply.
+// A refusal says "not run" only if no placer was ever handed the work, or if
+// the placer proved it.
+#ifndef QUETZAL_DISPATCH_DISPATCH_H_
+#define QUETZAL_DISPATCH_DISPATCH_H_
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "quetzal/ids/ids.h"
+#include "quetzal/kv/kv.h"
+#include "quetzal/metrics/metrics.h"
+#include "quetzal/proto/wire.pb.h"
+#include "quetzal/record_store/record_store.h"
+#include "quetzal/refusal/refusal.h"
+#include "quetzal/resources/resources.h"
+
+namespace quetzal {
+
+struct EntrySettings {
+  EntryId self;
+  // Age of the records above which a revocation may have been missed.
+  Milliseconds freshness{12'000};
+  // After a request's deadline, time in which its outcome may still arrive.
+  Milliseconds settle_grace{2'000};
+  Milliseconds job_deadline{10'000};  // to make a job durable
+  Milliseconds ask_deadline{5'000};   // for questions about jobs
+  size_t most_pending = 20'000;
+};
+
+// Names one call of a caller while it waits for its reply.
+enum class CallId : uint64_t {};
+
+// A request as a caller sent it.
+struct CallerRequest {
+  CallId call{};
+  std::optional<std::string> key;  // the team's key, in the clear
+  wire::Work work;                 // queue, size, payload; no id or team yet
+  Milliseconds deadline{10'000};
+};
+
+// A job as a submitter sent it.
+struct CallerJob {
+  CallId call{};
+  std::optional<std::string> key;
+  wire::JobSpec spec;  // without id
+};
+
+struct JobQuestion {
+  CallId call{};
+  std::optional<std::string> key;
+  JobId job;
+  bool cancel = false;
+};
+
+struct AnswerReply {
+  CallId call{};
+  WorkId request;
+  WorkerId worker;
+  AttemptId attempt;
+  std::string answer;
+  Milliseconds waited{0};
+};
+
+struct RefusalReply {
+  CallId call{};
+  Refusal reason{};
+  wire::RunFate fate = wire::RUN_FATE_NOT_RUN;
+  std::string detail;
+  std::optional<Milliseconds> retry_after;
+  WorkId request;      // empty if refused before it had an id
+  std::string answer;  // of work that ran and failed
+};
+
+struct JobStateReply {
+  CallId call{};
+  JobId job;
+  wire::JobReply state;
+  bool accepted = false;  // the reply to a submission
+};
+
+struct ToPlacer {
+  PlacerId placer;
+  wire::EntryToPlacer message;
+};
+
+using EntryEffect =
+    std::variant<AnswerReply, RefusalReply, JobStateReply, ToPlacer>;
+
+class EntryCore {
+ public:
+  // `records` and `metrics` must outlive the core.
+  EntryCore(EntrySettings settings, RecordStore* records, Metrics* metrics);
+
+  void OnRequest(const CallerRequest& request, Time now);
+  void OnJob(const CallerJob& job, Time now);
+  void OnJobQuestion(const JobQuestion& question, Time now);
+  // The caller closed its connection: nobody waits for the reply.
+  void OnCallerGone(CallId call, Time now);
+
+  void OnPlacerLink(const PlacerId& placer, bool up, Time now);
+  void OnPlacerMessage(const PlacerId& placer,
+                       const wire::PlacerToEntry& message, Time now);
+  void OnPlatformHealth(PlatformHealth health);
+  void OnTick(Time now);
+
+  // Refuses new work; what is pending goes on.
+  void BeginDrain();
+  bool draining() const { return draining_; }
+  size_t pending() const { return requests_.size() + jobs_.size(); }
+  // The placer that work is sent to; nothing if none is active.
+  std::optional<PlacerId> active_placer() const;
+
+  std::vector<EntryEffect> TakeEffects();
+
+ private:
+  struct Pending {
+    CallId call{};
+    wire::EntryToPlacer message;  // submit, submit_job, query_job, cancel_job
+    Time since;
+    Time deadline;
+    bool sent = false;  // some placer may have received it
+  };
+  struct PlacerView {
+    bool linked = false;
+    bool active = false;
+    uint64_t epoch = 0;
+  };
+
+  std::optional<Refusal> Authorize(const std::optional<std::string>& key,
+                                   const QueueRecord& queue, Time now) const;
+  std::optional<TeamId> TeamOfKey(const std::optional<std::string>& key,
+                                  Refusal* reason) const;
+  const QueueRecord* Admit(CallId call, const std::optional<std::string>& key,
+                           const std::string& queue, Time now);
+  void Refuse(CallId call, Refusal reason, const std::string& detail = "");
+  void Reply(EntryEffect effect) { effects_.push_back(std::move(effect)); }
+  void AddRequest(const std::string& id, Pending pending, Time now);
+  void AddJobCall(const std::string& id, Pending pending, Time now);
+  void Send(Pending* pending, Time now);
+  void ChooseActive(Time now);
+  void SendAll(Time now);
+  void OnHello(const PlacerId& placer, const wire::PlacerHello& hello,
+               Time now);
+  void OnSettled(const PlacerId& placer, const wire::Settled& settled);
+  void OnJobReply(const wire::JobReply& reply);
+  wire::EntryToPlacer Hello(Time now) const;
+
+  EntrySettings settings_;
+  RecordStore* records_;
+  Metrics* metrics_;
+  PlatformHealth health_ = PlatformHealth::kAnswers;
+  bool draining_ = false;
+  uint64_t next_id_ = 1;
+  std::map<PlacerId, PlacerView> placers_;
+  std::optional<PlacerId> active_;
+  uint64_t active_epoch_ = 0;
+  std::unordered_map<std::string, Pending> requests_;  // by request id
+  std::unordered_map<std::string, Pending> jobs_;      // by job or query id
+  std::unordered_map<uint64_t, std::string> id_of_call_;
+  std::set<std::pair<Time, std::string>> deadlines_;
+  std::vector<EntryEffect> effects_;
+  Time hello_at_;
+};
+
+}  // namespace quetzal
+
+#endif  // QUETZAL_DISPATCH_DISPATCH_H_
--- /dev/null
+++ b/quetzal/http/http.h
@@ -0,0 +1,85 @@
+// A small HTTP server for callers, operators and the balancer, over libsoup.
+//
+//   auto server = HttpServer::Listen("127.0.0.1:8080", limits, handlers);
+//   server.value()->Reply(call, {.status = 200, .body = "{}"});
+//
+// Each call is handed over once its body is whole, and answered once, at any
+// later time. Bodies above the limit and clients that are too slow are turned
+// away without holding memory or the loop.
+#ifndef QUETZAL_HTTP_HTTP_H_
+#define QUETZAL_HTTP_HTTP_H_
+
+#include <boost/outcome/std_result.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <system_error>
+
+#include "quetzal/ids/ids.h"
+
+namespace quetzal {
+
+enum class HttpError {
+  kBadAddress = 1,  // not "IP:port"
+  kAddressInUse,
+};
+std::error_code make_error_code(HttpError error);  // NOLINT: name fixed by std
+
+template <typename T>
+using HttpResult = boost::outcome_v2::std_result<T, std::error_code>;
+
+// Names one call while it waits for its reply.
+enum class HttpCall : uint64_t {};
+
+struct HttpRequest {
+  std::string method;
+  std::string path;
+  std::map<std::string, std::string> query;
+  std::optional<std::string> bearer;  // of "Authorization: Bearer ..."
+  std::string body;
+};
+
+struct HttpReply {
+  int status = 200;
+  std::string body;
+  std::string content_type = "application/json";
+  std::optional<Milliseconds> retry_after;
+  bool close = false;  // end the connection after this reply
+};
+
+struct HttpLimits {
+  size_t body_bytes = 256 * 1024;
+  // For a whole request to arrive, and for an idle connection to be used.
+  Milliseconds read_time{30'000};
+  size_t most_connections = 4'096;
+};
+
+struct HttpHandlers {
+  std::function<void(HttpCall call, const HttpRequest& request)> on_request;
+  // The caller closed its connection before its reply.
+  std::function<void(HttpCall call)> on_gone;
+};
+
+class HttpServer {
+ public:
+  // `address` is "IP:port"; port 0 takes a free one.
+  static HttpResult<std::unique_ptr<HttpServer>> Listen(
+      const std::string& address, HttpLimits limits, HttpHandlers handlers);
+  virtual ~HttpServer() = default;
+
+  // No effect if the caller has gone.
+  virtual void Reply(HttpCall call, const HttpReply& reply) = 0;
+  // Calls that came and whose reply is not wholly written yet.
+  virtual size_t open_calls() const = 0;
+  virtual int port() const = 0;
+};
+
+}  // namespace quetzal
+
+template <>
+struct std::is_error_code_enum<quetzal::HttpError> : std::true_type {};
+
+#endif  // QUETZAL_HTTP_HTTP_H_
--- a/quetzal/kv/kv.h
+++ b/quetzal/kv/kv.h
@@ -24,6 +24,13 @@
 inline constexpr std::string_view kSeatPrefix = "seats/";
 inline constexpr std::string_view kJobPrefix = "jobs/";
 
+// What is known of the platform's service from this process.
+enum class PlatformHealth {
+  kAnswers,
+  kDown,  // it refuses connections or says so: nobody can change records
+  kCut,   // silence: records may be changing unseen
+};
+
 struct KvCall {
   enum class Kind { kGet, kList, kPut, kDelete, kKeepAlive };
   uint64_t id = 0;  // echoed in the answer
@@ -51,6 +58,8 @@
   uint64_t id = 0;
   Kind kind = Kind::kNoAnswer;
   Revision revision{0};  // of the key written, or of the one in conflict
+  // Of the whole service when it answered; given for kGet and kList.
+  Revision store_revision{0};
   std::vector<KvItem> items;
 };
 
--- a/quetzal/metrics/metrics.cc
+++ b/quetzal/metrics/metrics.cc
@@ -43,12 +43,13 @@
 }  // namespace
 
 struct Metrics::Distribution {
-  using Set = acc::accumulator_set<
-      double, acc::stats<acc::tag::count, acc::tag::mean,
-                         acc::tag::extended_p_square_quantile>>;
+  using Set =
+      acc::accumulator_set<double,
+                           acc::stats<acc::tag::count, acc::tag::mean,
+                                      acc::tag::extended_p_square_quantile>>;
   Distribution()
-      : set(acc::extended_p_square_probabilities = std::vector<double>{
-                0.25, kMedian, 0.75, 0.9, kTail, 0.999}) {}
+      : set(acc::extended_p_square_probabilities =
+                std::vector<double>{0.25, kMedian, 0.75, 0.9, kTail, 0.999}) {}
   Set set;
 };
 
--- a/quetzal/placer/internal/gangs.cc
+++ b/quetzal/placer/internal/gangs.cc
@@ -50,8 +50,8 @@
   gang.waiting_since = now;
   gang.phase = Phase::kHolding;
   gang.had_started = true;
-  const bool whole = std::all_of(
-      members.begin(), members.end(), [&](const WorkId& part) {
+  const bool whole =
+      std::all_of(members.begin(), members.end(), [&](const WorkId& part) {
         return state_->attempt_of_work.contains(part);
       });
   if (whole) {
--- a/quetzal/placer/internal/jobs.cc
+++ b/quetzal/placer/internal/jobs.cc
@@ -24,8 +24,7 @@
 
 std::string ToText(const wire::JobBatch& batch) {
   std::string text;
-  const auto status =
-      google::protobuf::util::MessageToJsonString(batch, &text);
+  const auto status = google::protobuf::util::MessageToJsonString(batch, &text);
   return status.ok() ? text : "{}";
 }
 
@@ -174,11 +173,10 @@
         return waiting.spec.job_id() == spec.job_id();
       });
   const bool committing =
-      commit_ &&
-      std::any_of(commit_->jobs.begin(), commit_->jobs.end(),
-                  [&](const Waiting& waiting) {
-                    return waiting.spec.job_id() == spec.job_id();
-                  });
+      commit_ && std::any_of(commit_->jobs.begin(), commit_->jobs.end(),
+                             [&](const Waiting& waiting) {
+                               return waiting.spec.job_id() == spec.job_id();
+                             });
   if (already || committing) return;
   std::string detail;
   if (const auto reason = Check(spec, &detail)) {
@@ -370,8 +368,7 @@
   item->attempt = attempt->id;
 }
 
-void Jobs::QueueTask(const JobId& id, const Job& job, uint32_t task,
-                     Time now) {
+void Jobs::QueueTask(const JobId& id, const Job& job, uint32_t task, Time now) {
   wire::Work work = job.stored.job().work();
   work.set_work_id(TaskWorkId(id, task).text());
   WorkItem* const item = AddWork(state_, work, now);
@@ -435,11 +432,10 @@
 
 void Jobs::StartCommit(Time now) {
   Commit commit;
-  commit.key = std::string(kJobPrefix) + state_->settings.domain.text() + "/" +
-               std::to_string(static_cast<uint64_t>(
-                   state_->contracts.epoch())) +
-               "-" + state_->settings.self.text() + "-" +
-               std::to_string(next_batch_++);
+  commit.key =
+      std::string(kJobPrefix) + state_->settings.domain.text() + "/" +
+      std::to_string(static_cast<uint64_t>(state_->contracts.epoch())) + "-" +
+      state_->settings.self.text() + "-" + std::to_string(next_batch_++);
   wire::JobBatch value;
   size_t bytes = 0;
   size_t taken = 0;
@@ -665,17 +661,16 @@
 
 void Jobs::MaybeDelete(const std::string& key, Batch* batch, Time now) {
   if (batch->dirty || batch->writing) return;
-  const bool over = std::all_of(
-      batch->jobs.begin(), batch->jobs.end(), [&](const JobId& id) {
+  const bool over =
+      std::all_of(batch->jobs.begin(), batch->jobs.end(), [&](const JobId& id) {
         const Job* const job = Find(id);
         return job == nullptr ||
                (job->done_at && now - *job->done_at >= kKeepFinished);
       });
   if (!over) return;
   for (const JobId& id : batch->jobs) jobs_.erase(id);
-  state_->Call({.kind = KvCall::Kind::kDelete,
-                .key = key,
-                .expected = batch->revision});
+  state_->Call(
+      {.kind = KvCall::Kind::kDelete, .key = key, .expected = batch->revision});
 }
 
 void Jobs::Tick(Time now) {
--- a/quetzal/placer/internal/placement.cc
+++ b/quetzal/placer/internal/placement.cc
@@ -73,8 +73,8 @@
     WorkItem* first = nullptr;
     for (const Lane lane : kLanes) {
       for (const TeamId& team : state_->queue.TeamsIn(lane)) {
-        WorkItem* const item = state_->FindWork(
-            state_->queue.Waiting({lane, team}).front());
+        WorkItem* const item =
+            state_->FindWork(state_->queue.Waiting({lane, team}).front());
         if (first == nullptr || item->submitted < first->submitted) {
           first = item;
         }
@@ -119,9 +119,8 @@
   if (item->lane == Lane::kGang && item->job) {
     return gangs_->TryStart(*item, now);
   }
-  const PlacementQuery query = {.size = item->size,
-                                .policy = PolicyOf(*item),
-                                .group = GroupFor(*item)};
+  const PlacementQuery query = {
+      .size = item->size, .policy = PolicyOf(*item), .group = GroupFor(*item)};
   const std::optional<WorkerId> worker = state_->ledger.Pick(query);
   if (!worker) return false;
   const WorkId id = item->id;
@@ -158,17 +157,23 @@
       if (++looked_at > kLookAhead) break;
       const WorkItem* const item = state_->FindWork(id);
       if (now - item->submitted < state_->settings.urgent_patience) continue;
-      const bool reserved = std::any_of(
-          reservations_.begin(), reservations_.end(),
-          [&](const Reservation& reservation) {
-            return reservation.work == id;
-          });
+      const bool reserved =
+          std::any_of(reservations_.begin(), reservations_.end(),
+                      [&](const Reservation& reservation) {
+                        return reservation.work == id;
+                      });
       if (reserved || !WithinLimit(*item)) continue;
       if (!StopVictims(*item, now)) break;
     }
   }
 }
 
+bool Placement::IsReserved(const WorkerId& worker) const {
+  return std::any_of(
+      reservations_.begin(), reservations_.end(),
+      [&](const Reservation& other) { return other.worker == worker; });
+}
+
 bool Placement::StopVictims(const WorkItem& item, Time now) {
   const double own = state_->ShareRatio(item.team);
   std::map<WorkerId, std::vector<AttemptInfo*>> stoppable;
@@ -185,10 +190,7 @@
   std::optional<WorkerId> chosen;
   for (auto& [worker, attempts] : stoppable) {
     const WorkerFacts* const facts = state_->ledger.Facts(worker);
-    const bool taken = std::any_of(
-        reservations_.begin(), reservations_.end(),
-        [&](const Reservation& other) { return other.worker == worker; });
-    if (taken || facts == nullptr || facts->leaving) continue;
+    if (IsReserved(worker) || facts == nullptr || facts->leaving) continue;
     if (!state_->contracts.MayStart(worker, now)) continue;
     std::sort(attempts.begin(), attempts.end(),
               [](const AttemptInfo* a, const AttemptInfo* b) {
@@ -237,8 +239,8 @@
   for (const TeamRecord* const team : state_->records->Teams()) {
     Resources waiting;
     for (const Lane lane : kLanes) waiting += DemandOf({lane, team->name});
-    state_->allotments.NoteDemand(team->name,
-                                  state_->ledger.UsedBy(team->name), waiting);
+    state_->allotments.NoteDemand(team->name, state_->ledger.UsedBy(team->name),
+                                  waiting);
   }
 }
 
--- a/quetzal/placer/internal/placement.h
+++ b/quetzal/placer/internal/placement.h
@@ -39,6 +39,7 @@
   bool KnownNotToFit(const WorkItem& item) const;
   bool WithinLimit(const WorkItem& item) const;
   Resources DemandOf(const WorkQueue::Place& place) const;
+  bool IsReserved(const WorkerId& worker) const;
   bool StopVictims(const WorkItem& item, Time now);
   void ReleaseOldReservations(Time now);
 
--- a/quetzal/placer/internal/requests.cc
+++ b/quetzal/placer/internal/requests.cc
@@ -75,9 +75,9 @@
   const WorkId id(submit.work().work_id());
   const Asker asker{entry, id};
   if (WorkItem* const known = state_->FindWork(id)) {
-    const bool asks_already = std::any_of(
-        known->askers.begin(), known->askers.end(),
-        [&](const Asker& other) { return other.work == id; });
+    const bool asks_already =
+        std::any_of(known->askers.begin(), known->askers.end(),
+                    [&](const Asker& other) { return other.work == id; });
     if (!asks_already) known->askers.push_back(asker);
     return;
   }
@@ -162,8 +162,7 @@
   }
   if (state_->accounted && !state_->ledger.EverFits(item->size)) {
     Refuse(item, Refusal::kNeverFits, wire::RUN_FATE_NOT_RUN,
-           "largest worker: " + state_->ledger.LargestWorker().Describe(),
-           now);
+           "largest worker: " + state_->ledger.LargestWorker().Describe(), now);
     return;
   }
   if (state_->settings.enforces_limits && !item->size.FitsIn(team->limit)) {
@@ -218,8 +217,7 @@
       break;
   }
   const bool ran = evidence.ended.outcome() != wire::OUTCOME_NOT_STARTED;
-  Acknowledge(state_, evidence.worker,
-              AttemptId(evidence.ended.attempt_id()));
+  Acknowledge(state_, evidence.worker, AttemptId(evidence.ended.attempt_id()));
   OnInterrupted(item, ran, now);
 }
 
@@ -261,8 +259,8 @@
     Refuse(item, Refusal::kWorkerLost, fate, "", now);
     return;
   }
-  const bool may_retry = item->tries < state_->settings.most_tries &&
-                         state_->retry_budget.Spend();
+  const bool may_retry =
+      item->tries < state_->settings.most_tries && state_->retry_budget.Spend();
   if (!may_retry) {
     Refuse(item, Refusal::kRetriesSpent, fate, "", now);
     return;
@@ -292,8 +290,7 @@
 
 void Requests::Settle(WorkItem* item, wire::Settled outcome,
                       const Evidence* evidence, Time now) {
-  outcome.set_waited_ms(
-      static_cast<uint32_t>((now - item->submitted).count()));
+  outcome.set_waited_ms(static_cast<uint32_t>((now - item->submitted).count()));
   SettledRequest request;
   request.outcome = std::move(outcome);
   request.at = now;
--- a/quetzal/placer/internal/workers.cc
+++ b/quetzal/placer/internal/workers.cc
@@ -103,8 +103,8 @@
 
 void Workers::OnGranted(const WorkerId& worker, const wire::Granted& granted,
                         Time now) {
-  epoch_seen_ = std::max(epoch_seen_.value_or(Epoch{0}),
-                         Epoch{granted.epoch()});
+  epoch_seen_ =
+      std::max(epoch_seen_.value_or(Epoch{0}), Epoch{granted.epoch()});
   if (!state_->contracts.OnGranted(worker, granted, now)) return;
   if (granted.leaving()) OnLeaving(worker, now);
   const auto known = state_->incarnations.find(worker);
@@ -112,7 +112,8 @@
                          known->second != granted.incarnation();
   if (granted.has_inventory()) {
     state_->incarnations[worker] = granted.incarnation();
-    if (state_->lapsed.erase(worker) > 0 || !state_->booted_at.contains(worker)) {
+    if (state_->lapsed.erase(worker) > 0 ||
+        !state_->booted_at.contains(worker)) {
       state_->booted_at[worker] = now - Milliseconds(granted.uptime_ms());
     }
     OnInventory(worker, granted.inventory(), restarted, now);
@@ -176,8 +177,8 @@
   }
 }
 
-void Workers::Learn(const AttemptInfo& attempt,
-                    const wire::EndedAttempt& ended, Time now) {
+void Workers::Learn(const AttemptInfo& attempt, const wire::EndedAttempt& ended,
+                    Time now) {
   const bool ran = ended.outcome() == wire::OUTCOME_ANSWERED ||
                    ended.outcome() == wire::OUTCOME_FAILED;
   if (!ran || !state_->settings.learns) return;
@@ -268,8 +269,8 @@
       continue;
     }
     const WorkId work(ended.work().work_id());
-    const bool settled = state_->settled.contains(work) ||
-                         state_->evidence.contains(work);
+    const bool settled =
+        state_->settled.contains(work) || state_->evidence.contains(work);
     if (settled) continue;
     const Evidence evidence{.ended = ended, .worker = worker, .at = now};
     if (TaskOf(work) && jobs_->loaded()) {
@@ -305,8 +306,8 @@
   StopAttempt(state_, attempt, false, now);
 }
 
-void Workers::AdoptAttempt(const WorkerId& worker,
-                           const wire::Attempt& attempt, Time now) {
+void Workers::AdoptAttempt(const WorkerId& worker, const wire::Attempt& attempt,
+                           Time now) {
   const AttemptId id(attempt.attempt_id());
   const AttemptState seen =
       attempt.held() ? AttemptState::kHeld : AttemptState::kRunning;
@@ -346,8 +347,7 @@
 
 void Workers::Tick(Time now) {
   for (DueGrant& due : state_->contracts.GrantsDue(now)) {
-    state_->outbox.emplace_back(
-        ToWorker{due.worker, std::move(due.message)});
+    state_->outbox.emplace_back(ToWorker{due.worker, std::move(due.message)});
   }
   if (now - checked_at_ < kCheckEvery) return;
   checked_at_ = now;
@@ -395,14 +395,13 @@
 void Workers::CheckAttempts(Time now) {
   for (auto& [id, attempt] : state_->attempts) {
     if (attempt.stop_sent_at) {
-      const bool again = now - *attempt.stop_sent_at >=
-                         state_->settings.stop_again_after;
+      const bool again =
+          now - *attempt.stop_sent_at >= state_->settings.stop_again_after;
       if (again) StopAttempt(state_, &attempt, attempt.checkpoint, now);
       continue;
     }
-    const bool silent =
-        attempt.state == AttemptState::kSent &&
-        now - attempt.sent_at >= state_->settings.start_timeout;
+    const bool silent = attempt.state == AttemptState::kSent &&
+                        now - attempt.sent_at >= state_->settings.start_timeout;
     if (silent) state_->contracts.AskInventory(attempt.worker);
   }
 }
--- a/quetzal/placer/placer.cc
+++ b/quetzal/placer/placer.cc
@@ -169,6 +169,7 @@
 
   PlacerStatus Status(Time now) const {
     PlacerStatus status;
+    status.in_term = Active();
     status.active = Active() && state_.contracts.HasMajority(now);
     status.epoch = state_.contracts.epoch();
     status.workers = state_.contracts.size();
@@ -211,8 +212,8 @@
         requests_.OnCancel(entry, WorkId(message.cancel().work_id()), now);
         break;
       case wire::EntryToPlacer::kSettleReceived:
-        requests_.OnSettleReceived(
-            entry, WorkId(message.settle_received().work_id()));
+        requests_.OnSettleReceived(entry,
+                                   WorkId(message.settle_received().work_id()));
         break;
       case wire::EntryToPlacer::kSubmitJob:
         jobs_.OnSubmit(entry, message.submit_job(), now);
@@ -230,7 +231,8 @@
 
   void OnEntryHello(const EntryId& entry, const wire::EntryHello& hello,
                     Time now) {
-    if (hello.record_revision() >= static_cast<uint64_t>(records_->revision())) {
+    if (hello.record_revision() >=
+        static_cast<uint64_t>(records_->revision())) {
       return;
     }
     wire::PlacerToEntry reply;
@@ -353,8 +355,8 @@
 
   void ListAllotments(Time now) {
     listed_at_ = now;
-    list_call_ = state_.Call({.kind = KvCall::Kind::kList,
-                              .key = std::string(kAllotmentPrefix)});
+    list_call_ = state_.Call(
+        {.kind = KvCall::Kind::kList, .key = std::string(kAllotmentPrefix)});
   }
 
   void OnAllotmentsListed(const KvAnswer& answer) {
@@ -395,11 +397,11 @@
       const auto write =
           state_.allotments.NextWrite(team->name, team->limit, now);
       if (!write) continue;
-      const uint64_t id = state_.Call(
-          {.kind = KvCall::Kind::kPut,
-           .key = std::string(kAllotmentPrefix) + team->name.text(),
-           .value = ToText(write->value),
-           .expected = write->expected});
+      const uint64_t id =
+          state_.Call({.kind = KvCall::Kind::kPut,
+                       .key = std::string(kAllotmentPrefix) + team->name.text(),
+                       .value = ToText(write->value),
+                       .expected = write->expected});
       allotment_calls_[id] = team->name;
     }
   }
--- a/quetzal/placer/placer.h
+++ b/quetzal/placer/placer.h
@@ -51,11 +51,11 @@
   Milliseconds commit_every{50};       // group commit of accepted jobs
   Milliseconds progress_every{1'000};  // group commit of ended tasks
   Milliseconds stop_again_after{1'000};
-  Milliseconds start_timeout{2'000};   // for a start that was not answered
-  Milliseconds gang_hold{5'000};       // life of a gang's held parts
-  Milliseconds gang_patience{5'000};   // wait before workers are reserved
-  Milliseconds urgent_patience{500};   // wait before others are stopped
-  Milliseconds probe_after{30'000};    // of a worker that was set aside
+  Milliseconds start_timeout{2'000};  // for a start that was not answered
+  Milliseconds gang_hold{5'000};      // life of a gang's held parts
+  Milliseconds gang_patience{5'000};  // wait before workers are reserved
+  Milliseconds urgent_patience{500};  // wait before others are stopped
+  Milliseconds probe_after{30'000};   // of a worker that was set aside
   int most_tries = 4;
   // Off only in baselines and in proofs that show a check fail without it.
   bool fences_epochs = true;
@@ -84,6 +84,7 @@
 using PlacerEffect = std::variant<ToWorker, ToEntry, KvCall>;
 
 struct PlacerStatus {
+  bool in_term = false;  // holds the seat or a fallback term
   bool active = false;
   Epoch epoch{0};
   size_t workers = 0;
--- /dev/null
+++ b/quetzal/program/program.cc
@@ -0,0 +1,127 @@
+#include "quetzal/program/program.h"
+
+#include <glib-unix.h>
+#include <glib.h>
+#include <glog/logging.h>
+#include <tclap/CmdLine.h>
+
+#include <csignal>
+#include <iostream>
+#include <random>
+#include <utility>
+
+namespace quetzal {
+namespace {
+
+constexpr char kVersion[] = "0.1.0";
+
+struct Loop {
+  GMainLoop* loop = nullptr;
+  int exit_code = kExitDone;
+};
+
+Loop& TheLoop() {
+  static Loop loop;
+  return loop;
+}
+
+gboolean CallAndKeep(gpointer data) {
+  (*static_cast<std::function<void()>*>(data))();
+  return G_SOURCE_CONTINUE;
+}
+
+gboolean CallOnce(gpointer data) {
+  (*static_cast<std::function<void()>*>(data))();
+  return G_SOURCE_REMOVE;
+}
+
+void Free(gpointer data) { delete static_cast<std::function<void()>*>(data); }
+
+gboolean OnSignal(gpointer data) {
+  static_cast<Service*>(data)->BeginShutdown();
+  return G_SOURCE_CONTINUE;
+}
+
+int RunService(const ProgramFacts& facts, const nlohmann::json& json) {
+  Problems problems;
+  TheLoop().loop = g_main_loop_new(nullptr, FALSE);
+  const std::unique_ptr<Service> service = facts.start(json, false, &problems);
+  if (!service) {
+    std::cerr << Describe(problems);
+    return kExitFailed;
+  }
+  g_unix_signal_add(SIGTERM, &OnSignal, service.get());
+  g_unix_signal_add(SIGINT, &OnSignal, service.get());
+  g_main_loop_run(TheLoop().loop);
+  return TheLoop().exit_code;
+}
+
+}  // namespace
+
+Time Now() {
+  return std::chrono::time_point_cast<Milliseconds>(
+      std::chrono::steady_clock::now());
+}
+
+void Every(Milliseconds period, std::function<void()> function) {
+  auto* const owned = new std::function<void()>(std::move(function));
+  g_timeout_add_full(G_PRIORITY_DEFAULT, static_cast<guint>(period.count()),
+                     &CallAndKeep, owned, &Free);
+}
+
+void After(Milliseconds delay, std::function<void()> function) {
+  auto* const owned = new std::function<void()>(std::move(function));
+  g_timeout_add_full(G_PRIORITY_DEFAULT, static_cast<guint>(delay.count()),
+                     &CallOnce, owned, &Free);
+}
+
+std::string NameOfThisStart(const std::string& name) {
+  std::random_device random;
+  std::uniform_int_distribution<uint32_t> digits(0, 0xffffffU);
+  return name + "@" + std::to_string(digits(random));
+}
+
+void Quit(int exit_code) {
+  TheLoop().exit_code = exit_code;
+  g_main_loop_quit(TheLoop().loop);
+}
+
+int RunProgram(const ProgramFacts& facts, int argc, char** argv) {
+  std::string file;
+  bool only_check = false;
+  try {
+    TCLAP::CmdLine line(facts.purpose, ' ', kVersion);
+    TCLAP::ValueArg<std::string> settings("s", "settings", "JSON settings file",
+                                          true, "", "FILE", line);
+    TCLAP::SwitchArg check("", "check-settings",
+                           "only check the settings, then exit", line);
+    line.setExceptionHandling(false);
+    line.parse(argc, argv);
+    file = settings.getValue();
+    only_check = check.getValue();
+  } catch (const TCLAP::ExitException& exit) {
+    return exit.getExitStatus();
+  } catch (const TCLAP::ArgException& error) {
+    std::cerr << facts.name << ": " << error.error() << " " << error.argId()
+              << "; see --help\n";
+    return kExitUsage;
+  }
+  google::InitGoogleLogging(argv[0]);
+  FLAGS_logtostderr = true;
+  Problems problems;
+  const std::string text = ReadFile(file, &problems);
+  nlohmann::json json = nlohmann::json::object();
+  if (problems.empty()) json = ParseObject(text, "settings", &problems);
+  if (problems.empty()) facts.start(json, true, &problems);
+  if (!problems.empty()) {
+    std::cerr << Describe(problems);
+    return kExitUsage;
+  }
+  if (only_check) {
+    std::cout << "settings are valid\n";
+    return kExitDone;
+  }
+  return RunService(facts, json);
+}
+
+}  // namespace quetzal
--- /dev/null
+++ b/quetzal/program/program.h
@@ -0,0 +1,61 @@
+// What every program of the project does alike: its command line, settings
+// file, logs, main loop and signals.
+//
+//   int main(int argc, char** argv) {
+//     return RunProgram({.name = "quetzal-entry", .purpose = "..."}, argc,
+//                       argv, [](const nlohmann::json& settings, ...) { ... });
+//   }
+//
+// Exit codes: 0 done, 1 failed while running, 2 wrong command line or settings.
+#ifndef QUETZAL_PROGRAM_PROGRAM_H_
+#define QUETZAL_PROGRAM_PROGRAM_H_
+
+#include <functional>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "quetzal/ids/ids.h"
+#include "quetzal/settings/settings.h"
+
+namespace quetzal {
+
+inline constexpr int kExitDone = 0;
+inline constexpr int kExitFailed = 1;
+inline constexpr int kExitUsage = 2;
+
+// The monotonic clock that all programs go by.
+Time Now();
+// Calls `function` every `period` until the program ends.
+void Every(Milliseconds period, std::function<void()> function);
+// Calls `function` once after a delay.
+void After(Milliseconds delay, std::function<void()> function);
+// A name that differs for each start of a process: "name@" and random digits.
+std::string NameOfThisStart(const std::string& name);
+// Ends the main loop; the program returns with this exit code.
+void Quit(int exit_code);
+
+// A running program: owns its sockets and state.
+class Service {
+ public:
+  virtual ~Service() = default;
+  // SIGTERM or SIGINT: finish what is under way, then `Quit`.
+  virtual void BeginShutdown() = 0;
+};
+
+struct ProgramFacts {
+  std::string name;
+  std::string purpose;
+  // Reads the settings; problems end the program before anything starts.
+  std::function<std::unique_ptr<Service>(const nlohmann::json& json,
+                                         bool only_check, Problems* problems)>
+      start;
+};
+
+// Parses the command line ("--settings FILE", "--check-settings", "--help",
+// "--version"), starts the service and runs the main loop.
+int RunProgram(const ProgramFacts& facts, int argc, char** argv);
+
+}  // namespace quetzal
+
+#endif  // QUETZAL_PROGRAM_PROGRAM_H_
--- a/quetzal/record/record.cc
+++ b/quetzal/record/record.cc
@@ -55,9 +55,8 @@
   key.team = TeamId(ReadName(reader, "team"));
   key.digest = reader->Text("digest");
   const std::string prefix = "sha256:";
-  const bool well_formed =
-      key.digest.starts_with(prefix) &&
-      key.digest.size() == prefix.size() + kDigestLength;
+  const bool well_formed = key.digest.starts_with(prefix) &&
+                           key.digest.size() == prefix.size() + kDigestLength;
   if (!well_formed) {
     reader->Report("digest", "not a digest",
                    "'sha256:' and 64 hexadecimal digits, as printed by "
--- a/quetzal/record_store/record_store.cc
+++ b/quetzal/record_store/record_store.cc
@@ -89,13 +89,11 @@
   log_.pop_front();
 }
 
-wire::RecordUpdate RecordStore::UpdateSince(Revision revision,
-                                            Time now) const {
+wire::RecordUpdate RecordStore::UpdateSince(Revision revision, Time now) const {
   const auto since = static_cast<uint64_t>(revision);
   wire::RecordUpdate update;
   update.set_revision(revision_);
-  update.set_confirmed_ago_ms(
-      static_cast<uint32_t>(ConfirmedAgo(now).count()));
+  update.set_confirmed_ago_ms(static_cast<uint32_t>(ConfirmedAgo(now).count()));
   if (since >= log_base_ && since > 0) {
     update.set_base(since);
     for (const wire::RecordChange& change : log_) {
--- a/quetzal/record_store/record_store.h
+++ b/quetzal/record_store/record_store.h
@@ -25,10 +25,10 @@
 
 // What became of an update.
 enum class ApplyResult {
-  kApplied,       // the store moved to a higher revision
-  kConfirmed,     // nothing new; the revision held is the sender's too
-  kGap,           // changes are missing before it; ask for everything
-  kBehind,        // older than what is held; ignored
+  kApplied,    // the store moved to a higher revision
+  kConfirmed,  // nothing new; the revision held is the sender's too
+  kGap,        // changes are missing before it; ask for everything
+  kBehind,     // older than what is held; ignored
 };
 
 class RecordStore {
--- a/quetzal/refusal/refusal.cc
+++ b/quetzal/refusal/refusal.cc
@@ -101,6 +101,7 @@
 
 std::vector<Refusal> AllRefusals() {
   std::vector<Refusal> reasons;
+  reasons.reserve(kTable.size());
   for (const Entry& entry : kTable) reasons.push_back(entry.reason);
   return reasons;
 }
--- a/quetzal/seat/seat.cc
+++ b/quetzal/seat/seat.cc
@@ -91,7 +91,8 @@
     return;
   }
   if (!term_ || term_->fenced) return;
-  const Time since = std::max(*term_began_, majority_at_.value_or(*term_began_));
+  const Time since =
+      std::max(*term_began_, majority_at_.value_or(*term_began_));
   if (now - since >= times_.fallback_patience) EndTerm(now);
 }
 
--- a/quetzal/seat/seat.h
+++ b/quetzal/seat/seat.h
@@ -39,9 +39,9 @@
 // What the platform answered to the call last made.
 struct SeatAnswer {
   enum class Kind {
-    kFree,      // no key: the seat may be taken
-    kHeld,      // another holds it
-    kTaken,     // this placer holds it under `revision`
+    kFree,   // no key: the seat may be taken
+    kHeld,   // another holds it
+    kTaken,  // this placer holds it under `revision`
     kRenewed,
     kLost,      // the key is gone or another's
     kNoAnswer,  // the platform did not answer, or not in time
--- a/quetzal/settings/settings.cc
+++ b/quetzal/settings/settings.cc
@@ -27,8 +27,8 @@
 std::string Describe(const Problems& problems) {
   std::string text;
   for (const Problem& problem : problems) {
-    text += problem.path + ": " + problem.wrong + "; allowed: " +
-            problem.allowed + "\n";
+    text += problem.path + ": " + problem.wrong +
+            "; allowed: " + problem.allowed + "\n";
   }
   return text;
 }
@@ -37,10 +37,9 @@
                            Problems* problems) {
   nlohmann::json json = nlohmann::json::parse(text, nullptr, false);
   if (json.is_object()) return json;
-  problems->push_back({path,
-                       json.is_discarded() ? "not well-formed JSON"
-                                           : "not a JSON object",
-                       "one JSON object"});
+  problems->push_back(
+      {path, json.is_discarded() ? "not well-formed JSON" : "not a JSON object",
+       "one JSON object"});
   return nlohmann::json::object();
 }
 
@@ -99,7 +98,7 @@
 std::string ObjectReader::Choice(const std::string& field,
                                  const std::vector<std::string>& allowed,
                                  const std::optional<std::string>& fallback) {
-  const std::string text = Text(field, fallback);
+  std::string text = Text(field, fallback);
   const bool known =
       std::find(allowed.begin(), allowed.end(), text) != allowed.end();
   if (!known && Has(field)) {
@@ -110,11 +109,10 @@
 
 int64_t ObjectReader::Integer(const std::string& field,
                               const IntegerRule& rule) {
-  const std::string range =
-      "an integer from " + std::to_string(rule.least) +
-      (rule.most == std::numeric_limits<int64_t>::max()
-           ? " up"
-           : " to " + std::to_string(rule.most));
+  const std::string range = "an integer from " + std::to_string(rule.least) +
+                            (rule.most == std::numeric_limits<int64_t>::max()
+                                 ? " up"
+                                 : " to " + std::to_string(rule.most));
   const nlohmann::json* const value = Find(field);
   if (value == nullptr) {
     if (!rule.fallback) Report(field, "missing", range);
@@ -147,8 +145,8 @@
   constexpr int64_t kMostOther = 1'000'000'000;
   ObjectReader reader = Object(field);
   const Resources amounts = {
-      .cpu_milli = reader.Integer("cpu_milli",
-                                  {.most = kMostCpuMilli, .fallback = 0}),
+      .cpu_milli =
+          reader.Integer("cpu_milli", {.most = kMostCpuMilli, .fallback = 0}),
       .memory_mib =
           reader.Integer("memory_mib", {.most = kMostOther, .fallback = 0}),
       .accelerators =
--- a/quetzal/settings/settings.h
+++ b/quetzal/settings/settings.h
@@ -35,8 +35,9 @@
 
 // A value, or everything that was wrong with its source.
 template <typename T>
-using Checked = boost::outcome_v2::std_result<T, Problems,
-                                              boost::outcome_v2::policy::terminate>;
+using Checked =
+    boost::outcome_v2::std_result<T, Problems,
+                                  boost::outcome_v2::policy::terminate>;
 
 // Parses text as one JSON object; reports malformed text as a problem at
 // `path` and returns an empty object.
--- a/quetzal/work_queue/work_queue.h
+++ b/quetzal/work_queue/work_queue.h
@@ -21,9 +21,8 @@
 // Lanes in the order in which they are served.
 enum class Lane { kUrgent, kRequest, kService, kGang, kBatch };
 
-inline constexpr std::array<Lane, 5> kLanes = {Lane::kUrgent, Lane::kRequest,
-                                               Lane::kService, Lane::kGang,
-                                               Lane::kBatch};
+inline constexpr std::array<Lane, 5> kLanes = {
+    Lane::kUrgent, Lane::kRequest, Lane::kService, Lane::kGang, Lane::kBatch};
 
 class WorkQueue {
  public:
--- /dev/null
+++ b/standins/platform/main.cc
@@ -0,0 +1,280 @@
+// Stand-in for the platform: its key-value service and VM list over HTTP, with
+// switches for faults. For tests and the demo only.
+//
+//   GET/PUT/DELETE /v1/kv, POST /v1/keepalive, GET /v1/watch, GET /v1/vms
+//   POST /v1/vms        replaces the VM list after its lag
+//   POST /v1/faults     {"down": bool, "slow_ms": n, "drop_answers": n,
+//                        "silent": bool, "compact": bool}
+//   GET  /v1/stats      calls so far
+#include <glog/logging.h>
+
+#include <charconv>
+#include <list>
+#include <memory>
+#include <utility>
+
+#include "quetzal/http/http.h"
+#include "quetzal/program/program.h"
+#include "standins/platform/kv_model.h"
+
+namespace quetzal::standin {
+namespace {
+
+constexpr size_t kBodyBytes = 1024 * 1024;
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kConflict = 409;
+constexpr int kGone = 410;
+constexpr int kUnavailable = 503;
+
+struct PlatformSettings {
+  std::string address;
+  Milliseconds vm_list_lag{0};
+};
+
+struct Faults {
+  bool down = false;    // refuses every call with 503
+  bool silent = false;  // never answers
+  Milliseconds slow{0};
+  int drop_answers = 0;  // so many writes take effect without an answer
+};
+
+struct Watcher {
+  HttpCall call{};
+  std::string prefix;
+  uint64_t after = 0;
+  Time until;
+};
+
+uint64_t Number(const HttpRequest& request, const std::string& name) {
+  const auto found = request.query.find(name);
+  if (found == request.query.end()) return 0;
+  uint64_t value = 0;
+  const std::string& text = found->second;
+  std::from_chars(text.data(), text.data() + text.size(), value);
+  return value;
+}
+
+std::string Text(const HttpRequest& request, const std::string& name) {
+  const auto found = request.query.find(name);
+  return found == request.query.end() ? "" : found->second;
+}
+
+nlohmann::json ToJson(const KvItem& item) {
+  return {{"key", item.key},
+          {"value", item.value},
+          {"revision", static_cast<uint64_t>(item.revision)}};
+}
+
+KvCall CallFrom(const HttpRequest& request) {
+  KvCall call{.key = Text(request, "key"), .value = request.body};
+  if (request.query.contains("expected")) {
+    call.expected = Revision{Number(request, "expected")};
+  }
+  call.lease = Milliseconds(Number(request, "lease_ms"));
+  if (request.path == "/v1/keepalive") {
+    call.kind = KvCall::Kind::kKeepAlive;
+  } else if (request.method == "PUT") {
+    call.kind = KvCall::Kind::kPut;
+  } else if (request.method == "DELETE") {
+    call.kind = KvCall::Kind::kDelete;
+  } else if (request.query.contains("prefix")) {
+    call.kind = KvCall::Kind::kList;
+    call.key = Text(request, "prefix");
+  }
+  return call;
+}
+
+HttpReply ReplyFrom(const KvAnswer& answer) {
+  nlohmann::json json = {
+      {"revision", static_cast<uint64_t>(answer.revision)},
+      {"store_revision", static_cast<uint64_t>(answer.store_revision)},
+      {"items", nlohmann::json::array()}};
+  for (const KvItem& item : answer.items) json["items"].push_back(ToJson(item));
+  int status = kOk;
+  if (answer.kind == KvAnswer::Kind::kConflict) status = kConflict;
+  if (answer.kind == KvAnswer::Kind::kMissing) status = kNotFound;
+  return {.status = status, .body = json.dump()};
+}
+
+class PlatformStandin : public Service {
+ public:
+  explicit PlatformStandin(PlatformSettings settings)
+      : settings_(std::move(settings)) {}
+
+  bool Start() {
+    auto server = HttpServer::Listen(
+        settings_.address, {.body_bytes = kBodyBytes},
+        {.on_request =
+             [this](HttpCall call, const HttpRequest& request) {
+               OnRequest(call, request);
+             },
+         .on_gone =
+             [this](HttpCall call) {
+               watchers_.remove_if([&](const Watcher& watcher) {
+                 return watcher.call == call;
+               });
+             }});
+    if (!server) {
+      LOG(ERROR) << settings_.address << ": " << server.error().message();
+      return false;
+    }
+    server_ = std::move(server.value());
+    Every(Milliseconds(20), [this] { OnTick(); });
+    LOG(INFO) << "platform stand-in on port " << server_->port();
+    return true;
+  }
+
+  void BeginShutdown() override { Quit(kExitDone); }
+
+ private:
+  void OnRequest(HttpCall call, const HttpRequest& request) {
+    if (request.path == "/v1/faults") {
+      OnFaults(call, request);
+      return;
+    }
+    if (request.path == "/v1/stats") {
+      Reply(call, {.body = nlohmann::json({{"calls", calls_},
+                                           {"watches", watchers_.size()}})
+                               .dump()});
+      return;
+    }
+    ++calls_;
+    if (faults_.silent) return;
+    if (faults_.down) {
+      Reply(call, {.status = kUnavailable, .body = "{}"});
+      return;
+    }
+    if (faults_.slow.count() > 0) {
+      After(faults_.slow, [this, call, request] { Serve(call, request); });
+      return;
+    }
+    Serve(call, request);
+  }
+
+  void Serve(HttpCall call, const HttpRequest& request) {
+    if (request.path == "/v1/vms") {
+      OnVms(call, request);
+    } else if (request.path == "/v1/watch") {
+      watchers_.push_back(
+          {.call = call,
+           .prefix = Text(request, "prefix"),
+           .after = Number(request, "after"),
+           .until = Now() + Milliseconds(Number(request, "wait_ms"))});
+      ServeWatchers();
+    } else {
+      const KvCall kv = CallFrom(request);
+      const KvAnswer answer = kv_.Apply(kv, Now());
+      const bool write =
+          kv.kind != KvCall::Kind::kGet && kv.kind != KvCall::Kind::kList;
+      ServeWatchers();
+      if (write && faults_.drop_answers > 0) {
+        --faults_.drop_answers;
+        return;
+      }
+      Reply(call, ReplyFrom(answer));
+    }
+  }
+
+  void OnFaults(HttpCall call, const HttpRequest& request) {
+    Problems problems;
+    const nlohmann::json json = ParseObject(request.body, "faults", &problems);
+    ObjectReader reader(json, "faults", &problems);
+    faults_.down = reader.Flag("down", false);
+    faults_.silent = reader.Flag("silent", false);
+    faults_.slow = Milliseconds(reader.Integer("slow_ms", {.fallback = 0}));
+    faults_.drop_answers =
+        static_cast<int>(reader.Integer("drop_answers", {.fallback = 0}));
+    if (reader.Flag("compact", false)) kv_.Compact();
+    reader.Finish();
+    if (faults_.down) {
+      for (const Watcher& watcher : watchers_) {
+        Reply(watcher.call, {.status = kUnavailable, .body = "{}"});
+      }
+      watchers_.clear();
+    }
+    Reply(call, {.body = Describe(problems), .content_type = "text/plain"});
+  }
+
+  void OnVms(HttpCall call, const HttpRequest& request) {
+    if (request.method != "POST") {
+      Reply(call, {.body = vms_.empty() ? R"({"vms":[]})" : vms_});
+      return;
+    }
+    After(settings_.vm_list_lag, [this, body = request.body] { vms_ = body; });
+    Reply(call, {.body = "{}"});
+  }
+
+  void ServeWatchers() {
+    const Time now = Now();
+    for (auto at = watchers_.begin(); at != watchers_.end();) {
+      const auto changes = kv_.Since(at->prefix, at->after);
+      if (changes && changes->empty() && now < at->until) {
+        ++at;
+        continue;
+      }
+      ServeWatcher(*at, changes);
+      at = watchers_.erase(at);
+    }
+  }
+
+  void ServeWatcher(const Watcher& watcher,
+                    const std::optional<std::vector<KvChange>>& changes) {
+    if (faults_.silent) return;
+    if (!changes) {
+      Reply(watcher.call, {.status = kGone, .body = "{}"});
+      return;
+    }
+    nlohmann::json list = nlohmann::json::array();
+    for (const KvChange& change : *changes) {
+      list.push_back(ToJson(change.item));
+      list.back()["deleted"] = change.deleted;
+    }
+    Reply(watcher.call,
+          {.body = nlohmann::json(
+                       {{"store_revision", kv_.revision()}, {"changes", list}})
+                       .dump()});
+  }
+
+  void OnTick() {
+    kv_.OnTick(Now());
+    ServeWatchers();
+  }
+
+  void Reply(HttpCall call, const HttpReply& reply) {
+    server_->Reply(call, reply);
+  }
+
+  PlatformSettings settings_;
+  std::unique_ptr<HttpServer> server_;
+  KvModel kv_;
+  Faults faults_;
+  uint64_t calls_ = 0;
+  std::list<Watcher> watchers_;
+  std::string vms_;
+};
+
+std::unique_ptr<Service> StartPlatform(const nlohmann::json& json,
+                                       bool only_check, Problems* problems) {
+  ObjectReader reader(json, "settings", problems);
+  PlatformSettings settings;
+  settings.address = reader.Text("address");
+  settings.vm_list_lag =
+      Milliseconds(reader.Integer("vm_list_lag_ms", {.fallback = 0}));
+  reader.Finish();
+  if (only_check || !problems->empty()) return nullptr;
+  auto service = std::make_unique<PlatformStandin>(settings);
+  if (!service->Start()) return nullptr;
+  return service;
+}
+
+}  // namespace
+}  // namespace quetzal::standin
+
+int main(int argc, char** argv) {
+  return quetzal::RunProgram(
+      {.name = "standin-platform",
+       .purpose = "Stand-in for the platform's key-value service and VM list",
+       .start = quetzal::standin::StartPlatform},
+      argc, argv);
+}
