--- a/quetzal/placer/internal/jobs.cc
+++ b/quetzal/placer/internal/jobs.cc
@@ -303,7 +303,9 @@
     if (change == Gangs::Change::kSpoiled) FailJob(JobId(*item->job), now);
     return;
   }
-  const bool runs_again = item->work.idempotent() || !may_have_run;
+  // A service is kept running; each of its lives is a run of its own.
+  const bool service = item->work.work_class() == wire::WORK_CLASS_SERVICE;
+  const bool runs_again = service || item->work.idempotent() || !may_have_run;
   if (!runs_again) {
     MarkEnded(job, item->task, true, now);
     DropWork(state_, item->id);
--- a/standins/worker/worker_model.cc
+++ b/standins/worker/worker_model.cc
@@ -224,7 +224,7 @@
 }
 
 void WorkerModel::End(const std::string& attempt, wire::Outcome outcome,
-                      Time now) {
+                      Time at) {
   const auto task = tasks_.extract(attempt);
   const wire::Work& work = task.mapped().work;
   in_use_ -= FromWire(work.size());
@@ -237,7 +237,7 @@
       outcome == wire::OUTCOME_ANSWERED || outcome == wire::OUTCOME_FAILED;
   if (answers) ended.set_answer(AnswerTo(work));
   if (!task.mapped().held) {
-    Log(WorkerEvent::Kind::kEnded, attempt, work, now);
+    Log(WorkerEvent::Kind::kEnded, attempt, work, at);
     events_.back().outcome = outcome;
   }
   wire::WorkerToPlacer message;
@@ -249,20 +249,27 @@
 }
 
 void WorkerModel::OnTick(Time now) {
-  std::vector<std::pair<std::string, wire::Outcome>> over;
+  struct Over {
+    std::string attempt;
+    wire::Outcome outcome;
+    Time at;
+  };
+  std::vector<Over> over;
   for (const auto& [id, task] : tasks_) {
     if (task.held) {
       if (now >= task.hold_until) {
-        over.emplace_back(id, wire::OUTCOME_NOT_STARTED);
+        over.push_back({id, wire::OUTCOME_NOT_STARTED, task.hold_until});
       }
     } else if (now >= task.ends_at && task.ends_at <= lease_until_) {
-      over.emplace_back(
-          id, task.fails ? wire::OUTCOME_FAILED : wire::OUTCOME_ANSWERED);
+      over.push_back(
+          {id, task.fails ? wire::OUTCOME_FAILED : wire::OUTCOME_ANSWERED,
+           task.ends_at});
     } else if (now >= lease_until_) {
-      over.emplace_back(id, wire::OUTCOME_STOPPED);
+      // A worker that was paused ran nothing after the lapse.
+      over.push_back({id, wire::OUTCOME_STOPPED, lease_until_});
     }
   }
-  for (const auto& [id, outcome] : over) End(id, outcome, now);
+  for (const Over& each : over) End(each.attempt, each.outcome, each.at);
   if (now - reported_at_ < settings_.usage_every) return;
   reported_at_ = now;
   if (in_use_ == reported_) return;
@@ -298,6 +305,7 @@
                      .attempt = attempt,
                      .work = work.work_id(),
                      .team = work.team(),
+                     .payload = work.payload(),
                      .request_key = work.request_key(),
                      .work_class = work.work_class(),
                      .idempotent = work.idempotent(),
--- a/standins/worker/worker_model.h
+++ b/standins/worker/worker_model.h
@@ -45,6 +45,7 @@
   std::string attempt;
   std::string work;
   std::string team;
+  std::string payload;
   std::string request_key;
   wire::WorkClass work_class = wire::WORK_CLASS_REQUEST;
   bool idempotent = false;
@@ -96,7 +97,7 @@
   std::string WhyRefused(uint64_t epoch, const std::string& attempt,
                          Time now) const;
   void Run(Task* task, const std::string& attempt, Time now);
-  void End(const std::string& attempt, wire::Outcome outcome, Time now);
+  void End(const std::string& attempt, wire::Outcome outcome, Time at);
   void Log(WorkerEvent::Kind kind, const std::string& attempt,
            const wire::Work& work, Time now);
   void Send(uint64_t peer, wire::WorkerToPlacer message);
