Jobs are fenced by the open batch; lost ends, links and fates mended

Cause, each found by the fault matrix and traced: - a job committed by a former placer after the new one had listed the jobs was unknown to it: its tasks ran twice. Accepted jobs now go into one open batch that a new placer first rewrites, so a former placer's writes conflict. - an idempotent request that ran once and then waited again was refused as 'not run' at its deadline. Work remembers that it may have run. - an end whose message was lost left its job running for ever. A worker's reply to each renewal counts its attempts; a count that differs twice has the placer ask for the inventory. - a link that came up before its worker was listed stayed unknown, and the new placer never reached its workers. Links are kept apart from listings. Ruled out: a revision check across keys (the service has single-key compare-and-swap only); a periodic inventory (1.7 KB a worker instead of 2 B). One check was wrong: it sorted an end before a start of the same millisecond and so missed the ends of a worker that died at once; events now keep the order in which they were recorded.

--- a/quetzal/contract/contract.cc
+++ b/quetzal/contract/contract.cc
@@ -21,7 +21,10 @@
     : self_(std::move(self)), times_(times) {}
 
 void ContractBook::SetWorkers(const std::vector<WorkerId>& workers) {
-  for (const WorkerId& worker : workers) contracts_.try_emplace(worker);
+  for (const WorkerId& worker : workers) {
+    const auto [found, added] = contracts_.try_emplace(worker);
+    if (added) found->second.linked = links_up_.contains(worker);
+  }
 }
 
 void ContractBook::Drop(const WorkerId& worker) { contracts_.erase(worker); }
@@ -104,6 +107,11 @@
 }
 
 void ContractBook::OnLink(const WorkerId& worker, bool up) {
+  if (up) {
+    links_up_.insert(worker);
+  } else {
+    links_up_.erase(worker);
+  }
   const auto found = contracts_.find(worker);
   if (found == contracts_.end()) return;
   Contract& contract = found->second;
--- a/quetzal/contract/contract.h
+++ b/quetzal/contract/contract.h
@@ -20,6 +20,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "quetzal/ids/ids.h"
@@ -123,6 +124,8 @@
   uint64_t next_serial_ = 1;
   std::optional<Time> majority_at_;
   std::map<WorkerId, Contract> contracts_;
+  // Links outlive listings: a worker may be listed after its link came up.
+  std::set<WorkerId> links_up_;
 };
 
 }  // namespace quetzal
--- a/quetzal/ledger/ledger.cc
+++ b/quetzal/ledger/ledger.cc
@@ -88,6 +88,7 @@
   Slot* const slot = Find(charge.worker);
   if (slot == nullptr) return;
   slot->charged += charge.size;
+  ++slot->attempts;
   Refresh(slot);
   if (charge.group.empty()) return;
   auto& racks = racks_of_group_[charge.group];
@@ -106,6 +107,7 @@
   Slot* const slot = Find(charge.worker);
   if (slot == nullptr) return;
   slot->charged -= charge.size;
+  --slot->attempts;
   Refresh(slot);
   const auto group = racks_of_group_.find(charge.group);
   if (group == racks_of_group_.end()) return;
@@ -130,6 +132,11 @@
   return attempts;
 }
 
+size_t Ledger::CountOn(const WorkerId& worker) const {
+  const Slot* const slot = Find(worker);
+  return slot == nullptr ? 0 : slot->attempts;
+}
+
 double Ledger::Score(const Slot& slot, const PlacementQuery& query,
                      const std::vector<int>* group_racks) const {
   const Resources left = slot.free - query.size;
--- a/quetzal/ledger/ledger.h
+++ b/quetzal/ledger/ledger.h
@@ -70,6 +70,8 @@
   const ChargedAttempt* Find(const AttemptId& attempt) const;
   std::vector<AttemptId> AttemptsOn(const WorkerId& worker) const;
 
+  size_t CountOn(const WorkerId& worker) const;
+
   // The best open worker for the query; nothing if none has room.
   std::optional<WorkerId> Pick(const PlacementQuery& query) const;
   // True if some known worker could run this when empty.
@@ -94,6 +96,7 @@
     bool open = false;
     bool aside = false;
     std::string reserved_for;
+    size_t attempts = 0;
     Resources charged;
     Resources reported;
     Resources free;
--- a/quetzal/placer/internal/jobs.cc
+++ b/quetzal/placer/internal/jobs.cc
@@ -1,7 +1,5 @@
 #include "quetzal/placer/internal/jobs.h"
 
-#include <google/protobuf/util/json_util.h>
-
 #include <algorithm>
 #include <charconv>
 #include <utility>
@@ -12,30 +10,14 @@
 namespace {
 
 constexpr uint32_t kMostTasks = 10'000;
-constexpr size_t kMostCommitBytes = 512 * 1024;
-// Values written in one round of progress, so that a burst of ends stays a
-// bounded number of writes; the rest waits at the workers.
-constexpr size_t kMostProgressWrites = 8;
-constexpr Milliseconds kCallAgainAfter{500};
 constexpr Milliseconds kKeepFinished{600'000};
+constexpr Milliseconds kForgetEvery{10'000};
 constexpr Milliseconds kFirstBackOff{200};
 constexpr Milliseconds kMostBackOff{30'000};
 constexpr int kBitsPerByte = 8;
 
-std::string ToText(const wire::JobBatch& batch) {
-  std::string text;
-  const auto status = google::protobuf::util::MessageToJsonString(batch, &text);
-  return status.ok() ? text : "{}";
-}
-
-std::optional<wire::JobBatch> FromText(const std::string& text) {
-  wire::JobBatch batch;
-  google::protobuf::util::JsonParseOptions options;
-  options.ignore_unknown_fields = true;
-  const auto status =
-      google::protobuf::util::JsonStringToMessage(text, &batch, options);
-  if (!status.ok()) return std::nullopt;
-  return batch;
+bool IsGang(const wire::StoredJob& stored) {
+  return stored.job().work().work_class() == wire::WORK_CLASS_GANG;
 }
 
 }  // namespace
@@ -55,33 +37,21 @@
   return std::pair(JobId(text.substr(0, slash)), task);
 }
 
-Jobs::Jobs(State* state) : state_(state), gangs_(state) {}
+Jobs::Jobs(State* state) : state_(state), gangs_(state), store_(state, this) {}
 
 void Jobs::Clear() {
   gangs_.Clear();
-  loaded_ = false;
-  load_call_.reset();
+  store_.Clear();
   jobs_.clear();
-  batches_.clear();
   // Nobody was told that these were accepted; their entries ask the next
   // placer, which knows by the platform whether they were.
-  waiting_.clear();
-  first_waiting_at_.reset();
-  commit_.reset();
-  write_calls_.clear();
-  read_calls_.clear();
+  submissions_.clear();
 }
 
-void Jobs::Load(Time now) {
-  loaded_ = false;
-  load_retry_at_ = now + kCallAgainAfter;
-  load_call_ = state_->Call(
-      {.kind = KvCall::Kind::kList,
-       .key = std::string(kJobPrefix) + state_->settings.domain.text() + "/"});
-}
+// ---- state of a job ----
 
 bool Jobs::Ended(const Job& job, uint32_t task) {
-  const std::string& bits = job.stored.ended_bits();
+  const std::string& bits = job.stored->ended_bits();
   const size_t byte = task / kBitsPerByte;
   if (byte >= bits.size()) return false;
   const auto value = static_cast<unsigned char>(bits[byte]);
@@ -89,13 +59,13 @@
 }
 
 bool Jobs::Finished(const Job& job) {
-  return job.stored.cancelled() || job.ended >= job.stored.job().tasks();
+  return job.stored->cancelled() || job.ended >= job.stored->job().tasks();
 }
 
 std::string Jobs::StateName(const Job& job) {
-  if (job.stored.cancelled()) return "cancelled";
+  if (job.stored->cancelled()) return "cancelled";
   if (!Finished(job)) return "running";
-  return job.stored.failed() > 0 ? "failed" : "done";
+  return job.stored->failed() > 0 ? "failed" : "done";
 }
 
 Jobs::Job* Jobs::Find(const JobId& id) {
@@ -106,9 +76,23 @@
 Jobs::Job* Jobs::FindOwned(const std::string& id, const std::string& team) {
   Job* const job = Find(JobId(id));
   if (job == nullptr) return nullptr;
-  return job->stored.job().work().team() == team ? job : nullptr;
+  return job->stored->job().work().team() == team ? job : nullptr;
+}
+
+Jobs::Job* Jobs::Track(const JobId& id) {
+  wire::StoredJob* const stored = store_.Find(id);
+  if (stored == nullptr) return nullptr;
+  Job& job = jobs_[id];
+  job.stored = stored;
+  job.ended = 0;
+  for (uint32_t task = 0; task < stored->job().tasks(); ++task) {
+    if (Ended(job, task)) ++job.ended;
+  }
+  return &job;
 }
 
+// ---- calls of submitters ----
+
 std::optional<Refusal> Jobs::Check(const wire::JobSpec& spec,
                                    std::string* detail) const {
   if (spec.tasks() == 0 || spec.tasks() > kMostTasks) {
@@ -133,17 +117,17 @@
 }
 
 void Jobs::Reply(const EntryId& entry, const std::string& query,
-                 const Job& job) const {
+                 const Job& job) {
   wire::PlacerToEntry message;
   wire::JobReply* const reply = message.mutable_job();
   reply->set_query_id(query);
   reply->set_state(StateName(job));
-  reply->set_tasks(job.stored.job().tasks());
+  reply->set_tasks(job.stored->job().tasks());
   reply->set_ended(job.ended);
-  reply->set_failed(job.stored.failed());
-  const JobId id(job.stored.job().job_id());
+  reply->set_failed(job.stored->failed());
+  const JobId id(job.stored->job().job_id());
   uint32_t running = 0;
-  for (uint32_t task = 0; task < job.stored.job().tasks(); ++task) {
+  for (uint32_t task = 0; task < job.stored->job().tasks(); ++task) {
     if (state_->attempt_of_work.contains(TaskWorkId(id, task))) ++running;
   }
   reply->set_running(running);
@@ -151,12 +135,13 @@
 }
 
 void Jobs::Refuse(const EntryId& entry, const std::string& query,
-                  Refusal reason, const std::string& detail) const {
+                  Refusal reason, wire::RunFate fate,
+                  const std::string& detail) {
   wire::PlacerToEntry message;
   message.mutable_job()->set_query_id(query);
   message.mutable_job()->set_refusal(std::string(Code(reason)));
   message.mutable_job()->set_detail(detail);
-  message.mutable_job()->set_fate(wire::RUN_FATE_NOT_RUN);
+  message.mutable_job()->set_fate(fate);
   state_->Count("quetzal_refusals_total", std::string(Code(reason)));
   state_->Send(entry, std::move(message));
 }
@@ -164,40 +149,61 @@
 void Jobs::OnSubmit(const EntryId& entry, const wire::SubmitJob& submit,
                     Time now) {
   const wire::JobSpec& spec = submit.job();
-  if (const Job* const known = Find(JobId(spec.job_id()))) {
+  const JobId id(spec.job_id());
+  if (const Job* const known = Find(id)) {
     Reply(entry, spec.job_id(), *known);
     return;
   }
-  const bool already = std::any_of(
-      waiting_.begin(), waiting_.end(), [&](const Waiting& waiting) {
-        return waiting.spec.job_id() == spec.job_id();
-      });
-  const bool committing =
-      commit_ && std::any_of(commit_->jobs.begin(), commit_->jobs.end(),
-                             [&](const Waiting& waiting) {
-                               return waiting.spec.job_id() == spec.job_id();
-                             });
-  if (already || committing) return;
   std::string detail;
   if (const auto reason = Check(spec, &detail)) {
-    Refuse(entry, spec.job_id(), *reason, detail);
+    Refuse(entry, spec.job_id(), *reason, wire::RUN_FATE_NOT_RUN, detail);
     return;
   }
-  waiting_.push_back({.entry = entry,
-                      .spec = spec,
-                      .deadline = now + Milliseconds(submit.deadline_ms())});
-  if (!first_waiting_at_) first_waiting_at_ = now;
+  if (!store_.Add(spec, now)) return;  // on its way already
+  submissions_.push_back({.entry = entry,
+                          .id = id,
+                          .deadline = now + Milliseconds(submit.deadline_ms())});
+}
+
+void Jobs::OnAccepted(const JobId& id, Time now) {
+  Job* const job = Track(id);
+  if (job == nullptr) return;
+  state_->metrics->Count("quetzal_jobs_accepted_total");
+  ResumeJob(id, job, now);
+  for (const Submission& submission : submissions_) {
+    if (submission.id == id) Reply(submission.entry, id.text(), *job);
+  }
+  std::erase_if(submissions_, [&](const Submission& submission) {
+    return submission.id == id;
+  });
+}
+
+void Jobs::GiveUpLateSubmissions(Time now) {
+  std::erase_if(submissions_, [&](const Submission& submission) {
+    if (now < submission.deadline) return false;
+    if (store_.Withdraw(submission.id)) {
+      Refuse(submission.entry, submission.id.text(), Refusal::kPlatformDown,
+             wire::RUN_FATE_NOT_RUN, "the job was never written");
+    } else {
+      Refuse(submission.entry, submission.id.text(), Refusal::kPlatformDown,
+             wire::RUN_FATE_UNKNOWN,
+             "the write was not answered; ask for the job by its id later");
+    }
+    return true;
+  });
 }
 
 void Jobs::OnQuery(const EntryId& entry, const wire::QueryJob& query) {
   const Job* const job = FindOwned(query.job_id(), query.team());
   if (job != nullptr) {
     Reply(entry, query.query_id(), *job);
-  } else if (!loaded_) {
+  } else if (!loaded()) {
     Refuse(entry, query.query_id(), Refusal::kPlatformDown,
+           wire::RUN_FATE_NOT_RUN,
            "the domain's jobs are not read from the platform yet");
   } else {
-    Refuse(entry, query.query_id(), Refusal::kUnknownJob, "");
+    Refuse(entry, query.query_id(), Refusal::kUnknownJob,
+           wire::RUN_FATE_NOT_RUN, "");
   }
 }
 
@@ -206,22 +212,27 @@
   Job* const job = FindOwned(cancel.job_id(), cancel.team());
   if (job == nullptr) {
     Refuse(entry, cancel.query_id(),
-           loaded_ ? Refusal::kUnknownJob : Refusal::kPlatformDown, "");
+           loaded() ? Refusal::kUnknownJob : Refusal::kPlatformDown,
+           wire::RUN_FATE_NOT_RUN, "");
     return;
   }
+  const JobId id(cancel.job_id());
   if (!Finished(*job)) {
-    job->stored.set_cancelled(true);
+    job->stored->set_cancelled(true);
     job->done_at = now;
-    DropTasks(JobId(cancel.job_id()), job, now);
+    DropTasks(id, *job, now);
   }
-  Batch& batch = batches_[job->batch];
-  batch.dirty = true;
-  batch.replies.push_back({entry, cancel});
+  store_.Changed(id, [this, entry, cancel] {
+    const Job* const cancelled = Find(JobId(cancel.job_id()));
+    if (cancelled != nullptr) Reply(entry, cancel.query_id(), *cancelled);
+  });
 }
 
-void Jobs::DropTasks(const JobId& id, Job* job, Time now) {
+// ---- tasks ----
+
+void Jobs::DropTasks(const JobId& id, const Job& job, Time now) {
   gangs_.Remove(id);
-  for (uint32_t task = 0; task < job->stored.job().tasks(); ++task) {
+  for (uint32_t task = 0; task < job.stored->job().tasks(); ++task) {
     const WorkId work = TaskWorkId(id, task);
     const auto current = state_->attempt_of_work.find(work);
     if (current == state_->attempt_of_work.end()) {
@@ -234,17 +245,34 @@
   }
 }
 
-void Jobs::MarkEnded(Job* job, uint32_t task, bool failed, Time now) {
+void Jobs::MarkEnded(const JobId& id, Job* job, uint32_t task, bool failed,
+                     Time now) {
   if (Ended(*job, task)) return;
-  std::string* const bits = job->stored.mutable_ended_bits();
+  std::string* const bits = job->stored->mutable_ended_bits();
   const size_t byte = task / kBitsPerByte;
   if (bits->size() <= byte) bits->resize(byte + 1);
   (*bits)[byte] = static_cast<char>(static_cast<unsigned char>((*bits)[byte]) |
                                     (1U << (task % kBitsPerByte)));
   ++job->ended;
-  if (failed) job->stored.set_failed(job->stored.failed() + 1);
-  batches_[job->batch].dirty = true;
+  if (failed) job->stored->set_failed(job->stored->failed() + 1);
   if (Finished(*job)) job->done_at = now;
+  store_.Changed(id, [] {});
+}
+
+void Jobs::AcknowledgeWhenDurable(const JobId& id, const WorkerId& worker,
+                                  const AttemptId& attempt) {
+  store_.Changed(id, [state = state_, worker, attempt] {
+    Acknowledge(state, worker, attempt);
+  });
+}
+
+void Jobs::FailJob(const JobId& id, Time now) {
+  Job* const job = Find(id);
+  if (job == nullptr) return;
+  for (uint32_t task = 0; task < job->stored->job().tasks(); ++task) {
+    MarkEnded(id, job, task, true, now);
+  }
+  DropTasks(id, *job, now);
 }
 
 void Jobs::OnTaskEnded(const WorkItem& item, const wire::EndedAttempt& ended,
@@ -270,24 +298,15 @@
                  now + BackOff(item.tries, kFirstBackOff, kMostBackOff));
     return;
   }
-  MarkEnded(job, item.task, failed, now);
-  batches_[job->batch].acks.push_back({worker, attempt});
   const WorkItem part = item;
+  MarkEnded(*part.job, job, part.task, failed, now);
+  AcknowledgeWhenDurable(*part.job, worker, attempt);
   const Gangs::Change change =
       gangs_.OnPartClosed(*part.job, part, true, true, now);
   DropWork(state_, part.id);
   if (change == Gangs::Change::kSpoiled) FailJob(*part.job, now);
 }
 
-void Jobs::FailJob(const JobId& id, Time now) {
-  Job* const job = Find(id);
-  if (job == nullptr) return;
-  for (uint32_t task = 0; task < job->stored.job().tasks(); ++task) {
-    MarkEnded(job, task, true, now);
-  }
-  DropTasks(id, job, now);
-}
-
 void Jobs::OnTaskInterrupted(WorkItem* item, bool may_have_run, Time now) {
   Job* const job = Find(*item->job);
   if (job == nullptr || item->cancelled) {
@@ -307,7 +326,7 @@
   const bool service = item->work.work_class() == wire::WORK_CLASS_SERVICE;
   const bool runs_again = service || item->work.idempotent() || !may_have_run;
   if (!runs_again) {
-    MarkEnded(job, item->task, true, now);
+    MarkEnded(JobId(*item->job), job, item->task, true, now);
     DropWork(state_, item->id);
     return;
   }
@@ -324,30 +343,38 @@
   if (task) gangs_.OnPartStarted(task->first, now);
 }
 
+// ---- taking over from a former placer ----
+
+void Jobs::OnLoaded(Time now) {
+  for (const JobId& id : store_.Ids()) {
+    Job* const job = Track(id);
+    if (job != nullptr && Finished(*job)) job->done_at = now;
+  }
+}
+
 void Jobs::OnForeignEvidence(const Evidence& evidence, Time now) {
-  if (!loaded_) return;
+  if (!loaded()) return;
   const auto task = TaskOf(WorkId(evidence.ended.work().work_id()));
   if (!task) return;
   Job* const job = Find(task->first);
   const AttemptId attempt(evidence.ended.attempt_id());
-  const bool final_end = evidence.ended.outcome() == wire::OUTCOME_ANSWERED ||
-                         (evidence.ended.outcome() == wire::OUTCOME_FAILED &&
-                          !evidence.ended.work().idempotent());
-  const bool service =
-      evidence.ended.work().work_class() == wire::WORK_CLASS_SERVICE;
+  const wire::Work& work = evidence.ended.work();
+  const bool answered = evidence.ended.outcome() == wire::OUTCOME_ANSWERED;
+  const bool ran = evidence.ended.outcome() != wire::OUTCOME_NOT_STARTED;
+  const bool final_end = answered || (ran && !work.idempotent());
+  const bool service = work.work_class() == wire::WORK_CLASS_SERVICE;
   if (job == nullptr || Ended(*job, task->second) || service || !final_end) {
     Acknowledge(state_, evidence.worker, attempt);
     return;
   }
-  MarkEnded(job, task->second,
-            evidence.ended.outcome() != wire::OUTCOME_ANSWERED, now);
-  batches_[job->batch].acks.push_back({evidence.worker, attempt});
-  DropWork(state_, WorkId(evidence.ended.work().work_id()));
+  MarkEnded(task->first, job, task->second, !answered, now);
+  AcknowledgeWhenDurable(task->first, evidence.worker, attempt);
+  DropWork(state_, WorkId(work.work_id()));
 }
 
 void Jobs::OnForeignAttempt(AttemptInfo* attempt, Time now) {
   const auto task = TaskOf(attempt->work_id);
-  if (!loaded_ || !task) return;
+  if (!loaded() || !task) return;
   Job* const job = Find(task->first);
   if (job == nullptr || Finished(*job) || Ended(*job, task->second)) {
     StopAttempt(state_, attempt, false, now);
@@ -355,7 +382,7 @@
   }
   WorkItem* item = state_->FindWork(attempt->work_id);
   if (item == nullptr) {
-    wire::Work work = job->stored.job().work();
+    wire::Work work = job->stored->job().work();
     work.set_work_id(attempt->work_id.text());
     item = AddWork(state_, work, now);
     item->job = task->first;
@@ -370,8 +397,9 @@
   item->attempt = attempt->id;
 }
 
-void Jobs::QueueTask(const JobId& id, const Job& job, uint32_t task, Time now) {
-  wire::Work work = job.stored.job().work();
+void Jobs::QueueTask(const JobId& id, const Job& job, uint32_t task,
+                     Time now) {
+  wire::Work work = job.stored->job().work();
   work.set_work_id(TaskWorkId(id, task).text());
   WorkItem* const item = AddWork(state_, work, now);
   item->job = id;
@@ -383,6 +411,28 @@
   Enqueue(state_, item, false);
 }
 
+void Jobs::ResumeJob(const JobId& id, Job* job, Time now) {
+  if (Finished(*job) || gangs_.Contains(id)) return;
+  std::vector<WorkId> members;
+  bool any_attempt = false;
+  for (uint32_t task = 0; task < job->stored->job().tasks(); ++task) {
+    if (Ended(*job, task)) continue;
+    const WorkId work = TaskWorkId(id, task);
+    members.push_back(work);
+    any_attempt = any_attempt || state_->attempt_of_work.contains(work);
+    if (!state_->works.contains(work)) QueueTask(id, *job, task, now);
+  }
+  if (!IsGang(*job->stored)) return;
+  if (any_attempt) {
+    gangs_.Adopt(id, members, now);
+  } else if (job->ended > 0) {
+    // It had started; running the rest alone would not be the whole gang.
+    FailJob(id, now);
+  } else {
+    gangs_.Add(id, members, now);
+  }
+}
+
 void Jobs::QueueMissingTasks(Time now) {
   std::vector<AttemptId> foreign;
   for (const auto& [attempt_id, attempt] : state_->attempts) {
@@ -396,299 +446,31 @@
   for (const auto& [work, evidence] : state_->evidence) {
     if (TaskOf(work)) told.push_back(work);
   }
+  std::sort(told.begin(), told.end());
   for (const WorkId& work : told) {
     OnForeignEvidence(state_->evidence.at(work), now);
     state_->evidence.erase(work);
   }
-  for (auto& [id, job] : jobs_) {
-    if (Finished(job) || gangs_.Contains(id)) continue;
-    std::vector<WorkId> members;
-    bool any_attempt = false;
-    for (uint32_t task = 0; task < job.stored.job().tasks(); ++task) {
-      if (Ended(job, task)) continue;
-      const WorkId work = TaskWorkId(id, task);
-      members.push_back(work);
-      any_attempt = any_attempt || state_->attempt_of_work.contains(work);
-      if (!state_->works.contains(work)) QueueTask(id, job, task, now);
-    }
-    if (job.stored.job().work().work_class() != wire::WORK_CLASS_GANG) continue;
-    if (any_attempt) {
-      gangs_.Adopt(id, members, now);
-    } else if (job.ended > 0) {
-      // It had started; running the rest alone would not be the whole gang.
-      FailJob(id, now);
-    } else {
-      gangs_.Add(id, members, now);
-    }
-  }
+  for (auto& [id, job] : jobs_) ResumeJob(id, &job, now);
 }
 
-std::string Jobs::Render(const Batch& batch) const {
-  wire::JobBatch value;
-  for (const JobId& id : batch.jobs) {
-    const auto found = jobs_.find(id);
-    if (found != jobs_.end()) *value.add_jobs() = found->second.stored;
-  }
-  return ToText(value);
-}
-
-void Jobs::StartCommit(Time now) {
-  Commit commit;
-  commit.key =
-      std::string(kJobPrefix) + state_->settings.domain.text() + "/" +
-      std::to_string(static_cast<uint64_t>(state_->contracts.epoch())) + "-" +
-      state_->settings.self.text() + "-" + std::to_string(next_batch_++);
-  wire::JobBatch value;
-  size_t bytes = 0;
-  size_t taken = 0;
-  while (taken < waiting_.size() && bytes < kMostCommitBytes) {
-    const Waiting& waiting = waiting_[taken++];
-    *value.add_jobs()->mutable_job() = waiting.spec;
-    bytes += waiting.spec.ByteSizeLong();
-    commit.jobs.push_back(waiting);
-  }
-  waiting_.erase(waiting_.begin(),
-                 waiting_.begin() + static_cast<std::ptrdiff_t>(taken));
-  commit.value = ToText(value);
-  first_waiting_at_.reset();
-  if (!waiting_.empty()) first_waiting_at_ = now;
-  commit_ = std::move(commit);
-  SendCommit(now);
-}
-
-void Jobs::SendCommit(Time now) {
-  commit_->may_be_written = true;
-  commit_->retry_at = now + kCallAgainAfter;
-  commit_->call = state_->Call({.kind = KvCall::Kind::kPut,
-                                .key = commit_->key,
-                                .value = commit_->value,
-                                .expected = Revision{0}});
-}
-
-void Jobs::OnCommitAnswer(const KvAnswer& answer, Time now) {
-  commit_->call.reset();
-  switch (answer.kind) {
-    case KvAnswer::Kind::kDone:
-    // No other process writes this key, so an earlier write of ours took
-    // effect although its answer was lost.
-    case KvAnswer::Kind::kConflict:
-      OnCommitted(answer.revision, now);
-      break;
-    case KvAnswer::Kind::kMissing:
-    case KvAnswer::Kind::kNoAnswer:
-      state_->Count("quetzal_retries_total", "commit_unanswered");
-      break;
-  }
-}
+// ---- time ----
 
-void Jobs::OnCommitted(Revision revision, Time now) {
-  Commit commit = std::move(*commit_);
-  commit_.reset();
-  Batch& batch = batches_[commit.key];
-  batch.revision = revision;
-  for (const Waiting& waiting : commit.jobs) {
-    const JobId id(waiting.spec.job_id());
-    batch.jobs.push_back(id);
-    Job& job = jobs_[id];
-    *job.stored.mutable_job() = waiting.spec;
-    job.batch = commit.key;
-    std::vector<WorkId> members;
-    for (uint32_t task = 0; task < waiting.spec.tasks(); ++task) {
-      QueueTask(id, job, task, now);
-      members.push_back(TaskWorkId(id, task));
-    }
-    if (waiting.spec.work().work_class() == wire::WORK_CLASS_GANG) {
-      gangs_.Add(id, members, now);
-    }
-    state_->metrics->Count("quetzal_jobs_accepted_total");
-    Reply(waiting.entry, waiting.spec.job_id(), job);
-  }
-}
-
-void Jobs::GiveUpLateJobs(Time now) {
-  const auto late = [&](const Waiting& waiting) {
-    if (now < waiting.deadline) return false;
-    Refuse(waiting.entry, waiting.spec.job_id(), Refusal::kPlatformDown,
-           "the job was never written");
-    return true;
-  };
-  std::erase_if(waiting_, late);
-  if (!commit_) return;
-  for (Waiting& waiting : commit_->jobs) {
-    if (now < waiting.deadline) continue;
-    waiting.deadline = Time::max();
-    wire::PlacerToEntry message;
-    message.mutable_job()->set_query_id(waiting.spec.job_id());
-    message.mutable_job()->set_refusal(
-        std::string(Code(Refusal::kPlatformDown)));
-    message.mutable_job()->set_detail(
-        "the write was not answered; ask for the job by its id later");
-    message.mutable_job()->set_fate(wire::RUN_FATE_UNKNOWN);
-    state_->Send(waiting.entry, std::move(message));
-  }
-}
-
-void Jobs::Adopt(const KvItem& item) {
-  const std::optional<wire::JobBatch> value = FromText(item.value);
-  if (!value) {
-    state_->Count("quetzal_errors_total", "unreadable_job_batch");
-    return;
-  }
-  Batch& batch = batches_[item.key];
-  batch.revision = item.revision;
-  for (const wire::StoredJob& stored : value->jobs()) {
-    batch.jobs.emplace_back(stored.job().job_id());
-    Merge(stored, item.key);
-  }
-}
-
-void Jobs::Merge(const wire::StoredJob& stored, const std::string& key) {
-  const auto [found, added] = jobs_.try_emplace(JobId(stored.job().job_id()));
-  Job& job = found->second;
-  if (added) {
-    job.stored = stored;
-    job.batch = key;
-  }
-  std::string* const bits = job.stored.mutable_ended_bits();
-  bits->resize(std::max(bits->size(), stored.ended_bits().size()));
-  for (size_t i = 0; i < stored.ended_bits().size(); ++i) {
-    (*bits)[i] = static_cast<char>((*bits)[i] | stored.ended_bits()[i]);
-  }
-  job.stored.set_cancelled(job.stored.cancelled() || stored.cancelled());
-  job.stored.set_failed(std::max(job.stored.failed(), stored.failed()));
-  job.ended = 0;
-  for (uint32_t task = 0; task < job.stored.job().tasks(); ++task) {
-    if (Ended(job, task)) ++job.ended;
-  }
-}
-
-void Jobs::OnLoaded(const KvAnswer& answer, Time now) {
-  load_call_.reset();
-  if (answer.kind != KvAnswer::Kind::kDone) {
-    load_retry_at_ = now + kCallAgainAfter;
-    state_->Count("quetzal_retries_total", "job_list_unanswered");
-    return;
-  }
-  for (const KvItem& item : answer.items) Adopt(item);
-  for (auto& [id, job] : jobs_) {
-    if (Finished(job)) job.done_at = now;
-  }
-  loaded_ = true;
-}
-
-void Jobs::OnBatchWritten(const std::string& key, const KvAnswer& answer) {
-  Batch& batch = batches_[key];
-  batch.writing = false;
-  if (answer.kind == KvAnswer::Kind::kDone) {
-    batch.revision = answer.revision;
-    for (const Ack& ack : batch.acks_in_flight) {
-      Acknowledge(state_, ack.worker, ack.attempt);
-    }
-    for (const CancelReply& reply : batch.replies_in_flight) {
-      const Job* const job = Find(JobId(reply.cancel.job_id()));
-      if (job != nullptr) Reply(reply.entry, reply.cancel.query_id(), *job);
-    }
-  } else {
-    state_->Count("quetzal_retries_total", "progress_unanswered");
-    batch.dirty = true;
-    for (const Ack& ack : batch.acks_in_flight) batch.acks.push_back(ack);
-    for (const CancelReply& reply : batch.replies_in_flight) {
-      batch.replies.push_back(reply);
-    }
-    // Our own earlier write whose answer was lost, or another placer's: what
-    // both know is merged, since an end once seen stays an end.
-    if (answer.kind == KvAnswer::Kind::kConflict) {
-      batch.writing = true;
-      read_calls_[state_->Call({.kind = KvCall::Kind::kGet, .key = key})] = key;
-    }
-  }
-  batch.acks_in_flight.clear();
-  batch.replies_in_flight.clear();
-}
-
-void Jobs::OnBatchRead(const std::string& key, const KvAnswer& answer) {
-  Batch& batch = batches_[key];
-  batch.writing = false;
-  batch.dirty = true;
-  if (answer.kind != KvAnswer::Kind::kDone || answer.items.empty()) return;
-  const std::optional<wire::JobBatch> value =
-      FromText(answer.items.front().value);
-  if (!value) return;
-  batch.revision = answer.items.front().revision;
-  for (const wire::StoredJob& stored : value->jobs()) Merge(stored, key);
-}
-
-bool Jobs::OnKvAnswer(const KvAnswer& answer, Time now) {
-  if (load_call_ && *load_call_ == answer.id) {
-    OnLoaded(answer, now);
-    return true;
-  }
-  if (commit_ && commit_->call && *commit_->call == answer.id) {
-    OnCommitAnswer(answer, now);
-    return true;
-  }
-  if (const auto read = read_calls_.extract(answer.id)) {
-    if (batches_.contains(read.mapped())) OnBatchRead(read.mapped(), answer);
-    return true;
-  }
-  const auto written = write_calls_.extract(answer.id);
-  if (!written) return false;
-  if (batches_.contains(written.mapped())) {
-    OnBatchWritten(written.mapped(), answer);
-  }
-  return true;
-}
-
-void Jobs::WriteBatch(const std::string& key, Batch* batch) {
-  batch->dirty = false;
-  batch->writing = true;
-  batch->acks_in_flight = std::exchange(batch->acks, {});
-  batch->replies_in_flight = std::exchange(batch->replies, {});
-  write_calls_[state_->Call({.kind = KvCall::Kind::kPut,
-                             .key = key,
-                             .value = Render(*batch),
-                             .expected = batch->revision})] = key;
-}
-
-void Jobs::WriteDirty(Time now) {
-  progress_at_ = now;
-  size_t written = 0;
-  for (auto& [key, batch] : batches_) {
-    if (written >= kMostProgressWrites) break;
-    if (!batch.dirty || batch.writing) continue;
-    WriteBatch(key, &batch);
-    ++written;
-  }
-}
-
-void Jobs::MaybeDelete(const std::string& key, Batch* batch, Time now) {
-  if (batch->dirty || batch->writing) return;
-  const bool over =
-      std::all_of(batch->jobs.begin(), batch->jobs.end(), [&](const JobId& id) {
-        const Job* const job = Find(id);
-        return job == nullptr ||
-               (job->done_at && now - *job->done_at >= kKeepFinished);
-      });
-  if (!over) return;
-  for (const JobId& id : batch->jobs) jobs_.erase(id);
-  state_->Call(
-      {.kind = KvCall::Kind::kDelete, .key = key, .expected = batch->revision});
+void Jobs::ForgetFinished(Time now) {
+  if (now - forgot_at_ < kForgetEvery) return;
+  forgot_at_ = now;
+  std::erase_if(jobs_, [&](const auto& entry) {
+    const auto& [id, job] = entry;
+    const bool old = job.done_at && now - *job.done_at >= kKeepFinished;
+    if (old) store_.Remove(id);
+    return old;
+  });
 }
 
 void Jobs::Tick(Time now) {
-  if (!loaded_ && !load_call_ && now >= load_retry_at_) Load(now);
-  GiveUpLateJobs(now);
-  if (commit_ && !commit_->call && now >= commit_->retry_at) SendCommit(now);
-  const bool due = first_waiting_at_ &&
-                   now - *first_waiting_at_ >= state_->settings.commit_every;
-  if (due && !commit_ && loaded_) StartCommit(now);
-  if (now - progress_at_ < state_->settings.progress_every) return;
-  WriteDirty(now);
-  for (auto at = batches_.begin(); at != batches_.end();) {
-    const size_t before = jobs_.size();
-    MaybeDelete(at->first, &at->second, now);
-    at = jobs_.size() < before ? batches_.erase(at) : std::next(at);
-  }
+  store_.Tick(now);
+  GiveUpLateSubmissions(now);
+  ForgetFinished(now);
   gangs_.MaybeReserveWorkers(now);
 }
 
--- a/quetzal/placer/internal/requests.cc
+++ b/quetzal/placer/internal/requests.cc
@@ -228,6 +228,7 @@
                      item->tries < state_->settings.most_tries &&
                      state_->retry_budget.Spend();
   if (again) {
+    item->may_have_run = true;
     Acknowledge(state_, evidence.worker,
                 AttemptId(evidence.ended.attempt_id()));
     state_->Count("quetzal_retries_total", "work_failed");
@@ -245,6 +246,7 @@
 }
 
 void Requests::OnInterrupted(WorkItem* item, bool may_have_run, Time now) {
+  item->may_have_run = item->may_have_run || may_have_run;
   const wire::RunFate fate =
       may_have_run ? wire::RUN_FATE_UNKNOWN : wire::RUN_FATE_NOT_RUN;
   if (item->cancelled) {
@@ -274,7 +276,9 @@
 void Requests::Refuse(WorkItem* item, Refusal reason, wire::RunFate fate,
                       const std::string& detail, Time now) {
   wire::Settled outcome;
-  outcome.set_fate(fate);
+  const bool proved =
+      fate == wire::RUN_FATE_NOT_RUN && !item->may_have_run;
+  outcome.set_fate(proved ? wire::RUN_FATE_NOT_RUN : wire::RUN_FATE_UNKNOWN);
   outcome.set_refusal(std::string(Code(reason)));
   outcome.set_detail(detail);
   if (reason == Refusal::kQueueFull) {
--- a/quetzal/placer/internal/state.h
+++ b/quetzal/placer/internal/state.h
@@ -50,6 +50,8 @@
   Milliseconds age_at_submit{0};  // since an entry first handed it over
   AttemptId attempt;
   int tries = 0;
+  // An attempt of it ran, or may have: it is never refused as "not run".
+  bool may_have_run = false;
   bool cancelled = false;
   bool expired = false;  // the deadline passed while it ran
 };
--- a/quetzal/placer/internal/workers.cc
+++ b/quetzal/placer/internal/workers.cc
@@ -50,6 +50,7 @@
 
 void Workers::BeginTerm() {
   superseded_ = false;
+  mismatched_.clear();
   state_->evidence_lost = !state_->seen_gone.empty();
   for (const auto& [id, worker] : state_->listed) {
     state_->ledger.SetWorker({.id = id,
@@ -117,12 +118,26 @@
       state_->booted_at[worker] = now - Milliseconds(granted.uptime_ms());
     }
     OnInventory(worker, granted.inventory(), restarted, now);
+  } else {
+    CompareCounts(worker, granted);
   }
   const bool may_start = state_->contracts.MayStart(worker, now);
   state_->ledger.SetOpen(worker, may_start);
   state_->placement_due = state_->placement_due || may_start;
 }
 
+// A message that was lost shows as a count that differs twice in a row; once,
+// it may be on its way.
+void Workers::CompareCounts(const WorkerId& worker,
+                            const wire::Granted& granted) {
+  if (granted.attempts() == state_->ledger.CountOn(worker)) {
+    mismatched_.erase(worker);
+  } else if (!mismatched_.insert(worker).second) {
+    mismatched_.erase(worker);
+    state_->contracts.AskInventory(worker);
+  }
+}
+
 void Workers::OnRefused(const WorkerId& worker,
                         const wire::GrantRefused& refused, Time now) {
   const Epoch current{refused.current_epoch()};
--- a/quetzal/placer/internal/workers.h
+++ b/quetzal/placer/internal/workers.h
@@ -46,6 +46,7 @@
   void OnLeaving(const WorkerId& worker, Time now);
   void OnInventory(const WorkerId& worker, const wire::Inventory& inventory,
                    bool restarted, Time now);
+  void CompareCounts(const WorkerId& worker, const wire::Granted& granted);
   void OnMissing(AttemptInfo* attempt, bool restarted, Time now);
   void AdoptAttempt(const WorkerId& worker, const wire::Attempt& attempt,
                     Time now);
@@ -63,6 +64,8 @@
   std::optional<Epoch> epoch_seen_;
   bool superseded_ = false;
   Time checked_at_;
+  // Workers whose last answer named another number of attempts than known.
+  std::set<WorkerId> mismatched_;
 };
 
 }  // namespace quetzal::placer_internal
--- a/quetzal/placer/placer.cc
+++ b/quetzal/placer/placer.cc
@@ -131,6 +131,7 @@
       state_.allotments.OnWritten(read.mapped(), std::nullopt);
     } else {
       jobs_.OnKvAnswer(answer, now);
+      if (jobs_.superseded()) seat_.OnSuperseded(now);
     }
     FollowTerm(now);
     Advance(now);
--- a/standins/worker/worker_model.cc
+++ b/standins/worker/worker_model.cc
@@ -102,6 +102,7 @@
   granted->set_leaving(leaving_);
   granted->set_serial(grant.serial());
   granted->set_stamp_ms(Stamp(now));
+  granted->set_attempts(static_cast<uint32_t>(tasks_.size()));
   granted->set_incarnation(settings_.incarnation);
   granted->set_uptime_ms(static_cast<uint64_t>((now - booted_).count()));
   if (grant.want_inventory() || new_holder) {
--- a/tests/support/checker.cc
+++ b/tests/support/checker.cc
@@ -17,14 +17,12 @@
   return at == std::string::npos ? "" : payload.substr(at + 2);
 }
 
-// Events by time; at the same time ends come before starts.
+// Events by time; those of the same time stay as they were recorded.
 std::vector<WorkerEvent> InOrder(const World& world) {
   std::vector<WorkerEvent> events = world.events();
   std::stable_sort(events.begin(), events.end(),
                    [](const WorkerEvent& a, const WorkerEvent& b) {
-                     if (a.at != b.at) return a.at < b.at;
-                     return a.kind == WorkerEvent::Kind::kEnded &&
-                            b.kind == WorkerEvent::Kind::kStarted;
+                     return a.at < b.at;
                    });
   return events;
 }
