At most once survives lost workers; refusals of former placers don't count

The platform now knows, before its first start, that such a task may run (one bit a task, in group writes); without evidence it is failed. - a former placer's 'not run' reached the caller while the new placer ran the request; an entry now heeds refusals only from the placer it asked last. - a placer that lost and regained its seat under the same key reused its epoch; it now gives the seat back and takes a new one. - an idempotent request retried by a former placer left no trace and was called 'not run'; a resubmitted idempotent request is never called so. - the worker stand-in started a reserved part under a lapsed lease. Ruled out: a start marker for each job (fails every waiting task after any failover); wall-clock ages of jobs (the cores have no clock).

--- a/quetzal/dispatch/dispatch.cc
+++ b/quetzal/dispatch/dispatch.cc
@@ -193,6 +193,7 @@
     pending->message.mutable_submit_job()->set_deadline_ms(left_ms);
   }
   pending->sent = true;
+  pending->sent_to = *active_;
   Reply(ToPlacer{*active_, pending->message});
 }
 
@@ -295,10 +296,19 @@
 
 void EntryCore::OnSettled(const PlacerId& placer,
                           const wire::Settled& settled) {
-  wire::EntryToPlacer received;
-  received.mutable_settle_received()->set_work_id(settled.work_id());
-  Reply(ToPlacer{placer, std::move(received)});
+  const auto pending_request = requests_.find(settled.work_id());
+  const bool only_former = pending_request != requests_.end() &&
+                           pending_request->second.sent_to != placer;
+  // What a former placer could not do, the one asked since may have done.
+  if (only_former && !settled.refusal().empty()) return;
   const auto request = requests_.extract(settled.work_id());
+  // Once another placer was asked too, the evidence must stay at the worker
+  // until that one has found it: only it is told.
+  if (!only_former) {
+    wire::EntryToPlacer received;
+    received.mutable_settle_received()->set_work_id(settled.work_id());
+    Reply(ToPlacer{placer, std::move(received)});
+  }
   if (!request) return;
   const Pending& pending = request.mapped();
   id_of_call_.erase(static_cast<uint64_t>(pending.call));
--- a/quetzal/dispatch/dispatch.h
+++ b/quetzal/dispatch/dispatch.h
@@ -133,6 +133,7 @@
     Time since;
     Time deadline;
     bool sent = false;  // some placer may have received it
+    PlacerId sent_to;   // the last one
   };
   struct PlacerView {
     bool linked = false;
--- a/quetzal/placer/internal/flow.cc
+++ b/quetzal/placer/internal/flow.cc
@@ -76,6 +76,7 @@
     state->ledger.SetOpen(worker, false);
     return false;
   }
+  if (!state->may_start(item)) return false;
   Dequeue(state, item);
   AttemptInfo attempt;
   attempt.id = state->NewAttemptId();
--- a/quetzal/placer/internal/gangs.cc
+++ b/quetzal/placer/internal/gangs.cc
@@ -100,6 +100,13 @@
   }
   for (const AttemptId& attempt : trial) state_->ledger.Settle(attempt);
   if (places.size() < gang.parts.size()) return false;
+  bool may_start = true;
+  for (const WorkId& part : gang.parts) {
+    WorkItem* const part_item = state_->FindWork(part);
+    may_start =
+        part_item != nullptr && state_->may_start(part_item) && may_start;
+  }
+  if (!may_start) return false;
   gang.phase = Phase::kHolding;
   for (const auto& [part, worker] : places) {
     WorkItem* const part_item = state_->FindWork(part);
--- a/quetzal/placer/internal/job_store.cc
+++ b/quetzal/placer/internal/job_store.cc
@@ -25,6 +25,13 @@
   return batch;
 }
 
+void AddBits(const std::string& more, std::string* bits) {
+  bits->resize(std::max(bits->size(), more.size()));
+  for (size_t i = 0; i < more.size(); ++i) {
+    (*bits)[i] = static_cast<char>((*bits)[i] | more[i]);
+  }
+}
+
 }  // namespace
 
 JobStore::JobStore(State* state, JobStoreObserver* observer)
@@ -90,11 +97,8 @@
   // A job that was being sealed stands in two batches.
   if (added || mine.batch == open_key_) mine.batch = key;
   mine.accepted = true;
-  std::string* const bits = mine.job.mutable_ended_bits();
-  bits->resize(std::max(bits->size(), stored.ended_bits().size()));
-  for (size_t i = 0; i < stored.ended_bits().size(); ++i) {
-    (*bits)[i] = static_cast<char>((*bits)[i] | stored.ended_bits()[i]);
-  }
+  AddBits(stored.ended_bits(), mine.job.mutable_ended_bits());
+  AddBits(stored.attempted_bits(), mine.job.mutable_attempted_bits());
   mine.job.set_cancelled(mine.job.cancelled() || stored.cancelled());
   mine.job.set_failed(std::max(mine.job.failed(), stored.failed()));
 }
@@ -139,8 +143,8 @@
 }
 
 void JobStore::TakeInWaiting(Time now) {
-  const bool due = first_waiting_at_ && now - *first_waiting_at_ >=
-                                            state_->settings.commit_every;
+  const bool due = first_waiting_at_ &&
+                   now - *first_waiting_at_ >= state_->settings.commit_every;
   if (!due || open().writing || sealing_ || !loaded_) return;
   first_waiting_at_.reset();
   for (const JobId& id : waiting_) {
@@ -162,13 +166,13 @@
     if (found != jobs_.end()) *value.add_jobs() = found->second.job;
   }
   std::string text;
-  const auto status =
-      google::protobuf::util::MessageToJsonString(value, &text);
+  const auto status = google::protobuf::util::MessageToJsonString(value, &text);
   return status.ok() ? text : "{}";
 }
 
 void JobStore::Write(const std::string& key, Batch* batch) {
   batch->dirty = false;
+  batch->urgent = false;
   batch->writing = true;
   for (Done& done : std::exchange(batch->done, {})) {
     batch->done_in_flight.push_back(std::move(done));
@@ -254,6 +258,13 @@
   batch.done.push_back(std::move(done));
 }
 
+void JobStore::ChangedUrgently(const JobId& id, std::function<void()> done) {
+  const auto found = jobs_.find(id);
+  if (found == jobs_.end()) return;
+  batches_[found->second.batch].urgent = true;
+  Changed(id, std::move(done));
+}
+
 void JobStore::Remove(const JobId& id) {
   const auto found = jobs_.find(id);
   if (found == jobs_.end()) return;
@@ -263,12 +274,12 @@
   jobs_.erase(found);
 }
 
-void JobStore::WriteDirty(Time now) {
-  progress_at_ = now;
+void JobStore::WriteDirty(bool only_urgent) {
   size_t written = 0;
   for (auto& [key, batch] : batches_) {
     if (written >= kMostProgressWrites) break;
     if (!batch.dirty || batch.writing) continue;
+    if (only_urgent && !batch.urgent) continue;
     Write(key, &batch);
     ++written;
   }
@@ -354,10 +365,12 @@
 void JobStore::Tick(Time now) {
   if (!loaded_ && calls_.empty() && now >= again_at_) Load(now);
   TakeInWaiting(now);
+  WriteDirty(/*only_urgent=*/true);
   if (now - progress_at_ < state_->settings.progress_every) return;
+  progress_at_ = now;
   const bool full = open().jobs.size() >= kMostOpenJobs;
   if (loaded_ && full && !open().writing && !sealing_) BeginSeal();
-  WriteDirty(now);
+  WriteDirty(/*only_urgent=*/false);
   DropEmptyBatches();
 }
 
--- a/quetzal/placer/internal/job_store.h
+++ b/quetzal/placer/internal/job_store.h
@@ -49,6 +49,8 @@
   std::vector<JobId> Ids() const;
   // The job's stored form changed; `done` runs once that is durable.
   void Changed(const JobId& id, std::function<void()> done);
+  // The same for something that work waits for.
+  void ChangedUrgently(const JobId& id, std::function<void()> done);
   // Drops a finished job from the store for good.
   void Remove(const JobId& id);
 
@@ -61,6 +63,7 @@
     std::vector<JobId> jobs;
     Revision revision{0};
     bool dirty = false;
+    bool urgent = false;  // not to wait for the next round of progress
     bool writing = false;
     std::vector<Done> done;            // due once the batch is written
     std::vector<Done> done_in_flight;  // due once this write is done
@@ -89,7 +92,7 @@
   void OnChecked(const std::string& key, const KvAnswer& answer, Time now);
   void Confirm(const std::string& key, Revision revision, Time now);
   void TakeInWaiting(Time now);
-  void WriteDirty(Time now);
+  void WriteDirty(bool only_urgent);
   void BeginSeal();
   void SendSeal();
   void OnSealed(const KvAnswer& answer);
--- a/quetzal/placer/internal/jobs.cc
+++ b/quetzal/placer/internal/jobs.cc
@@ -16,6 +16,20 @@
 constexpr Milliseconds kMostBackOff{30'000};
 constexpr int kBitsPerByte = 8;
 
+bool HasBit(const std::string& bits, uint32_t index) {
+  const size_t byte = index / kBitsPerByte;
+  if (byte >= bits.size()) return false;
+  const auto value = static_cast<unsigned char>(bits[byte]);
+  return ((value >> (index % kBitsPerByte)) & 1U) != 0;
+}
+
+void SetBit(uint32_t index, std::string* bits) {
+  const size_t byte = index / kBitsPerByte;
+  if (bits->size() <= byte) bits->resize(byte + 1);
+  const auto value = static_cast<unsigned char>((*bits)[byte]);
+  (*bits)[byte] = static_cast<char>(value | (1U << (index % kBitsPerByte)));
+}
+
 bool IsGang(const wire::StoredJob& stored) {
   return stored.job().work().work_class() == wire::WORK_CLASS_GANG;
 }
@@ -37,7 +51,9 @@
   return std::pair(JobId(text.substr(0, slash)), task);
 }
 
-Jobs::Jobs(State* state) : state_(state), gangs_(state), store_(state, this) {}
+Jobs::Jobs(State* state) : state_(state), gangs_(state), store_(state, this) {
+  state_->may_start = [this](WorkItem* item) { return IntentIsDurable(item); };
+}
 
 void Jobs::Clear() {
   gangs_.Clear();
@@ -51,11 +67,7 @@
 // ---- state of a job ----
 
 bool Jobs::Ended(const Job& job, uint32_t task) {
-  const std::string& bits = job.stored->ended_bits();
-  const size_t byte = task / kBitsPerByte;
-  if (byte >= bits.size()) return false;
-  const auto value = static_cast<unsigned char>(bits[byte]);
-  return ((value >> (task % kBitsPerByte)) & 1U) != 0;
+  return HasBit(job.stored->ended_bits(), task);
 }
 
 bool Jobs::Finished(const Job& job) {
@@ -160,9 +172,10 @@
     return;
   }
   if (!store_.Add(spec, now)) return;  // on its way already
-  submissions_.push_back({.entry = entry,
-                          .id = id,
-                          .deadline = now + Milliseconds(submit.deadline_ms())});
+  submissions_.push_back(
+      {.entry = entry,
+       .id = id,
+       .deadline = now + Milliseconds(submit.deadline_ms())});
 }
 
 void Jobs::OnAccepted(const JobId& id, Time now) {
@@ -248,11 +261,7 @@
 void Jobs::MarkEnded(const JobId& id, Job* job, uint32_t task, bool failed,
                      Time now) {
   if (Ended(*job, task)) return;
-  std::string* const bits = job->stored->mutable_ended_bits();
-  const size_t byte = task / kBitsPerByte;
-  if (bits->size() <= byte) bits->resize(byte + 1);
-  (*bits)[byte] = static_cast<char>(static_cast<unsigned char>((*bits)[byte]) |
-                                    (1U << (task % kBitsPerByte)));
+  SetBit(task, job->stored->mutable_ended_bits());
   ++job->ended;
   if (failed) job->stored->set_failed(job->stored->failed() + 1);
   if (Finished(*job)) job->done_at = now;
@@ -397,8 +406,7 @@
   item->attempt = attempt->id;
 }
 
-void Jobs::QueueTask(const JobId& id, const Job& job, uint32_t task,
-                     Time now) {
+void Jobs::QueueTask(const JobId& id, const Job& job, uint32_t task, Time now) {
   wire::Work work = job.stored->job().work();
   work.set_work_id(TaskWorkId(id, task).text());
   WorkItem* const item = AddWork(state_, work, now);
@@ -411,6 +419,26 @@
   Enqueue(state_, item, false);
 }
 
+bool Jobs::RunsAtMostOnce(const wire::Work& work) {
+  return !work.idempotent() && work.work_class() != wire::WORK_CLASS_SERVICE;
+}
+
+bool Jobs::IntentIsDurable(WorkItem* item) {
+  if (!item->job || !RunsAtMostOnce(item->work)) return true;
+  if (item->intent == Intent::kDurable) return true;
+  const Job* const job = Find(*item->job);
+  if (item->intent == Intent::kBeingWritten || job == nullptr) return false;
+  item->intent = Intent::kBeingWritten;
+  SetBit(item->task, job->stored->mutable_attempted_bits());
+  store_.ChangedUrgently(*item->job, [this, id = item->id] {
+    WorkItem* const waiting = state_->FindWork(id);
+    if (waiting == nullptr) return;
+    waiting->intent = Intent::kDurable;
+    state_->placement_due = true;
+  });
+  return false;
+}
+
 void Jobs::ResumeJob(const JobId& id, Job* job, Time now) {
   if (Finished(*job) || gangs_.Contains(id)) return;
   std::vector<WorkId> members;
@@ -418,6 +446,14 @@
   for (uint32_t task = 0; task < job->stored->job().tasks(); ++task) {
     if (Ended(*job, task)) continue;
     const WorkId work = TaskWorkId(id, task);
+    const bool lost_sight = HasBit(job->stored->attempted_bits(), task) &&
+                            !state_->works.contains(work);
+    if (lost_sight) {
+      // It may have run on a worker that can't tell any more.
+      state_->Count("quetzal_errors_total", "task_fate_unknown");
+      MarkEnded(id, job, task, true, now);
+      continue;
+    }
     members.push_back(work);
     any_attempt = any_attempt || state_->attempt_of_work.contains(work);
     if (!state_->works.contains(work)) QueueTask(id, *job, task, now);
--- a/quetzal/placer/internal/jobs.h
+++ b/quetzal/placer/internal/jobs.h
@@ -91,6 +91,9 @@
   void FailJob(const JobId& id, Time now);
   void DropTasks(const JobId& id, const Job& job, Time now);
   void QueueTask(const JobId& id, const Job& job, uint32_t task, Time now);
+  static bool RunsAtMostOnce(const wire::Work& work);
+  // True once the platform knows that this task may have been started.
+  bool IntentIsDurable(WorkItem* item);
   void ResumeJob(const JobId& id, Job* job, Time now);
 
   State* state_;
--- a/quetzal/placer/internal/placement.cc
+++ b/quetzal/placer/internal/placement.cc
@@ -80,7 +80,8 @@
         }
       }
     }
-    if (first == nullptr || !WithinLimit(*first) || !TryItem(first, now)) {
+    if (first == nullptr || !WithinLimit(*first) ||
+        TryItem(first, now) != Tried::kStarted) {
       return;
     }
   }
@@ -93,12 +94,14 @@
     WorkItem* const item = state_->FindWork(id);
     if (!WithinLimit(*item) || KnownNotToFit(*item)) continue;
     // Starting takes the work out of the list, so the walk must end here.
-    if (TryItem(item, now)) return Tried::kStarted;
-    if (misfits_.size() < kMostMisfits && lane != Lane::kGang) {
+    const Tried tried = TryItem(item, now);
+    if (tried == Tried::kStarted) return tried;
+    if (tried == Tried::kNoRoom && misfits_.size() < kMostMisfits &&
+        lane != Lane::kGang) {
       misfits_.push_back(item->size);
     }
   }
-  return looked_at == 0 ? Tried::kNothing : Tried::kNoRoom;
+  return Tried::kNoRoom;
 }
 
 bool Placement::KnownNotToFit(const WorkItem& item) const {
@@ -115,18 +118,20 @@
   return (item.size * parts).FitsIn(room);
 }
 
-bool Placement::TryItem(WorkItem* item, Time now) {
+Placement::Tried Placement::TryItem(WorkItem* item, Time now) {
   if (item->lane == Lane::kGang && item->job) {
-    return gangs_->TryStart(*item, now);
+    return gangs_->TryStart(*item, now) ? Tried::kStarted : Tried::kNoRoom;
   }
   const PlacementQuery query = {
       .size = item->size, .policy = PolicyOf(*item), .group = GroupFor(*item)};
   const std::optional<WorkerId> worker = state_->ledger.Pick(query);
-  if (!worker) return false;
+  if (!worker) return Tried::kNoRoom;
   const WorkId id = item->id;
   const Milliseconds waited = now - item->submitted;
   const std::string queue = item->queue.text();
-  if (!StartAttempt(state_, item, *worker, Milliseconds(0), now)) return false;
+  if (!StartAttempt(state_, item, *worker, Milliseconds(0), now)) {
+    return Tried::kNotYet;
+  }
   state_->metrics->Observe("quetzal_wait_ms", {{"queue", queue}},
                            static_cast<double>(waited.count()));
   for (const Reservation& reservation : reservations_) {
@@ -135,7 +140,7 @@
   std::erase_if(reservations_, [&](const Reservation& reservation) {
     return reservation.work == id;
   });
-  return true;
+  return Tried::kStarted;
 }
 
 void Placement::ReleaseOldReservations(Time now) {
--- a/quetzal/placer/internal/placement.h
+++ b/quetzal/placer/internal/placement.h
@@ -25,7 +25,11 @@
   void NoteDemand();
 
  private:
-  enum class Tried { kStarted, kNoRoom, kNothing };
+  enum class Tried {
+    kStarted,
+    kNoRoom,
+    kNotYet,  // something that must be durable first is being written
+  };
   struct Reservation {
     WorkerId worker;
     WorkId work;
@@ -35,7 +39,7 @@
   void ServeLane(Lane lane, Time now);
   void ServeFifo(Time now);
   Tried TryTeam(Lane lane, const TeamId& team, Time now);
-  bool TryItem(WorkItem* item, Time now);
+  Tried TryItem(WorkItem* item, Time now);
   bool KnownNotToFit(const WorkItem& item) const;
   bool WithinLimit(const WorkItem& item) const;
   Resources DemandOf(const WorkQueue::Place& place) const;
--- a/quetzal/placer/internal/requests.cc
+++ b/quetzal/placer/internal/requests.cc
@@ -92,6 +92,8 @@
   item->askers.push_back(asker);
   item->deadline = now + Milliseconds(submit.deadline_ms());
   item->age_at_submit = Milliseconds(submit.age_ms());
+  // A former placer may have run and retried it, leaving no evidence.
+  item->may_have_run = submit.resubmitted() && submit.work().idempotent();
   state_->wakeups.emplace(*item->deadline, id);
   const bool keyed = !submit.work().request_key().empty();
   if (keyed) state_->work_of_key[ScopedKey(submit.work())] = id;
@@ -276,8 +278,7 @@
 void Requests::Refuse(WorkItem* item, Refusal reason, wire::RunFate fate,
                       const std::string& detail, Time now) {
   wire::Settled outcome;
-  const bool proved =
-      fate == wire::RUN_FATE_NOT_RUN && !item->may_have_run;
+  const bool proved = fate == wire::RUN_FATE_NOT_RUN && !item->may_have_run;
   outcome.set_fate(proved ? wire::RUN_FATE_NOT_RUN : wire::RUN_FATE_UNKNOWN);
   outcome.set_refusal(std::string(Code(reason)));
   outcome.set_detail(detail);
--- a/quetzal/placer/internal/state.h
+++ b/quetzal/placer/internal/state.h
@@ -3,6 +3,7 @@
 #ifndef QUETZAL_PLACER_INTERNAL_STATE_H_
 #define QUETZAL_PLACER_INTERNAL_STATE_H_
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -33,6 +34,10 @@
   WorkId work;
 };
 
+// Whether the platform knows that a task which must run at most once may have
+// been started.
+enum class Intent { kNone, kBeingWritten, kDurable };
+
 struct WorkItem {
   wire::Work work;
   WorkId id;
@@ -52,6 +57,7 @@
   int tries = 0;
   // An attempt of it ran, or may have: it is never refused as "not run".
   bool may_have_run = false;
+  Intent intent = Intent::kNone;
   bool cancelled = false;
   bool expired = false;  // the deadline passed while it ran
 };
@@ -154,6 +160,10 @@
   std::map<QueueId, size_t> waiting_in_queue;
   std::map<QueueId, size_t> running_in_queue;
 
+  // True if the work may start now; otherwise what it lacks is on its way.
+  std::function<bool(WorkItem* item)> may_start = [](WorkItem*) {
+    return true;
+  };
   std::vector<PlacerEffect> outbox;
   uint64_t next_call = 1;
   uint64_t next_attempt = 1;
--- a/quetzal/placer/placer.cc
+++ b/quetzal/placer/placer.cc
@@ -171,7 +171,7 @@
   PlacerStatus Status(Time now) const {
     PlacerStatus status;
     status.in_term = Active();
-    status.active = Active() && state_.contracts.HasMajority(now);
+    status.active = Decides(now);
     status.epoch = state_.contracts.epoch();
     status.workers = state_.contracts.size();
     for (const WorkerId& worker : state_.contracts.Workers()) {
@@ -191,6 +191,11 @@
  private:
   bool Active() const { return state_.contracts.in_term(); }
 
+  // True while this placer is the one that may decide for the domain.
+  bool Decides(Time now) const {
+    return Active() && state_.contracts.HasMajority(now);
+  }
+
   // After a pause everything that depends on time is looked at anew before
   // any message is acted on.
   void NoticePause(Time now) {
@@ -246,7 +251,7 @@
     wire::PlacerToEntry message;
     wire::PlacerHello* const hello = message.mutable_hello();
     hello->set_placer(state_.settings.self.text());
-    hello->set_active(Active());
+    hello->set_active(Decides(now));
     hello->set_epoch(static_cast<uint64_t>(state_.contracts.epoch()));
     hello->set_record_revision(static_cast<uint64_t>(records_->revision()));
     hello->set_confirmed_ago_ms(
@@ -256,6 +261,7 @@
 
   void Greet(Time now) {
     hello_at_ = now;
+    greeted_as_active_ = Decides(now);
     for (const EntryId& entry : state_.entries) state_.Send(entry, Hello(now));
   }
 
@@ -424,6 +430,7 @@
 
   void Advance(Time now) {
     FollowTerm(now);
+    if (Decides(now) != greeted_as_active_) Greet(now);
     if (!Active()) return;
     if (state_.accounted) requests_.ResolveAwaiting(now);
     if (state_.accounted && jobs_.loaded() && !work_resumed_) {
@@ -451,6 +458,7 @@
   bool work_resumed_ = false;
   bool shutting_down_ = false;
   Time hello_at_;
+  bool greeted_as_active_ = false;
   Time listed_at_;
   Time demand_at_;
   Time last_event_;
--- a/quetzal/seat/seat.cc
+++ b/quetzal/seat/seat.cc
@@ -32,11 +32,12 @@
     term_began_ = now;
   }
   if (awaiting_) return std::nullopt;
-  const bool due = take_next_ || !last_call_ || releasing_ ||
+  const bool due = take_next_ || give_back_ || !last_call_ || releasing_ ||
                    now - *last_call_ >= times_.renew_every;
   if (!due) return std::nullopt;
   SeatCall call;
-  if (releasing_) {
+  if (releasing_ || give_back_) {
+    give_back_ = false;
     if (!held_) return std::nullopt;
     call = {.kind = SeatCall::Kind::kRelease, .revision = *held_};
     held_.reset();
@@ -63,6 +64,12 @@
     case SeatAnswer::Kind::kTaken:
       if (releasing_) break;
       held_ = answer.revision;
+      if (used_ == answer.revision) {
+        // A term under this epoch has ended: a new one needs a new seat.
+        give_back_ = true;
+        break;
+      }
+      used_ = answer.revision;
       term_ = Term{.epoch = EpochOfRevision(answer.revision), .fenced = true};
       term_began_ = now;
       OnEpochSeen(term_->epoch);
--- a/quetzal/seat/seat.h
+++ b/quetzal/seat/seat.h
@@ -88,8 +88,10 @@
   SeatTimes times_;
   std::optional<Term> term_;
   std::optional<Revision> held_;
+  std::optional<Revision> used_;  // of the seat of an earlier term
   bool awaiting_ = false;
   bool take_next_ = false;
+  bool give_back_ = false;
   bool releasing_ = false;
   bool platform_answers_ = false;
   std::optional<Time> first_tick_;
--- a/standins/worker/worker_model.cc
+++ b/standins/worker/worker_model.cc
@@ -194,6 +194,10 @@
 void WorkerModel::OnGo(uint64_t epoch, const std::string& attempt, Time now) {
   const auto found = tasks_.find(attempt);
   if (epoch != epoch_ || found == tasks_.end()) return;
+  if (found->second.held && now >= lease_until_) {
+    End(attempt, wire::OUTCOME_NOT_STARTED, now);
+    return;
+  }
   if (found->second.held) Run(&found->second, attempt, now);
   wire::WorkerToPlacer message;
   message.mutable_started()->set_attempt_id(attempt);
--- a/tests/fault_matrix_test.cc
+++ b/tests/fault_matrix_test.cc
@@ -63,9 +63,10 @@
       std::cout << '\n';
     }
     std::cout << "faults, by column:";
-    for (const Fault& fault : AllFaults()) std::cout << ' ' << fault.name << ';';
-    std::cout << "\npassed " << passed << ", not applicable "
-              << not_applicable << ", not struck " << not_struck << '\n';
+    for (const Fault& fault : AllFaults())
+      std::cout << ' ' << fault.name << ';';
+    std::cout << "\npassed " << passed << ", not applicable " << not_applicable
+              << ", not struck " << not_struck << '\n';
     CPPUNIT_ASSERT_MESSAGE(failures.str(), failures.str().empty());
     CPPUNIT_ASSERT_EQUAL(size_t{0}, not_struck);
   }
--- a/tests/support/checker.cc
+++ b/tests/support/checker.cc
@@ -20,10 +20,9 @@
 // Events by time; those of the same time stay as they were recorded.
 std::vector<WorkerEvent> InOrder(const World& world) {
   std::vector<WorkerEvent> events = world.events();
-  std::stable_sort(events.begin(), events.end(),
-                   [](const WorkerEvent& a, const WorkerEvent& b) {
-                     return a.at < b.at;
-                   });
+  std::stable_sort(
+      events.begin(), events.end(),
+      [](const WorkerEvent& a, const WorkerEvent& b) { return a.at < b.at; });
   return events;
 }
 
--- a/tests/support/faults.cc
+++ b/tests/support/faults.cc
@@ -164,11 +164,10 @@
       {.name = "history compacted",
        .strike = [](World* w, const View&) { w->CompactHistory(); }},
       {.name = "worker death",
-       .strike =
-           [](World* w, const View& m) { KillForAWhile(w, SomeWorker(w, m)); }},
-      {.name = "worker death for good",
        .strike = [](World* w,
-                    const View& m) { w->Kill(SomeWorker(w, m)); }},
+                    const View& m) { KillForAWhile(w, SomeWorker(w, m)); }},
+      {.name = "worker death for good",
+       .strike = [](World* w, const View& m) { w->Kill(SomeWorker(w, m)); }},
       {.name = "worker leaving",
        .strike =
            [](World* w, const View& m) {
@@ -269,9 +268,10 @@
   std::mt19937_64 random(seed * 104729 + 1);
   // Steps that happen only now and then are struck at their first occurrence.
   static const std::set<std::string> rare = {
-      "put seats", "release", "put allotments", "submit_job", "put jobs",
-      "job",       "hold",    "go",             "stop",       "withdraw",
-      "leaving",   "apply",   "drain_entry"};
+      "put seats",  "release",  "put allotments", "submit_job",
+      "put jobs",   "job",      "hold",           "go",
+      "stop",       "withdraw", "leaving",        "apply",
+      "drain_entry"};
   for (Strike& strike : strikes) {
     constexpr uint64_t kMostSkipped = 40;
     const bool seldom =
--- a/tests/support/faults.h
+++ b/tests/support/faults.h
@@ -18,8 +18,8 @@
 // A step is the moment at which a message of one kind leaves a process.
 struct Step {
   std::string name;
-  std::string kind;           // of the message
-  Milliseconds after{0};      // the fault strikes so long after it
+  std::string kind;            // of the message
+  Milliseconds after{0};       // the fault strikes so long after it
   bool while_waiting = false;  // only while work waits in a queue
 };
 
--- a/tests/support/scenario.cc
+++ b/tests/support/scenario.cc
@@ -144,13 +144,12 @@
     });
   });
   for (int i = 0; i < 4; ++i) {
-    world->At(world->now() + Milliseconds(3'000 + i * 3'500),
-              [world, base, i] {
-                CallSpec gang = base;
-                gang.run_ms = 1'000;
-                world->SubmitJob(i % 2 == 0 ? "entry-a-1" : "entry-b-2", gang,
-                                 wire::WORK_CLASS_GANG, 4);
-              });
+    world->At(world->now() + Milliseconds(3'000 + i * 3'500), [world, base, i] {
+      CallSpec gang = base;
+      gang.run_ms = 1'000;
+      world->SubmitJob(i % 2 == 0 ? "entry-a-1" : "entry-b-2", gang,
+                       wire::WORK_CLASS_GANG, 4);
+    });
   }
 }
 
@@ -159,9 +158,8 @@
     world->At(world->now() + Milliseconds(ms), std::move(function));
   };
   at(6'000, [world] { world->Withdraw("key/key-green"); });
-  at(9'000, [world] {
-    world->Apply("team/blue", Team("blue", 1, kBlueLowered));
-  });
+  at(9'000,
+     [world] { world->Apply("team/blue", Team("blue", 1, kBlueLowered)); });
   for (int i = 0; i < 8; ++i) {
     at(2'000 + i * 2'500, [world, i] {
       world->Apply("queue/open-q", Queue("open-q", "red", true, 100 + i));
--- a/tests/support/world.cc
+++ b/tests/support/world.cc
@@ -223,9 +223,7 @@
     placer.domain = FailureDomainId(DomainOf(name));
     process->placer = std::make_unique<PlacerCore>(placer, &process->records,
                                                    &process->metrics);
-    handlers.on_records = [this, raw] {
-      raw->placer->OnRecordsChanged(now_);
-    };
+    handlers.on_records = [this, raw] { raw->placer->OnRecordsChanged(now_); };
     handlers.on_other = [this, raw](const KvChange& change) {
       raw->placer->OnAllotmentChange(change, now_);
     };
@@ -306,8 +304,7 @@
 }
 
 std::vector<Vm> World::ListedVms() const {
-  const Time seen =
-      vm_list_frozen_at_.value_or(now_) - settings_.vm_list_lag;
+  const Time seen = vm_list_frozen_at_.value_or(now_) - settings_.vm_list_lag;
   const std::vector<Vm>* best = &vm_history_.front().second;
   for (const auto& [at, vms] : vm_history_) {
     if (at <= seen) best = &vms;
@@ -373,8 +370,7 @@
 void World::UpdateStreams() {
   for (const std::string& placer : Placers()) {
     const Process* const process = Find(placer);
-    const bool wanted =
-        process->alive && process->placer->Status(now_).in_term;
+    const bool wanted = process->alive && process->placer->Status(now_).in_term;
     for (const std::string& worker : Workers()) {
       if (DomainOf(worker) == DomainOf(placer)) {
         UpdateStream(placer, worker, wanted);
@@ -449,9 +445,8 @@
   const auto found = streams_.find({client, server});
   if (found == streams_.end() || !found->second.up) return;
   const uint64_t generation = found->second.generation;
-  const MessageFate fate =
-      rule_ ? rule_({.from = from, .to = to, .kind = kind})
-            : MessageFate::kDeliver;
+  const MessageFate fate = rule_ ? rule_({.from = from, .to = to, .kind = kind})
+                                 : MessageFate::kDeliver;
   // The rule may just have killed one of the two.
   if (fate == MessageFate::kLose || !Reachable(from, to)) return;
   const auto guarded = [this, client, server, generation,
@@ -703,9 +698,9 @@
     At(now_ + kPlatformTimeout, [this, path] { Withdraw(path); });
     return;
   }
-  kv_.Apply({.kind = KvCall::Kind::kDelete,
-             .key = std::string(kRecordPrefix) + path},
-            now_);
+  kv_.Apply(
+      {.kind = KvCall::Kind::kDelete, .key = std::string(kRecordPrefix) + path},
+      now_);
   LogRecord(path, std::nullopt);
   ServeWatchers();
 }
@@ -807,10 +802,9 @@
       if (!process->alive || DomainOf(entry) != domain) continue;
       Deliver(entry, process->incarnation, Milliseconds(1),
               [this, call, id = job->id](Process* target) {
-                target->entry->OnJobQuestion({.call = CallId{call},
-                                              .key = "key-red",
-                                              .job = JobId(id)},
-                                             now_);
+                target->entry->OnJobQuestion(
+                    {.call = CallId{call}, .key = "key-red", .job = JobId(id)},
+                    now_);
               });
       break;
     }
@@ -832,7 +826,8 @@
     if (const auto* const state = std::get_if<JobStateReply>(&effect)) {
       if (state->accepted) log->id = state->job.text();
       log->last_state = state->state.state();
-      if (log->kind == wire::WORK_CLASS_SERVICE && log->last_state == "running" &&
+      if (log->kind == wire::WORK_CLASS_SERVICE &&
+          log->last_state == "running" &&
           state->state.running() == log->tasks) {
         log->last_state = "serving";
       }
