Properties with RapidCheck; a domain that lost most workers goes on

Cause: RapidCheck shrank three faults to two of three workers dying for good: no majority of contracts could form, so nothing could lapse, for ever. Workers that the platform's list has called gone for longer than its allowed lag are dropped without the majority, since by the same list no other placer counts them either.

--- a/quetzal/contract/contract.h
+++ b/quetzal/contract/contract.h
@@ -48,6 +48,9 @@
   // no longer listed stays until `Drop`.
   void SetWorkers(const std::vector<WorkerId>& workers);
   void Drop(const WorkerId& worker);
+  bool Contains(const WorkerId& worker) const {
+    return contracts_.contains(worker);
+  }
 
   // Starts asking every worker for its contract under `epoch`; everything
   // known of earlier terms is forgotten.
--- a/quetzal/placer/internal/flow.cc
+++ b/quetzal/placer/internal/flow.cc
@@ -87,7 +87,9 @@
   attempt.sent_at = now;
   state->ledger.Charge(attempt.id, {.worker = worker,
                                     .team = item->team,
-                                    .size = item->size,
+                                    .size = state->settings.charges_workers
+                                                ? item->size
+                                                : Resources(),
                                     .group = GroupOf(*item)});
   wire::PlacerToWorker message;
   wire::Start* const start = message.mutable_start();
--- a/quetzal/placer/internal/workers.cc
+++ b/quetzal/placer/internal/workers.cc
@@ -25,7 +25,8 @@
     }
     present.push_back(worker.id);
     state_->listed[worker.id] = worker;
-    if (worker.leaving) state_->ledger.SetLeaving(worker.id);
+    const bool heeded = state_->settings.heeds_leaving;
+    if (worker.leaving && heeded) state_->ledger.SetLeaving(worker.id);
     const bool known = state_->ledger.Facts(worker.id) != nullptr;
     if (known || !state_->contracts.in_term()) continue;
     state_->ledger.SetWorker({.id = worker.id,
@@ -55,12 +56,14 @@
     }
   }
   state_->contracts.SetWorkers(news);
-  if (state_->contracts.in_term()) return;
   const ContractTimes& times = state_->contracts.times();
   const Milliseconds surely_over =
       (times.ttl + times.task_lease) * kListLagInLeases;
   for (const auto& [worker, since] : state_->gone_since) {
-    if (now - since >= surely_over) state_->contracts.Drop(worker);
+    const bool over = now - since >= surely_over;
+    if (!over || !state_->contracts.Contains(worker)) continue;
+    if (state_->contracts.in_term()) Lapse(worker, now);
+    state_->contracts.Drop(worker);
   }
 }
 
@@ -265,7 +268,8 @@
 
 void Workers::OnLeaving(const WorkerId& worker, Time now) {
   const WorkerFacts* const facts = state_->ledger.Facts(worker);
-  if (facts == nullptr || facts->leaving) return;
+  const bool heeded = state_->settings.heeds_leaving;
+  if (facts == nullptr || facts->leaving || !heeded) return;
   state_->ledger.SetLeaving(worker);
   // Services move away; everything else may end where it is.
   for (const AttemptId& id : state_->ledger.AttemptsOn(worker)) {
--- a/quetzal/placer/placer.h
+++ b/quetzal/placer/placer.h
@@ -58,7 +58,8 @@
   Milliseconds probe_after{30'000};   // of a worker that was set aside
   int most_tries = 4;
   // Off only in baselines and in proofs that show a check fail without it.
-  bool fences_epochs = true;
+  bool charges_workers = true;
+  bool heeds_leaving = true;
   bool awaits_evidence = true;
   bool enforces_limits = true;
   bool learns = true;
--- /dev/null
+++ b/tests/mechanism_test.cc
@@ -0,0 +1,149 @@
+// Each proof is seen to fail: with one mechanism switched off, the same
+// scenario and faults break the promise that the mechanism is for, and the
+// checker finds it. With the mechanism on, the same run is clean.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <functional>
+#include <iostream>
+
+#include "tests/support/checker.h"
+#include "tests/support/faults.h"
+#include "tests/support/scenario.h"
+
+namespace quetzal::testing {
+namespace {
+
+constexpr Milliseconds kLongerThanBound{22'000};
+
+using Change = std::function<void(WorldSettings*)>;
+
+class MechanismTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(MechanismTest);
+  CPPUNIT_TEST(WithoutEpochsTasksRunInTwoPlaces);
+  CPPUNIT_TEST(WithoutEvidenceNonIdempotentWorkRunsTwice);
+  CPPUNIT_TEST(WithoutLimitsTeamsRunTooMuch);
+  CPPUNIT_TEST(WithoutLedgerWorkersRunMoreThanTheyHave);
+  CPPUNIT_TEST(WithoutFreshnessARevokedKeyGoesOnWorking);
+  CPPUNIT_TEST(WithoutWorkersWordLeavingOnesGetWork);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void WithoutEpochsTasksRunInTwoPlaces() {
+    const Strike strike = Find("renew", "freeze sender past leases");
+    const Strike cut = Find("send", "cut the way back");
+    ShowNeeded(Promise::kOnePlace, {strike, cut}, [](WorldSettings* settings) {
+      settings->workers_check_epochs = false;
+    });
+  }
+
+  void WithoutEvidenceNonIdempotentWorkRunsTwice() {
+    ShowNeeded(Promise::kAtMostOnce, {Find("settle", "kill sender")},
+               [](WorldSettings* settings) {
+                 settings->placer.awaits_evidence = false;
+               });
+  }
+
+  void WithoutLimitsTeamsRunTooMuch() {
+    ShowNeeded(Promise::kLimit, {}, [](WorldSettings* settings) {
+      settings->placer.enforces_limits = false;
+    });
+  }
+
+  void WithoutLedgerWorkersRunMoreThanTheyHave() {
+    ShowNeeded(Promise::kCapacity, {}, [](WorldSettings* settings) {
+      settings->placer.charges_workers = false;
+      settings->placer.enforces_limits = false;
+    });
+  }
+
+  // The domain is cut off from the platform when the key is withdrawn.
+  void WithoutFreshnessARevokedKeyGoesOnWorking() {
+    ShowNeeded(Promise::kKeys, {LongCutBeforeRevocation()},
+               [](WorldSettings* settings) {
+                 settings->entry.freshness = Milliseconds(10'000'000);
+               });
+  }
+
+  void WithoutWorkersWordLeavingOnesGetWork() {
+    ShowNeeded(Promise::kLeaving, {}, [](WorldSettings* settings) {
+      settings->placer.heeds_leaving = false;
+    });
+  }
+
+ private:
+  static Strike Find(const std::string& step, const std::string& fault) {
+    Strike strike;
+    for (const Step& each : AllSteps()) {
+      if (each.name == step) strike.step = each;
+    }
+    for (const Fault& each : AllFaults()) {
+      if (each.name == fault) strike.fault = each;
+    }
+    return strike;
+  }
+
+  // Domain a loses the platform for longer than the bound, while peers of
+  // domain b can't tell it either.
+  static Strike LongCutBeforeRevocation() {
+    Strike strike = Find("revoke", "operators race");
+    strike.fault.strike = [](World* world, const MessageView&) {
+      for (const std::string& name :
+           {"entry-a-1", "entry-a-2", "placer-a-1", "placer-a-2"}) {
+        world->Cut("platform", name);
+        world->Cut(name, "platform");
+      }
+      world->At(world->now() + kLongerThanBound,
+                [world] { world->HealCuts(); });
+      // Callers of the revoked key keep coming to the domain.
+      constexpr int kCalls = 60;
+      constexpr int64_t kEveryMs = 350;
+      for (int i = 0; i < kCalls; ++i) {
+        world->At(world->now() + Milliseconds(i * kEveryMs), [world] {
+          world->Submit("entry-a-1", {.queue = "red-q", .key = "key-green"});
+        });
+      }
+    };
+    return strike;
+  }
+
+  static std::vector<Violation> RunOnce(const WorldSettings& settings,
+                                        const std::vector<Strike>& strikes,
+                                        uint64_t seed) {
+    World world(settings, seed);
+    ApplyFirstRecords(&world);
+    world.Run(Milliseconds(3'000));
+    const Striker striker(&world, strikes, seed);
+    ScheduleWorkload(&world);
+    world.Run(kWorkloadTime + Milliseconds(36'000));
+    world.AskJobs();
+    world.Run(Milliseconds(2'000));
+    return Check(world);
+  }
+
+  static void ShowNeeded(Promise promise, const std::vector<Strike>& strikes,
+                         const Change& switch_off) {
+    constexpr uint64_t kSeeds = 10;
+    size_t broken = 0;
+    for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      const std::vector<Violation> with = RunOnce(QuickWorld(), strikes, seed);
+      CPPUNIT_ASSERT_MESSAGE(
+          with.empty() ? "" : NameOf(with[0].promise) + (": " + with[0].what),
+          with.empty());
+      WorldSettings settings = QuickWorld();
+      switch_off(&settings);
+      for (const Violation& violation : RunOnce(settings, strikes, seed)) {
+        if (violation.promise != promise) continue;
+        ++broken;
+        break;
+      }
+    }
+    std::cout << NameOf(promise) << " broken in " << broken << " of " << kSeeds
+              << " runs without its mechanism, in 0 with it\n";
+    CPPUNIT_ASSERT_MESSAGE(NameOf(promise), broken > 0);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(MechanismTest);
+
+}  // namespace
+}  // namespace quetzal::testing
--- /dev/null
+++ b/tests/property_test.cc
@@ -0,0 +1,260 @@
+// Properties of the decision core, with fixed seeds: random interleavings are
+// drawn by RapidCheck and judged by checks of their own.
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <cstdlib>
+#include <iostream>
+#include <map>
+#include <set>
+
+#include "quetzal/allotment/allotment.h"
+#include "quetzal/ledger/ledger.h"
+#include "quetzal/record_store/record_store.h"
+#include "tests/support/checker.h"
+#include "tests/support/faults.h"
+#include "tests/support/scenario.h"
+
+namespace quetzal::testing {
+namespace {
+
+const int kSeedIsSet = setenv("RC_PARAMS", "seed=20261204 max_success=300", 0);
+
+Time At(int64_t ms) { return Time(Milliseconds(ms)); }
+
+std::string TeamText(int share) {
+  return R"({"schema":"v2","kind":"team","name":"t","share":)" +
+         std::to_string(share) + "}";
+}
+
+// One failure domain's placer and its calls on the way to the platform.
+struct Domain {
+  explicit Domain(const std::string& name,
+                  const std::vector<FailureDomainId>& all)
+      : book(FailureDomainId(name), all, DivisionPolicy::kDemand) {}
+  AllotmentBook book;
+  Resources used;
+  std::optional<AllotmentWrite> pending;
+};
+
+class PropertyTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PropertyTest);
+  CPPUNIT_TEST(RecordsNeverRevertWhateverTheOrderOfUpdates);
+  CPPUNIT_TEST(AllotmentsNeverAddUpToMoreThanTheLimit);
+  CPPUNIT_TEST(LedgerNeverPicksAWorkerWithoutRoom);
+  CPPUNIT_TEST(LedgerReturnsToEmptyWhenEverythingIsSettled);
+  CPPUNIT_TEST(NoPromiseBreaksUnderRandomFaults);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // A history of writes reaches a store as watch updates and snapshots, some
+  // of them repeated, late or left out.
+  void RecordsNeverRevertWhateverTheOrderOfUpdates() {
+    const bool holds = rc::check([] {
+      const auto length = *rc::gen::inRange<uint64_t>(2, 20);
+      const auto updates =
+          *rc::gen::container<std::vector<std::pair<int, int>>>(rc::gen::pair(
+              rc::gen::inRange<int>(0, static_cast<int>(length)),
+              rc::gen::inRange<int>(1, static_cast<int>(length) + 1)));
+      RecordStore store;
+      uint64_t highest = 0;
+      for (const auto& [base, revision] : updates) {
+        if (base >= revision) continue;
+        wire::RecordUpdate update;
+        update.set_base(static_cast<uint64_t>(base));
+        update.set_revision(static_cast<uint64_t>(revision));
+        const int first = base == 0 ? revision : base + 1;
+        for (int at = first; at <= revision; ++at) {
+          wire::RecordChange* const change = update.add_changes();
+          change->set_revision(static_cast<uint64_t>(at));
+          change->set_path("team/t");
+          change->set_value(TeamText(at));
+        }
+        store.Apply(update, At(0));
+        const auto now = static_cast<uint64_t>(store.revision());
+        RC_ASSERT(now >= highest);
+        highest = now;
+        // What is in force is exactly the record of that revision.
+        if (highest > 0) {
+          RC_ASSERT(store.Team(TeamId("t")) != nullptr);
+          RC_ASSERT(store.Team(TeamId("t"))->share ==
+                    static_cast<int64_t>(highest));
+        }
+      }
+    });
+    CPPUNIT_ASSERT(holds);
+  }
+
+  // Domains see the value late and their writes take effect late or never;
+  // each uses all that its ceiling allows.
+  void AllotmentsNeverAddUpToMoreThanTheLimit() {
+    const bool holds = rc::check([] {
+      const TeamId team("t");
+      const Resources limit = {
+          .cpu_milli = 1'000, .memory_mib = 999, .slots = 7};
+      const std::vector<FailureDomainId> names = {
+          FailureDomainId("a"), FailureDomainId("b"), FailureDomainId("c")};
+      std::vector<Domain> domains;
+      for (const FailureDomainId& name : names) {
+        domains.emplace_back(name.text(), names);
+      }
+      std::optional<wire::TeamAllotment> stored;
+      uint64_t revision = 0;
+      int64_t now = 0;
+      const auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
+          rc::gen::pair(rc::gen::inRange(0, 3), rc::gen::inRange(0, 6)));
+      for (const auto& [index, action] : steps) {
+        now += 3'000;
+        Domain& domain = domains[static_cast<size_t>(index)];
+        const Resources ceiling = domain.book.Ceiling(team, limit);
+        switch (action) {
+          case 0:  // work comes and takes all it may
+            domain.used = ceiling;
+            domain.book.NoteDemand(team, domain.used, limit);
+            break;
+          case 1:  // work ends
+            domain.used = {};
+            domain.book.NoteDemand(team, {}, {});
+            break;
+          case 2:  // sees the platform's value
+            domain.book.OnMissing(team);
+            if (stored) {
+              domain.book.OnStored(team, *stored, Revision{revision});
+            }
+            break;
+          case 3:  // sends a write
+            if (!domain.pending) {
+              domain.pending = domain.book.NextWrite(team, limit, At(now));
+            }
+            break;
+          case 4:    // the write takes effect, and the answer comes
+          case 5: {  // ... or is lost
+            if (!domain.pending) break;
+            const bool fits =
+                static_cast<uint64_t>(domain.pending->expected) == revision;
+            if (fits) {
+              stored = domain.pending->value;
+              ++revision;
+            }
+            const bool told = fits && action == 4;
+            domain.book.OnWritten(
+                team, told ? std::optional(Revision{revision}) : std::nullopt);
+            domain.pending.reset();
+            break;
+          }
+          default:
+            break;
+        }
+        Resources used;
+        for (const Domain& each : domains) used += each.used;
+        RC_ASSERT(used.FitsIn(limit));
+        Resources ceilings;
+        for (const Domain& each : domains) {
+          // What runs counts too where a ceiling has sunk below it.
+          ceilings += Max(each.used, each.book.Ceiling(team, limit));
+        }
+        RC_ASSERT(ceilings.FitsIn(limit));
+      }
+    });
+    CPPUNIT_ASSERT(holds);
+  }
+
+  void LedgerNeverPicksAWorkerWithoutRoom() {
+    const bool holds = rc::check([] {
+      Ledger ledger;
+      std::map<WorkerId, Resources> room;
+      const Resources capacity = {
+          .cpu_milli = 4'000, .memory_mib = 4'096, .slots = 4};
+      for (int i = 0; i < 5; ++i) {
+        const WorkerId worker("w" + std::to_string(i));
+        ledger.SetWorker({.id = worker,
+                          .rack = RackId("r" + std::to_string(i % 2)),
+                          .capacity = capacity});
+        ledger.SetOpen(worker, true);
+        room[worker] = capacity;
+      }
+      const auto sizes = *rc::gen::container<std::vector<std::pair<int, int>>>(
+          rc::gen::pair(rc::gen::inRange(1, 4'000), rc::gen::inRange(0, 3)));
+      int number = 0;
+      for (const auto& [cpu, policy] : sizes) {
+        const Resources size = {
+            .cpu_milli = cpu, .memory_mib = cpu / 2, .slots = cpu % 2};
+        const auto worker =
+            ledger.Pick({.size = size,
+                         .policy = static_cast<PlacementPolicy>(policy),
+                         .group = "g"});
+        const bool fits_somewhere = std::any_of(
+            room.begin(), room.end(),
+            [&](const auto& entry) { return size.FitsIn(entry.second); });
+        RC_ASSERT(worker.has_value() == fits_somewhere);
+        if (!worker) continue;
+        RC_ASSERT(size.FitsIn(room[*worker]));
+        room[*worker] -= size;
+        ledger.Charge(AttemptId(std::to_string(number++)), {.worker = *worker,
+                                                            .team = TeamId("t"),
+                                                            .size = size,
+                                                            .group = "g"});
+      }
+    });
+    CPPUNIT_ASSERT(holds);
+  }
+
+  void LedgerReturnsToEmptyWhenEverythingIsSettled() {
+    const bool holds = rc::check([](const std::vector<uint8_t>& order) {
+      Ledger ledger;
+      ledger.SetWorker({.id = WorkerId("w"),
+                        .rack = RackId("r"),
+                        .capacity = {.cpu_milli = 100'000}});
+      for (size_t i = 0; i < order.size(); ++i) {
+        ledger.Charge(AttemptId(std::to_string(order[i])),
+                      {.worker = WorkerId("w"),
+                       .team = TeamId(std::to_string(order[i] % 3)),
+                       .size = {.cpu_milli = order[i]},
+                       .group = "g"});
+      }
+      for (const uint8_t id : order) {
+        ledger.Settle(AttemptId(std::to_string(id)));
+      }
+      RC_ASSERT(ledger.Charged(WorkerId("w")).IsZero());
+      RC_ASSERT(ledger.Usage().empty());
+      RC_ASSERT(ledger.CountOn(WorkerId("w")) == 0U);
+    });
+    CPPUNIT_ASSERT(holds);
+  }
+
+  // Up to three faults at random steps, drawn and shrunk by RapidCheck.
+  void NoPromiseBreaksUnderRandomFaults() {
+    const bool holds = rc::check([] {
+      const auto seed = *rc::gen::inRange<uint64_t>(1, 1'000'000);
+      const auto picks = *rc::gen::container<std::vector<std::pair<int, int>>>(
+          3,
+          rc::gen::pair(
+              rc::gen::inRange<int>(0, static_cast<int>(AllSteps().size())),
+              rc::gen::inRange<int>(0, static_cast<int>(AllFaults().size()))));
+      std::vector<Strike> strikes;
+      for (const auto& [step, fault] : picks) {
+        const Strike strike{AllSteps()[static_cast<size_t>(step)],
+                            AllFaults()[static_cast<size_t>(fault)]};
+        if (Applies(strike.step, strike.fault)) strikes.push_back(strike);
+      }
+      World world(QuickWorld(), seed);
+      ApplyFirstRecords(&world);
+      world.Run(Milliseconds(3'000));
+      const Striker striker(&world, strikes, seed);
+      ScheduleWorkload(&world);
+      world.Run(kWorkloadTime + Milliseconds(40'000));
+      world.AskJobs();
+      world.Run(Milliseconds(2'000));
+      for (const Violation& violation : Check(world)) {
+        RC_FAIL(std::string(NameOf(violation.promise)) + ": " + violation.what);
+      }
+      for (const std::string& left : Unfinished(world)) RC_FAIL(left);
+    });
+    CPPUNIT_ASSERT(holds);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PropertyTest);
+
+}  // namespace
+}  // namespace quetzal::testing
--- a/tests/support/world.cc
+++ b/tests/support/world.cc
@@ -203,7 +203,9 @@
                                      .rack = RackId(rack),
                                      .capacity = settings_.worker_capacity,
                                      .incarnation = incarnation,
-                                     .usage_every = Milliseconds(2'000)},
+                                     .usage_every = Milliseconds(2'000),
+                                     .checks_epochs =
+                                         settings_.workers_check_epochs},
         now_);
     processes_[name] = std::move(process);
     return;
--- a/tests/support/world.h
+++ b/tests/support/world.h
@@ -38,6 +38,7 @@
   int workers_per_domain = 3;
   Resources worker_capacity = {
       .cpu_milli = 4'000, .memory_mib = 8'192, .slots = 4};
+  bool workers_check_epochs = true;  // off only to show what they are for
   Milliseconds latency{1};
   Milliseconds vm_list_lag{500};
   PlacerSettings placer;  // names and domains are filled in
