Seen to fail: each promise breaks without its mechanism

Cause: a proof that can't fail proves nothing. With one mechanism off the same runs break the promise, with it on they are clean. One check was wrong and is made stricter: it forgot a worker's departure once the worker was started anew, so no late start there could be found.

--- a/standins/worker/worker_model.cc
+++ b/standins/worker/worker_model.cc
@@ -74,7 +74,7 @@
   const bool same = grant.epoch() == epoch_ && grant.holder() == holder_;
   const bool lapsed = now >= contract_until_;
   const bool replaces = grant.epoch() > epoch_ && (grant.fenced() || lapsed);
-  if (!same && !replaces && settings_.checks_epochs) {
+  if (!same && !replaces && settings_.checks_contract) {
     wire::WorkerToPlacer message;
     wire::GrantRefused* const refused = message.mutable_grant_refused();
     refused->set_current_epoch(epoch_);
@@ -129,13 +129,13 @@
 
 std::string WorkerModel::WhyRefused(uint64_t epoch, const std::string& attempt,
                                     Time now) const {
-  if (settings_.checks_epochs && epoch != epoch_) return "epoch";
-  if (settings_.checks_epochs && now >= contract_until_) {
+  if (settings_.checks_contract && epoch != epoch_) return "epoch";
+  if (settings_.checks_contract && now >= contract_until_) {
     return "contract_lapsed";
   }
-  if (now >= lease_until_) return "lease_lapsed";
+  if (settings_.checks_contract && now >= lease_until_) return "lease_lapsed";
   if (refused_for_good_.contains(attempt)) return "stopped_before";
-  if (leaving_) return "leaving";
+  if (leaving_ && settings_.refuses_when_leaving) return "leaving";
   return "";
 }
 
@@ -206,7 +206,7 @@
 
 void WorkerModel::OnStop(uint64_t peer, uint64_t epoch, const wire::Stop& stop,
                          Time now) {
-  if (settings_.checks_epochs && epoch != epoch_) return;
+  if (settings_.checks_contract && epoch != epoch_) return;
   const std::string& id = stop.attempt_id();
   const auto found = tasks_.find(id);
   if (found != tasks_.end()) {
--- a/standins/worker/worker_model.h
+++ b/standins/worker/worker_model.h
@@ -33,7 +33,8 @@
   uint64_t incarnation = 1;
   Milliseconds usage_every{10'000};
   // Faults.
-  bool checks_epochs = true;
+  bool checks_contract = true;
+  bool refuses_when_leaving = true;
 };
 
 // One line of a worker's log.
--- a/tests/mechanism_test.cc
+++ b/tests/mechanism_test.cc
@@ -16,6 +16,29 @@
 constexpr Milliseconds kLongerThanBound{22'000};
 
 using Change = std::function<void(WorldSettings*)>;
+using MoreWork = std::function<void(World*)>;
+
+void NoMoreWork(World* /*world*/) {}
+
+// Tasks long enough to be found running when another copy starts.
+void LongTasks(World* world) {
+  world->SubmitJob("entry-a-1",
+                   {.queue = "red-q",
+                    .key = "key-red",
+                    .idempotent = true,
+                    .run_ms = 12'000,
+                    .size = {.cpu_milli = 300, .memory_mib = 64}},
+                   wire::WORK_CLASS_BATCH, 30);
+}
+
+// More of one team's requests at a time than its limit allows.
+void FloodOfOneTeam(World* world) {
+  constexpr int kCalls = 60;
+  for (int i = 0; i < kCalls; ++i) {
+    world->Submit(i % 2 == 0 ? "entry-a-1" : "entry-b-1",
+                  {.queue = "blue-q", .key = "key-blue", .run_ms = 900});
+  }
+}
 
 class MechanismTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(MechanismTest);
@@ -29,11 +52,12 @@
 
  public:
   void WithoutEpochsTasksRunInTwoPlaces() {
-    const Strike strike = Find("renew", "freeze sender past leases");
-    const Strike cut = Find("send", "cut the way back");
-    ShowNeeded(Promise::kOnePlace, {strike, cut}, [](WorldSettings* settings) {
-      settings->workers_check_epochs = false;
-    });
+    ShowNeeded(
+        Promise::kOnePlace, {Find("send", "freeze receiver past leases")},
+        [](WorldSettings* settings) {
+          settings->workers_check_contracts = false;
+        },
+        LongTasks);
   }
 
   void WithoutEvidenceNonIdempotentWorkRunsTwice() {
@@ -44,9 +68,12 @@
   }
 
   void WithoutLimitsTeamsRunTooMuch() {
-    ShowNeeded(Promise::kLimit, {}, [](WorldSettings* settings) {
-      settings->placer.enforces_limits = false;
-    });
+    ShowNeeded(
+        Promise::kLimit, {},
+        [](WorldSettings* settings) {
+          settings->placer.enforces_limits = false;
+        },
+        FloodOfOneTeam);
   }
 
   void WithoutLedgerWorkersRunMoreThanTheyHave() {
@@ -67,6 +94,7 @@
   void WithoutWorkersWordLeavingOnesGetWork() {
     ShowNeeded(Promise::kLeaving, {}, [](WorldSettings* settings) {
       settings->placer.heeds_leaving = false;
+      settings->workers_refuse_when_leaving = false;
     });
   }
 
@@ -108,11 +136,13 @@
 
   static std::vector<Violation> RunOnce(const WorldSettings& settings,
                                         const std::vector<Strike>& strikes,
+                                        const MoreWork& more_work,
                                         uint64_t seed) {
     World world(settings, seed);
     ApplyFirstRecords(&world);
     world.Run(Milliseconds(3'000));
     const Striker striker(&world, strikes, seed);
+    more_work(&world);
     ScheduleWorkload(&world);
     world.Run(kWorkloadTime + Milliseconds(36'000));
     world.AskJobs();
@@ -121,17 +151,20 @@
   }
 
   static void ShowNeeded(Promise promise, const std::vector<Strike>& strikes,
-                         const Change& switch_off) {
+                         const Change& switch_off,
+                         const MoreWork& more_work = NoMoreWork) {
     constexpr uint64_t kSeeds = 10;
     size_t broken = 0;
     for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
-      const std::vector<Violation> with = RunOnce(QuickWorld(), strikes, seed);
+      const std::vector<Violation> with =
+          RunOnce(QuickWorld(), strikes, more_work, seed);
       CPPUNIT_ASSERT_MESSAGE(
           with.empty() ? "" : NameOf(with[0].promise) + (": " + with[0].what),
           with.empty());
       WorldSettings settings = QuickWorld();
       switch_off(&settings);
-      for (const Violation& violation : RunOnce(settings, strikes, seed)) {
+      for (const Violation& violation :
+           RunOnce(settings, strikes, more_work, seed)) {
         if (violation.promise != promise) continue;
         ++broken;
         break;
--- a/tests/support/checker.cc
+++ b/tests/support/checker.cc
@@ -156,10 +156,11 @@
     if (!used_[event.team].FitsIn(history_.LimitAt(event.team, event.at))) {
       Add(Promise::kLimit, At(event) + " uses " + used_[event.team].Describe());
     }
-    const auto left = world_.left_at().find(event.worker.text());
-    if (left != world_.left_at().end() &&
-        event.at > left->second + kLeavingBound) {
-      Add(Promise::kLeaving, At(event));
+    for (const Departure& departure : world_.departures()) {
+      const bool late = departure.worker == event.worker.text() &&
+                        event.at > departure.from + kLeavingBound &&
+                        event.at < departure.until;
+      if (late) Add(Promise::kLeaving, At(event));
     }
     const std::string token = event.work_class == wire::WORK_CLASS_REQUEST
                                   ? TokenOf(event.payload)
--- a/tests/support/world.cc
+++ b/tests/support/world.cc
@@ -199,13 +199,14 @@
   if (IsRole(name, "worker")) {
     const std::string rack = "rack-" + name.substr(name.size() - 1);
     process->worker = std::make_unique<standin::WorkerModel>(
-        standin::WorkerModelSettings{.id = WorkerId(name),
-                                     .rack = RackId(rack),
-                                     .capacity = settings_.worker_capacity,
-                                     .incarnation = incarnation,
-                                     .usage_every = Milliseconds(2'000),
-                                     .checks_epochs =
-                                         settings_.workers_check_epochs},
+        standin::WorkerModelSettings{
+            .id = WorkerId(name),
+            .rack = RackId(rack),
+            .capacity = settings_.worker_capacity,
+            .incarnation = incarnation,
+            .usage_every = Milliseconds(2'000),
+            .checks_contract = settings_.workers_check_contracts,
+            .refuses_when_leaving = settings_.workers_refuse_when_leaving},
         now_);
     processes_[name] = std::move(process);
     return;
@@ -889,6 +890,11 @@
 void World::Restart(const std::string& name) {
   Kill(name);
   left_at_.erase(name);
+  for (Departure& departure : departures_) {
+    const bool over =
+        departure.worker == name && departure.until == Time::max();
+    if (over) departure.until = now_;
+  }
   StartProcess(name);
 }
 
@@ -916,7 +922,9 @@
 void World::Leave(const std::string& name) {
   Process* const process = Find(name);
   if (!process->alive || !process->worker) return;
-  left_at_.emplace(name, now_);
+  if (left_at_.emplace(name, now_).second) {
+    departures_.push_back({.worker = name, .from = now_});
+  }
   process->worker->Leave();
   Flush(process);
 }
--- a/tests/support/world.h
+++ b/tests/support/world.h
@@ -38,7 +38,9 @@
   int workers_per_domain = 3;
   Resources worker_capacity = {
       .cpu_milli = 4'000, .memory_mib = 8'192, .slots = 4};
-  bool workers_check_epochs = true;  // off only to show what they are for
+  // Off only to show what they are for.
+  bool workers_check_contracts = true;
+  bool workers_refuse_when_leaving = true;
   Milliseconds latency{1};
   Milliseconds vm_list_lag{500};
   PlacerSettings placer;  // names and domains are filled in
@@ -82,6 +84,13 @@
   bool cancelled = false;
 };
 
+// A worker was leaving from `from` on, until it was started anew.
+struct Departure {
+  std::string worker;
+  Time from;
+  Time until = Time::max();
+};
+
 // A write of a record by an operator that took effect.
 struct RecordLog {
   Time at;
@@ -148,7 +157,7 @@
   const std::vector<std::unique_ptr<CallLog>>& calls() const { return calls_; }
   const std::vector<std::unique_ptr<JobLog>>& jobs() const { return jobs_; }
   const std::vector<RecordLog>& records() const { return record_log_; }
-  const std::map<std::string, Time>& left_at() const { return left_at_; }
+  const std::vector<Departure>& departures() const { return departures_; }
   const WorldSettings& settings() const { return settings_; }
   // Revisions that an entry's records went back by; must stay empty.
   const std::vector<std::string>& reverts() const { return reverts_; }
@@ -248,7 +257,8 @@
   std::vector<std::unique_ptr<JobLog>> jobs_;
   std::map<uint64_t, JobLog*> job_of_call_;
   std::vector<RecordLog> record_log_;
-  std::map<std::string, Time> left_at_;
+  std::map<std::string, Time> left_at_;  // of those leaving now
+  std::vector<Departure> departures_;
   std::vector<std::string> reverts_;
   std::map<std::string, uint64_t> incarnations_;
   uint64_t next_call_ = 1;
