--- a/quetzal/placer/internal/workers.cc
+++ b/quetzal/placer/internal/workers.cc
@@ -25,14 +25,13 @@
     }
     present.push_back(worker.id);
     state_->listed[worker.id] = worker;
-    const bool heeded = state_->settings.heeds_leaving;
-    if (worker.leaving && heeded) state_->ledger.SetLeaving(worker.id);
+    if (Leaving(worker.leaving)) state_->ledger.SetLeaving(worker.id);
     const bool known = state_->ledger.Facts(worker.id) != nullptr;
     if (known || !state_->contracts.in_term()) continue;
     state_->ledger.SetWorker({.id = worker.id,
                               .rack = worker.rack,
                               .capacity = worker.capacity,
-                              .leaving = worker.leaving});
+                              .leaving = Leaving(worker.leaving)});
   }
   state_->contracts.SetWorkers(present);
   for (const auto& [id, worker] : state_->listed) {
@@ -75,7 +74,7 @@
     state_->ledger.SetWorker({.id = id,
                               .rack = worker.rack,
                               .capacity = worker.capacity,
-                              .leaving = worker.leaving});
+                              .leaving = Leaving(worker.leaving)});
   }
 }
 
@@ -268,8 +267,7 @@
 
 void Workers::OnLeaving(const WorkerId& worker, Time now) {
   const WorkerFacts* const facts = state_->ledger.Facts(worker);
-  const bool heeded = state_->settings.heeds_leaving;
-  if (facts == nullptr || facts->leaving || !heeded) return;
+  if (facts == nullptr || facts->leaving || !Leaving(true)) return;
   state_->ledger.SetLeaving(worker);
   // Services move away; everything else may end where it is.
   for (const AttemptId& id : state_->ledger.AttemptsOn(worker)) {
@@ -285,10 +283,11 @@
                           Time now) {
   const bool was_leaving = state_->ledger.Facts(worker) != nullptr &&
                            state_->ledger.Facts(worker)->leaving;
-  state_->ledger.SetWorker({.id = worker,
-                            .rack = RackId(inventory.rack()),
-                            .capacity = FromWire(inventory.capacity()),
-                            .leaving = was_leaving || inventory.leaving()});
+  state_->ledger.SetWorker(
+      {.id = worker,
+       .rack = RackId(inventory.rack()),
+       .capacity = FromWire(inventory.capacity()),
+       .leaving = was_leaving || Leaving(inventory.leaving())});
   std::set<AttemptId> told;
   for (const wire::EndedAttempt& ended : inventory.ended()) {
     const AttemptId id(ended.attempt_id());
--- a/quetzal/placer/internal/workers.h
+++ b/quetzal/placer/internal/workers.h
@@ -35,6 +35,9 @@
   bool superseded() const { return superseded_; }
 
  private:
+  bool Leaving(bool told) const {
+    return told && state_->settings.heeds_leaving;
+  }
   void NoteGone(const std::set<WorkerId>& gone, Time now);
   void OnGranted(const WorkerId& worker, const wire::Granted& granted,
                  Time now);
