--- a/bench/demo.cc
+++ b/bench/demo.cc
@@ -181,7 +181,7 @@
     settings.rate = kRate;
     settings.count = kRequests;
     settings.make = MakeRequest;
-    settings.on_progress = [](size_t /*sent*/, size_t answered) {
+    settings.on_progress = [](size_t answered) {
       constexpr size_t kShowEvery = 100;
       if (answered % kShowEvery != 0) return;
       std::cout << "requests settled: " << answered << " of " << kRequests
--- a/programs/entry/main.cc
+++ b/programs/entry/main.cc
@@ -17,6 +17,8 @@
 
 constexpr Milliseconds kTick{50};
 constexpr Milliseconds kVmListEvery{5'000};
+// Two waits of the watch: less would call records stale in ordinary times.
+constexpr int64_t kLeastFreshnessMs = 9'000;
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
 constexpr int kMethodNotAllowed = 405;
@@ -289,7 +291,8 @@
       reader.Integer("read_time_ms", {.least = 100, .fallback = 30'000}));
   settings.entry.self = EntryId(NameOfThisStart(settings.name));
   settings.entry.freshness = Milliseconds(
-      reader.Integer("freshness_ms", {.least = 1'000, .fallback = 12'000}));
+      reader.Integer("freshness_ms",
+                     {.least = kLeastFreshnessMs, .fallback = 12'000}));
   settings.entry.most_pending = static_cast<size_t>(
       reader.Integer("most_pending", {.least = 1, .fallback = 20'000}));
   for (ObjectReader& each : reader.Objects("placers")) {
