Benchmarks: round trip, policy, placement; one pass over all work a decision mended

Cause: a decision took 403 us with 10,000 tasks waiting and grew with the queue. Every event walked all work for requests that wait for evidence. Ruled out: the worker scan (3.1 us at 360 workers) and the queue's look-ahead. The scan stays: a domain has 360 workers, it serves all policies, and 3 us is a tenth of a decision.

--- a/bench/round_trip.cc
+++ b/bench/round_trip.cc
@@ -27,24 +27,23 @@
 constexpr int kSeconds = 8;
 
 nlohmann::json Records() {
-  return nlohmann::json::array(
-      {{{"schema", "v2"},
-        {"kind", "team"},
-        {"name", "bench"},
-        {"limit",
-         {{"cpu_milli", 10'000'000},
-          {"memory_mib", 10'000'000},
-          {"slots", 100'000}}}},
-       {{"schema", "v1"},
-        {"kind", "key"},
-        {"name", "bench"},
-        {"team", "bench"},
-        {"digest", DigestOf(kKey)}},
-       {{"schema", "v2"},
-        {"kind", "queue"},
-        {"name", "quotes"},
-        {"team", "bench"},
-        {"depth", 100'000}}});
+  return nlohmann::json::array({{{"schema", "v2"},
+                                 {"kind", "team"},
+                                 {"name", "bench"},
+                                 {"limit",
+                                  {{"cpu_milli", 10'000'000},
+                                   {"memory_mib", 10'000'000},
+                                   {"slots", 100'000}}}},
+                                {{"schema", "v1"},
+                                 {"kind", "key"},
+                                 {"name", "bench"},
+                                 {"team", "bench"},
+                                 {"digest", DigestOf(kKey)}},
+                                {{"schema", "v2"},
+                                 {"kind", "queue"},
+                                 {"name", "quotes"},
+                                 {"team", "bench"},
+                                 {"depth", 100'000}}});
 }
 
 LoadResult Load(const Cluster& cluster, double rate, int seconds) {
@@ -55,11 +54,10 @@
   settings.rate = rate;
   settings.count = static_cast<size_t>(rate * seconds);
   settings.make = [](size_t index) {
-    return LoadRequest{
-        .body = R"({"queue":"quotes","payload":"run_ms=0 n=)" +
-                std::to_string(index) + "\"}",
-        .key = kKey,
-        .label = "quotes"};
+    return LoadRequest{.body = R"({"queue":"quotes","payload":"run_ms=0 n=)" +
+                               std::to_string(index) + "\"}",
+                       .key = kKey,
+                       .label = "quotes"};
   };
   return RunLoad(settings);
 }
@@ -70,9 +68,10 @@
   DirectCalls(const std::string& address, double rate, int seconds)
       : rate_(rate), count_(static_cast<size_t>(rate * seconds)) {
     link_ = ContractLink::Open(
-        address, {.on_link = [this](bool up) {
-                    if (up) Grant(0);
-                  },
+        address, {.on_link =
+                      [this](bool up) {
+                        if (up) Grant(0);
+                      },
                   .on_message =
                       [this](const wire::WorkerToPlacer& message) {
                         OnMessage(message);
@@ -109,9 +108,9 @@
     } else if (message.has_ended()) {
       const auto due = due_.extract(message.ended().attempt_id());
       if (!due) return;
-      latencies_.push_back(std::chrono::duration<double, std::milli>(
-                               Clock::now() - due.mapped())
-                               .count());
+      latencies_.push_back(
+          std::chrono::duration<double, std::milli>(Clock::now() - due.mapped())
+              .count());
       wire::PlacerToWorker acknowledge;
       acknowledge.set_epoch(kEpoch);
       acknowledge.mutable_acknowledge()->add_attempt_ids(
@@ -129,8 +128,7 @@
   bool SendDue() {
     const double elapsed =
         std::chrono::duration<double>(Clock::now() - start_).count();
-    const auto due =
-        std::min(count_, static_cast<size_t>(elapsed * rate_));
+    const auto due = std::min(count_, static_cast<size_t>(elapsed * rate_));
     for (; sent_ < due; ++sent_) {
       const std::string id = "bench." + std::to_string(sent_);
       due_[id] = start_ + std::chrono::duration_cast<Clock::duration>(
@@ -199,12 +197,12 @@
   const std::string placer = cluster.ActivePlacer("a");
   Load(cluster, 100, 1);  // connections and caches
   std::printf("%8s %8s %10s %8s %8s %8s %8s %10s %10s\n", "rate/s", "sent",
-              "answered", "refused", "wrong", "p50 ms", "p99 ms",
-              "entry us", "placer us");
+              "answered", "refused", "wrong", "p50 ms", "p99 ms", "entry us",
+              "placer us");
   double p50 = 0;
   double p99 = 0;
-  for (const double rate : {kComparedRate, 1'000.0, 2'000.0, 3'000.0, 4'000.0,
-                            5'000.0}) {
+  for (const double rate :
+       {kComparedRate, 1'000.0, 2'000.0, 3'000.0, 4'000.0, 5'000.0}) {
     const double placer_before = CpuSeconds(cluster.PidOf(placer));
     const double entry_before = CpuSeconds(cluster.PidOf("entry-a-1")) +
                                 CpuSeconds(cluster.PidOf("entry-a-2"));
@@ -212,10 +210,10 @@
     const double placer_us =
         (CpuSeconds(cluster.PidOf(placer)) - placer_before) * 1e6 /
         static_cast<double>(result.sent);
-    const double entry_us = (CpuSeconds(cluster.PidOf("entry-a-1")) +
-                             CpuSeconds(cluster.PidOf("entry-a-2")) -
-                             entry_before) *
-                            1e6 / static_cast<double>(result.sent);
+    const double entry_us =
+        (CpuSeconds(cluster.PidOf("entry-a-1")) +
+         CpuSeconds(cluster.PidOf("entry-a-2")) - entry_before) *
+        1e6 / static_cast<double>(result.sent);
     const auto& samples = result.latencies.at("quotes");
     std::printf("%8.0f %8zu %10zu %8zu %8zu %8.2f %8.2f %10.0f %10.0f\n", rate,
                 result.sent, result.answered, result.Refused(), result.wrong,
--- a/bench/support/http_load.cc
+++ b/bench/support/http_load.cc
@@ -66,8 +66,7 @@
     const std::string url = "http://" + address + request.path;
     SoupMessage* const message =
         soup_message_new(SOUP_METHOD_POST, url.c_str());
-    GBytes* const bytes =
-        g_bytes_new(request.body.data(), request.body.size());
+    GBytes* const bytes = g_bytes_new(request.body.data(), request.body.size());
     soup_message_set_request_body_from_bytes(message, "application/json",
                                              bytes);
     g_bytes_unref(bytes);
@@ -108,9 +107,8 @@
     } else if (status == 0) {
       ++result_.refusals["no answer"];
     } else {
-      const std::string code = json.is_object()
-                                   ? json.value("error", "unreadable")
-                                   : "unreadable";
+      const std::string code =
+          json.is_object() ? json.value("error", "unreadable") : "unreadable";
       ++result_.refusals[code];
     }
     if (settings_.on_progress) settings_.on_progress(done_);
--- /dev/null
+++ b/bench/support/virtual_domain.h
@@ -0,0 +1,129 @@
+// A failure domain for measuring decisions: the shipped placer core, virtual
+// workers that run what they are told for its true time, and callers' work
+// drawn from named distributions. No network and no VM model.
+//
+//   VirtualDomain domain({.workers = 50}, placer_settings);
+//   domain.Submit({.team = "a", .size = size, .run = Milliseconds(40)});
+//   domain.RunUntil(time);
+#ifndef BENCH_SUPPORT_VIRTUAL_DOMAIN_H_
+#define BENCH_SUPPORT_VIRTUAL_DOMAIN_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "quetzal/placer/placer.h"
+#include "standins/platform/kv_model.h"
+
+namespace quetzal::bench {
+
+struct VirtualDomainSettings {
+  int workers = 50;
+  int workers_per_rack = 8;
+  Resources capacity = {.cpu_milli = 16'000, .memory_mib = 32'768, .slots = 8};
+  std::set<int> failing;  // workers that fail everything they start
+};
+
+// One piece of work with its true run time.
+struct VirtualWork {
+  std::string team;
+  wire::WorkClass work_class = wire::WORK_CLASS_REQUEST;
+  bool urgent = false;
+  uint32_t tasks = 1;
+  Resources size;
+  Milliseconds run{50};
+  Milliseconds deadline{10'000};
+};
+
+struct VirtualOutcome {
+  std::string label;  // class, or "urgent"
+  std::string team;
+  Milliseconds waited{0};  // until its (last) first start
+};
+
+class VirtualDomain {
+ public:
+  VirtualDomain(VirtualDomainSettings settings, PlacerSettings placer,
+                const std::map<std::string, int>& team_shares);
+
+  Time now() const { return now_; }
+  void Submit(const VirtualWork& work);
+  void RunUntil(Time until);
+
+  // First starts, with how long the work waited.
+  const std::vector<VirtualOutcome>& started() const { return started_; }
+  const std::map<std::string, uint64_t>& refused() const { return refused_; }
+  uint64_t wasted_ms() const {
+    return wasted_ms_;
+  }  // of stopped or failed runs
+  uint64_t useful_ms() const { return useful_ms_; }
+  PlacerStatus Status() const { return core_->Status(now_); }
+  std::map<TeamId, Resources> Usage() const { return core_->Usage(); }
+  Resources TotalCapacity() const;
+  uint64_t sent_messages() const { return messages_; }
+  uint64_t sent_bytes() const { return bytes_; }
+  uint64_t platform_calls() const { return kv_.calls(); }
+  const Metrics& metrics() const { return metrics_; }
+  PlacerCore* core() { return core_.get(); }
+
+ private:
+  struct Running {
+    WorkerId worker;
+    wire::Work work;
+    bool held = false;
+    Time started;
+    uint64_t number = 0;
+  };
+  struct Event {
+    Time at;
+    uint64_t order;
+    std::function<void()> function;
+    bool operator<(const Event& other) const {
+      return at != other.at ? at > other.at : order > other.order;
+    }
+  };
+  struct Known {
+    VirtualWork work;
+    Time submitted;
+    bool started = false;
+  };
+
+  void At(Time when, std::function<void()> function);
+  void Tick();
+  void Drain();
+  void OnWorkerMessage(const WorkerId& worker,
+                       const wire::PlacerToWorker& message);
+  void OnGrant(const WorkerId& worker, const wire::Grant& grant);
+  void Begin(const std::string& attempt);
+  void End(const std::string& attempt, wire::Outcome outcome);
+  void NoteStart(const wire::Work& work);
+  bool Fails(const WorkerId& worker) const;
+
+  VirtualDomainSettings settings_;
+  Metrics metrics_;
+  RecordStore records_;
+  std::unique_ptr<PlacerCore> core_;
+  standin::KvModel kv_;
+  Time now_{Milliseconds(1'000'000)};
+  uint64_t order_ = 0;
+  uint64_t next_work_ = 1;
+  uint64_t next_run_ = 1;
+  std::priority_queue<Event> events_;
+  std::unordered_map<std::string, Running> running_;
+  std::unordered_map<std::string, Known> known_;  // by request or job id
+  std::vector<VirtualOutcome> started_;
+  std::map<std::string, uint64_t> refused_;
+  uint64_t wasted_ms_ = 0;
+  uint64_t useful_ms_ = 0;
+  uint64_t messages_ = 0;
+  uint64_t bytes_ = 0;
+};
+
+}  // namespace quetzal::bench
+
+#endif  // BENCH_SUPPORT_VIRTUAL_DOMAIN_H_
--- a/quetzal/ledger/ledger.cc
+++ b/quetzal/ledger/ledger.cc
@@ -139,6 +139,7 @@
 
 double Ledger::Score(const Slot& slot, const PlacementQuery& query,
                      const std::vector<int>* group_racks) const {
+  if (query.policy == PlacementPolicy::kFirstFit) return 0;
   const Resources left = slot.free - query.size;
   const double room = left.DominantShare(slot.facts.capacity);
   double score = query.policy == PlacementPolicy::kPackTight ? room : -room;
--- a/quetzal/ledger/ledger.h
+++ b/quetzal/ledger/ledger.h
@@ -30,6 +30,7 @@
 };
 
 enum class PlacementPolicy {
+  kFirstFit,     // the first worker with room: the baseline
   kPackTight,    // leave the least room behind
   kLeastLoaded,  // most free slots first
   kSpreadRacks,  // fewest of the same group in the rack, then least loaded
--- a/quetzal/placer/internal/flow.cc
+++ b/quetzal/placer/internal/flow.cc
@@ -85,12 +85,12 @@
   attempt.work_id = item->id;
   attempt.worker = worker;
   attempt.sent_at = now;
-  state->ledger.Charge(attempt.id, {.worker = worker,
-                                    .team = item->team,
-                                    .size = state->settings.charges_workers
-                                                ? item->size
-                                                : Resources(),
-                                    .group = GroupOf(*item)});
+  state->ledger.Charge(
+      attempt.id,
+      {.worker = worker,
+       .team = item->team,
+       .size = state->settings.charges_workers ? item->size : Resources(),
+       .group = GroupOf(*item)});
   wire::PlacerToWorker message;
   wire::Start* const start = message.mutable_start();
   start->set_attempt_id(attempt.id.text());
--- a/quetzal/placer/internal/requests.cc
+++ b/quetzal/placer/internal/requests.cc
@@ -130,6 +130,7 @@
   if (Attach(item, now)) return;
   if (!state_->accounted) {
     item->state = WorkState::kAwaitingEvidence;
+    state_->awaiting_evidence.insert(item->id);
     return;
   }
   const Time first_tried = item->submitted - item->age_at_submit;
@@ -143,12 +144,12 @@
 }
 
 void Requests::ResolveAwaiting(Time now) {
-  std::vector<WorkId> awaiting;
-  for (const auto& [id, item] : state_->works) {
-    if (item.state == WorkState::kAwaitingEvidence) awaiting.push_back(id);
+  for (const WorkId& id : std::exchange(state_->awaiting_evidence, {})) {
+    WorkItem* const item = state_->FindWork(id);
+    const bool waits =
+        item != nullptr && item->state == WorkState::kAwaitingEvidence;
+    if (waits) Decide(item, now);
   }
-  std::sort(awaiting.begin(), awaiting.end());
-  for (const WorkId& id : awaiting) Decide(state_->FindWork(id), now);
 }
 
 void Requests::Admit(WorkItem* item, Time now) {
--- a/quetzal/placer/internal/state.cc
+++ b/quetzal/placer/internal/state.cc
@@ -24,6 +24,7 @@
   booted_at.clear();
   evidence_lost = false;
   wakeups.clear();
+  awaiting_evidence.clear();
   works.clear();
   attempts.clear();
   attempt_of_work.clear();
--- a/quetzal/placer/internal/state.h
+++ b/quetzal/placer/internal/state.h
@@ -156,6 +156,7 @@
   std::unordered_map<WorkId, Evidence> evidence;
   std::unordered_map<WorkId, SettledRequest> settled;
   std::unordered_map<std::string, WorkId> work_of_key;
+  std::set<WorkId> awaiting_evidence;
   // Deadlines and ends of back-offs; entries may be out of date.
   std::set<std::pair<Time, WorkId>> wakeups;
   std::map<QueueId, size_t> waiting_in_queue;
--- a/tests/property_test.cc
+++ b/tests/property_test.cc
@@ -174,7 +174,7 @@
         room[worker] = capacity;
       }
       const auto sizes = *rc::gen::container<std::vector<std::pair<int, int>>>(
-          rc::gen::pair(rc::gen::inRange(1, 4'000), rc::gen::inRange(0, 3)));
+          rc::gen::pair(rc::gen::inRange(1, 4'000), rc::gen::inRange(0, 4)));
       int number = 0;
       for (const auto& [cpu, policy] : sizes) {
         const Resources size = {
