--- a/bench/round_trip.cc
+++ b/bench/round_trip.cc
@@ -165,10 +165,10 @@
   return "";
 }
 
-long ResidentKib(pid_t pid) {
+int64_t ResidentKib(pid_t pid) {
   std::ifstream status("/proc/" + std::to_string(pid) + "/status");
   for (std::string line; std::getline(status, line);) {
-    if (line.starts_with("VmRSS:")) return std::atol(line.c_str() + 6);
+    if (line.starts_with("VmRSS:")) return std::atoll(line.c_str() + 6);
   }
   return 0;
 }
@@ -229,9 +229,9 @@
       p99 = Quantile(samples, 0.99);
     }
   }
-  for (const std::string name : {placer, std::string("entry-a-1")}) {
-    std::printf("resident %s: %ld KiB\n", name.c_str(),
-                ResidentKib(cluster.PidOf(name)));
+  for (const std::string& name : {placer, std::string("entry-a-1")}) {
+    std::cout << "resident " << name << ": " << ResidentKib(cluster.PidOf(name))
+              << " KiB" << std::endl;
   }
   const std::vector<double> direct =
       DirectCalls(WorkerAddress(cluster), kComparedRate, kSeconds).Run();
--- a/bench/support/virtual_domain.cc
+++ b/bench/support/virtual_domain.cc
@@ -1,7 +1,6 @@
 #include "bench/support/virtual_domain.h"
 
-#include <google/protobuf/util/json_util.h>
-
+#include <nlohmann/json.hpp>
 #include <utility>
 
 #include "quetzal/kv/kv.h"
@@ -10,7 +9,7 @@
 namespace {
 
 constexpr Milliseconds kTick{50};
-const EntryId kEntry("entry");
+EntryId TheEntry() { return EntryId("entry"); }
 
 std::string LabelOf(const VirtualWork& work) {
   if (work.urgent) return "urgent";
@@ -47,18 +46,22 @@
   wire::RecordUpdate update;
   update.set_revision(1);
   for (const auto& [team, share] : team_shares) {
-    const std::string limit =
-        R"({"cpu_milli":900000000,"memory_mib":900000000,)"
-        R"("accelerators":1000000,"slots":1000000})";
-    AddRecord("team/" + team,
-              R"({"schema":"v2","kind":"team","name":")" + team +
-                  R"(","share":)" + std::to_string(share) + R"(,"limit":)" +
-                  limit + "}",
-              &update);
-    AddRecord("queue/" + team,
-              R"({"schema":"v2","kind":"queue","name":")" + team +
-                  R"(","team":")" + team + R"(","depth":1000000})",
-              &update);
+    const nlohmann::json team_record = {{"schema", "v2"},
+                                        {"kind", "team"},
+                                        {"name", team},
+                                        {"share", share},
+                                        {"limit",
+                                         {{"cpu_milli", 900'000'000},
+                                          {"memory_mib", 900'000'000},
+                                          {"accelerators", 1'000'000},
+                                          {"slots", 1'000'000}}}};
+    AddRecord("team/" + team, team_record.dump(), &update);
+    const nlohmann::json queue_record = {{"schema", "v2"},
+                                         {"kind", "queue"},
+                                         {"name", team},
+                                         {"team", team},
+                                         {"depth", 1'000'000}};
+    AddRecord("queue/" + team, queue_record.dump(), &update);
   }
   records_.Apply(update, now_);
   placer.self = PlacerId("placer");
@@ -76,7 +79,7 @@
   for (const ListedWorker& worker : listed) {
     core_->OnWorkerLink(worker.id, true, now_);
   }
-  core_->OnEntryLink(kEntry, true, now_);
+  core_->OnEntryLink(TheEntry(), true, now_);
   Tick();
   constexpr Milliseconds kSettle{5'000};
   RunUntil(now_ + kSettle);
@@ -130,7 +133,7 @@
     *job->mutable_work() = message;
     out.mutable_submit_job()->set_deadline_ms(60'000);
   }
-  core_->OnEntryMessage(kEntry, out, now_);
+  core_->OnEntryMessage(TheEntry(), out, now_);
   Drain();
 }
 
@@ -149,7 +152,7 @@
           if (!settled.refusal().empty()) ++refused_[settled.refusal()];
           wire::EntryToPlacer received;
           received.mutable_settle_received()->set_work_id(settled.work_id());
-          core_->OnEntryMessage(kEntry, received, now_);
+          core_->OnEntryMessage(TheEntry(), received, now_);
         } else if (reply->message.has_job() &&
                    !reply->message.job().refusal().empty()) {
           ++refused_[reply->message.job().refusal()];
--- a/programs/entry/main.cc
+++ b/programs/entry/main.cc
@@ -290,9 +290,8 @@
   settings.http.read_time = Milliseconds(
       reader.Integer("read_time_ms", {.least = 100, .fallback = 30'000}));
   settings.entry.self = EntryId(NameOfThisStart(settings.name));
-  settings.entry.freshness = Milliseconds(
-      reader.Integer("freshness_ms",
-                     {.least = kLeastFreshnessMs, .fallback = 12'000}));
+  settings.entry.freshness = Milliseconds(reader.Integer(
+      "freshness_ms", {.least = kLeastFreshnessMs, .fallback = 12'000}));
   settings.entry.most_pending = static_cast<size_t>(
       reader.Integer("most_pending", {.least = 1, .fallback = 20'000}));
   for (ObjectReader& each : reader.Objects("placers")) {
--- a/quetzal/placer/internal/job_store.cc
+++ b/quetzal/placer/internal/job_store.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "quetzal/placer/internal/bits.h"
+
 namespace quetzal::placer_internal {
 namespace {
 
@@ -25,13 +27,6 @@
   return batch;
 }
 
-void AddBits(const std::string& more, std::string* bits) {
-  bits->resize(std::max(bits->size(), more.size()));
-  for (size_t i = 0; i < more.size(); ++i) {
-    (*bits)[i] = static_cast<char>((*bits)[i] | more[i]);
-  }
-}
-
 }  // namespace
 
 JobStore::JobStore(State* state, JobStoreObserver* observer)
--- a/quetzal/placer/internal/jobs.cc
+++ b/quetzal/placer/internal/jobs.cc
@@ -4,6 +4,7 @@
 #include <charconv>
 #include <utility>
 
+#include "quetzal/placer/internal/bits.h"
 #include "quetzal/placer/internal/flow.h"
 
 namespace quetzal::placer_internal {
@@ -14,21 +15,6 @@
 constexpr Milliseconds kForgetEvery{10'000};
 constexpr Milliseconds kFirstBackOff{200};
 constexpr Milliseconds kMostBackOff{30'000};
-constexpr int kBitsPerByte = 8;
-
-bool HasBit(const std::string& bits, uint32_t index) {
-  const size_t byte = index / kBitsPerByte;
-  if (byte >= bits.size()) return false;
-  const auto value = static_cast<unsigned char>(bits[byte]);
-  return ((value >> (index % kBitsPerByte)) & 1U) != 0;
-}
-
-void SetBit(uint32_t index, std::string* bits) {
-  const size_t byte = index / kBitsPerByte;
-  if (bits->size() <= byte) bits->resize(byte + 1);
-  const auto value = static_cast<unsigned char>((*bits)[byte]);
-  (*bits)[byte] = static_cast<char>(value | (1U << (index % kBitsPerByte)));
-}
 
 bool IsGang(const wire::StoredJob& stored) {
   return stored.job().work().work_class() == wire::WORK_CLASS_GANG;
--- a/quetzal/placer/placer.cc
+++ b/quetzal/placer/placer.cc
@@ -1,12 +1,10 @@
 #include "quetzal/placer/placer.h"
 
-#include <google/protobuf/util/json_util.h>
-
 #include <algorithm>
-#include <unordered_map>
 #include <utility>
 
 #include "quetzal/placer/internal/jobs.h"
+#include "quetzal/placer/internal/limits.h"
 #include "quetzal/placer/internal/placement.h"
 #include "quetzal/placer/internal/requests.h"
 #include "quetzal/placer/internal/state.h"
@@ -16,25 +14,16 @@
 namespace {
 
 using placer_internal::Jobs;
+using placer_internal::Limits;
 using placer_internal::Placement;
 using placer_internal::Requests;
 using placer_internal::State;
 using placer_internal::Workers;
 
 constexpr Milliseconds kHelloEvery{2'000};
-constexpr Milliseconds kDemandEvery{250};
-constexpr Milliseconds kListAgainAfter{500};
-// Without an answer for so long, the allotments last seen are used.
-constexpr Milliseconds kListPatience{6'000};
 // A process that was not run for so long treats what it knew as out of date.
 constexpr Milliseconds kPauseNoticed{300};
 
-std::string ToText(const wire::TeamAllotment& value) {
-  std::string text;
-  const auto status = google::protobuf::util::MessageToJsonString(value, &text);
-  return status.ok() ? text : "{}";
-}
-
 }  // namespace
 
 class PlacerCore::Impl {
@@ -42,6 +31,7 @@
   Impl(PlacerSettings settings, RecordStore* records, Metrics* metrics)
       : state_(std::move(settings), records, metrics),
         records_(records),
+        limits_(&state_),
         jobs_(&state_),
         requests_(&state_),
         workers_(&state_, &requests_, &jobs_),
@@ -56,7 +46,8 @@
       workers_.Tick(now);
       jobs_.Tick(now);
       requests_.Tick(now);
-      TickAllotments(now);
+      if (limits_.DemandDue(now)) placement_.NoteDemand();
+      limits_.Tick(now);
       placement_.MakeRoomForUrgent(now);
       seat_.OnMajority(state_.contracts.HasMajority(now), now);
     }
@@ -122,14 +113,7 @@
       const SeatCall::Kind kind = seat_call_->second;
       seat_call_.reset();
       seat_.OnAnswer(ToSeatAnswer(kind, answer), now);
-    } else if (list_call_ == answer.id) {
-      OnAllotmentsListed(answer);
-    } else if (const auto call = allotment_calls_.extract(answer.id)) {
-      OnAllotmentAnswer(call.mapped(), answer);
-    } else if (const auto read = allotment_reads_.extract(answer.id)) {
-      for (const KvItem& item : answer.items) StoreAllotment(item);
-      state_.allotments.OnWritten(read.mapped(), std::nullopt);
-    } else {
+    } else if (!limits_.OnKvAnswer(answer)) {
       jobs_.OnKvAnswer(answer, now);
       if (jobs_.superseded()) seat_.OnSuperseded(now);
     }
@@ -138,8 +122,7 @@
   }
 
   void OnAllotmentChange(const KvChange& change, Time now) {
-    if (!change.deleted) StoreAllotment(change.item);
-    state_.placement_due = true;
+    limits_.OnChange(change);
     Advance(now);
   }
 
@@ -336,10 +319,7 @@
     state_.contracts.EndTerm();
     state_.Clear();
     jobs_.Clear();
-    list_call_.reset();
-    allotment_calls_.clear();
-    allotment_reads_.clear();
-    state_.allotments.ForgetWrites();
+    limits_.EndTerm();
     work_resumed_ = false;
     state_.metrics->Count("quetzal_terms_ended_total");
   }
@@ -349,83 +329,13 @@
     state_.contracts.BeginTerm(term_->epoch, term_->fenced);
     workers_.BeginTerm();
     state_.RefreshAccounting(now);
-    allotments_ready_ = !term_->fenced;
-    allotments_listed_ = false;
-    ListAllotments(now);
+    limits_.BeginTerm(term_->fenced, now);
     jobs_.Load(now);
     workers_.Tick(now);
     state_.metrics->Count("quetzal_terms_begun_total",
                           {{"fenced", term_->fenced ? "yes" : "no"}});
   }
 
-  // ---- allotments ----
-
-  void ListAllotments(Time now) {
-    listed_at_ = now;
-    list_call_ = state_.Call(
-        {.kind = KvCall::Kind::kList, .key = std::string(kAllotmentPrefix)});
-  }
-
-  void OnAllotmentsListed(const KvAnswer& answer) {
-    list_call_.reset();
-    if (answer.kind != KvAnswer::Kind::kDone) return;
-    for (const KvItem& item : answer.items) StoreAllotment(item);
-    allotments_ready_ = true;
-    allotments_listed_ = true;
-    state_.placement_due = true;
-  }
-
-  void StoreAllotment(const KvItem& item) {
-    wire::TeamAllotment value;
-    const auto status =
-        google::protobuf::util::JsonStringToMessage(item.value, &value);
-    if (!status.ok() || item.key.size() <= kAllotmentPrefix.size()) {
-      state_.Count("quetzal_errors_total", "unreadable_allotment");
-      return;
-    }
-    state_.allotments.OnStored(TeamId(item.key.substr(kAllotmentPrefix.size())),
-                               value, item.revision);
-  }
-
-  void TickAllotments(Time now) {
-    if (!allotments_ready_ && now - state_.term_began >= kListPatience) {
-      allotments_ready_ = true;
-    }
-    if (!allotments_listed_ && !list_call_ &&
-        now - listed_at_ >= kListAgainAfter) {
-      ListAllotments(now);
-    }
-    if (!allotments_listed_ || now - demand_at_ < kDemandEvery) return;
-    demand_at_ = now;
-    placement_.NoteDemand();
-    for (const TeamRecord* const team : records_->Teams()) {
-      // A value that exists after all shows as a conflict.
-      state_.allotments.OnMissing(team->name);
-      const auto write =
-          state_.allotments.NextWrite(team->name, team->limit, now);
-      if (!write) continue;
-      const uint64_t id =
-          state_.Call({.kind = KvCall::Kind::kPut,
-                       .key = std::string(kAllotmentPrefix) + team->name.text(),
-                       .value = ToText(write->value),
-                       .expected = write->expected});
-      allotment_calls_[id] = team->name;
-    }
-  }
-
-  void OnAllotmentAnswer(const TeamId& team, const KvAnswer& answer) {
-    if (answer.kind == KvAnswer::Kind::kDone) {
-      state_.allotments.OnWritten(team, answer.revision);
-      state_.placement_due = true;
-      return;
-    }
-    state_.Count("quetzal_retries_total", "allotment_write");
-    const uint64_t id =
-        state_.Call({.kind = KvCall::Kind::kGet,
-                     .key = std::string(kAllotmentPrefix) + team.text()});
-    allotment_reads_[id] = team;
-  }
-
   // ---- progress after each event ----
 
   void Advance(Time now) {
@@ -438,11 +348,12 @@
       jobs_.QueueMissingTasks(now);
       state_.placement_due = true;
     }
-    if (state_.placement_due && allotments_ready_) placement_.Pass(now);
+    if (state_.placement_due && limits_.ready()) placement_.Pass(now);
   }
 
   State state_;
   RecordStore* records_;
+  Limits limits_;
   Jobs jobs_;
   Requests requests_;
   Workers workers_;
@@ -450,17 +361,10 @@
   SeatKeeper seat_;
   std::optional<Term> term_;
   std::optional<std::pair<uint64_t, SeatCall::Kind>> seat_call_;
-  std::optional<uint64_t> list_call_;
-  std::unordered_map<uint64_t, TeamId> allotment_calls_;
-  std::unordered_map<uint64_t, TeamId> allotment_reads_;
-  bool allotments_ready_ = false;
-  bool allotments_listed_ = false;
   bool work_resumed_ = false;
   bool shutting_down_ = false;
   Time hello_at_;
   bool greeted_as_active_ = false;
-  Time listed_at_;
-  Time demand_at_;
   Time last_event_;
 };
 
--- a/tests/support/world.h
+++ b/tests/support/world.h
@@ -224,10 +224,10 @@
   void FlushWorker(Process* process);
   void OnReply(Process* entry, const EntryEffect& effect);
   void CallPlatform(Process* process, const KvCall& call,
-                    Platform::KvHandler handler);
+                    const Platform::KvHandler& handler);
   void WatchPlatform(Process* process, const std::string& prefix,
                      Revision after, Milliseconds wait,
-                     Platform::WatchHandler handler);
+                     const Platform::WatchHandler& handler);
   void ServeWatchers();
   std::vector<Vm> ListedVms() const;
   void LogRecord(const std::string& path, std::optional<std::string> value);
