Requests and job tasks of one queue are counted and learned apart

After: both are kept for each class of work; tests/policy_test.cc shows it, with urgent work's bound (also when the placer dies), gangs, failing workers and cancellations.

--- a/quetzal/placer/internal/flow.cc
+++ b/quetzal/placer/internal/flow.cc
@@ -54,13 +54,13 @@
   if (state->queue.Contains(item->id)) return;
   item->state = WorkState::kQueued;
   state->queue.Push({item->lane, item->team}, item->id, front);
-  ++state->waiting_in_queue[item->queue];
+  ++state->waiting_in_queue[FlowOf(item->work)];
   state->placement_due = true;
 }
 
 void Dequeue(State* state, WorkItem* item) {
   if (!state->queue.Erase(item->id)) return;
-  Decrement(&state->waiting_in_queue, item->queue);
+  Decrement(&state->waiting_in_queue, FlowOf(item->work));
 }
 
 void BackOffUntil(State* state, WorkItem* item, Time at) {
@@ -100,7 +100,7 @@
   item->state = WorkState::kAttempting;
   item->attempt = attempt.id;
   ++item->tries;
-  ++state->running_in_queue[item->queue];
+  ++state->running_in_queue[FlowOf(item->work)];
   state->attempt_of_work[item->id] = attempt.id;
   state->attempts.emplace(attempt.id, std::move(attempt));
   state->metrics->Count("quetzal_starts_total");
@@ -122,7 +122,7 @@
   if (found == state->attempts.end()) return;
   const AttemptInfo& attempt = found->second;
   state->ledger.Settle(id);
-  Decrement(&state->running_in_queue, QueueId(attempt.work.queue()));
+  Decrement(&state->running_in_queue, FlowOf(attempt.work));
   const auto current = state->attempt_of_work.find(attempt.work_id);
   if (current != state->attempt_of_work.end() && current->second == id) {
     state->attempt_of_work.erase(current);
--- a/quetzal/placer/internal/requests.cc
+++ b/quetzal/placer/internal/requests.cc
@@ -173,7 +173,7 @@
            "upper limit: " + team->limit.Describe(), now);
     return;
   }
-  const size_t waiting = state_->waiting_in_queue[item->queue];
+  const size_t waiting = state_->waiting_in_queue[FlowOf(item->work)];
   if (waiting >= static_cast<size_t>(queue->depth)) {
     Refuse(item, Refusal::kQueueFull, wire::RUN_FATE_NOT_RUN, "", now);
     return;
@@ -181,7 +181,8 @@
   const Milliseconds wait =
       state_->settings.learns
           ? state_->run_times.ExpectedWait(
-                item->queue, waiting, state_->running_in_queue[item->queue])
+                FlowOf(item->work), waiting,
+                state_->running_in_queue[FlowOf(item->work)])
           : Milliseconds(0);
   if (!item->work.urgent() && item->deadline && now + wait > *item->deadline) {
     Refuse(item, Refusal::kQueueFull, wire::RUN_FATE_NOT_RUN,
@@ -285,8 +286,8 @@
   outcome.set_detail(detail);
   if (reason == Refusal::kQueueFull) {
     const Milliseconds wait = state_->run_times.ExpectedWait(
-        item->queue, state_->waiting_in_queue[item->queue],
-        state_->running_in_queue[item->queue]);
+        FlowOf(item->work), state_->waiting_in_queue[FlowOf(item->work)],
+        state_->running_in_queue[FlowOf(item->work)]);
     outcome.set_retry_after_ms(
         static_cast<uint32_t>(std::max(wait, kShortestRetryAfter).count()));
   }
--- a/quetzal/placer/internal/state.cc
+++ b/quetzal/placer/internal/state.cc
@@ -105,6 +105,10 @@
   metrics->Count(name, {{"reason", reason}});
 }
 
+QueueId FlowOf(const wire::Work& work) {
+  return QueueId(work.queue() + "/" + std::to_string(work.work_class()));
+}
+
 std::string ScopedKey(const wire::Work& work) {
   if (work.request_key().empty()) return "";
   return work.team() + "\n" + work.queue() + "\n" + work.request_key();
--- a/quetzal/placer/internal/state.h
+++ b/quetzal/placer/internal/state.h
@@ -159,6 +159,7 @@
   std::set<WorkId> awaiting_evidence;
   // Deadlines and ends of back-offs; entries may be out of date.
   std::set<std::pair<Time, WorkId>> wakeups;
+  // By `FlowOf`.
   std::map<QueueId, size_t> waiting_in_queue;
   std::map<QueueId, size_t> running_in_queue;
 
@@ -172,6 +173,10 @@
   bool placement_due = false;
 };
 
+// A queue's work of one class. Requests are not counted, nor their run times
+// learned, together with the tasks of jobs in the same queue.
+QueueId FlowOf(const wire::Work& work);
+
 // Key under which a caller's request key is kept: keys of different teams and
 // queues never meet.
 std::string ScopedKey(const wire::Work& work);
--- a/quetzal/placer/internal/workers.cc
+++ b/quetzal/placer/internal/workers.cc
@@ -214,8 +214,7 @@
   if (failed) {
     SetAsideOutlier(attempt.worker, now);
   } else if (attempt.started_at) {
-    state_->run_times.Learn(QueueId(attempt.work.queue()),
-                            now - *attempt.started_at);
+    state_->run_times.Learn(FlowOf(attempt.work), now - *attempt.started_at);
   }
 }
 
@@ -358,7 +357,7 @@
            .team = TeamId(info.work.team()),
            .size = FromWire(info.work.size()),
            .group = task ? task->first.text() : info.work_id.text()});
-  ++state_->running_in_queue[QueueId(info.work.queue())];
+  ++state_->running_in_queue[FlowOf(info.work)];
   const std::string key = ScopedKey(info.work);
   if (!key.empty()) state_->work_of_key.try_emplace(key, info.work_id);
   const bool first =
--- /dev/null
+++ b/tests/policy_test.cc
@@ -0,0 +1,151 @@
+// What each kind of work may count on under load, in virtual time.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+
+#include "tests/support/checker.h"
+#include "tests/support/scenario.h"
+
+namespace quetzal::testing {
+namespace {
+
+// Urgent work starts within this, a placer's death included.
+constexpr Milliseconds kUrgentBound{7'100};
+
+class PolicyTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PolicyTest);
+  CPPUNIT_TEST(LargeJobDoesNotFillTheQueueForRequests);
+  CPPUNIT_TEST(UrgentWorkStartsInTimeOnAFullDomain);
+  CPPUNIT_TEST(UrgentWorkStartsInTimeWhenThePlacerDies);
+  CPPUNIT_TEST(GangStartsAlthoughSmallerWorkKeepsComing);
+  CPPUNIT_TEST(WorkerThatFailsEverythingIsUsedLast);
+  CPPUNIT_TEST(CancellingALargeJobEmptiesTheQueue);
+  CPPUNIT_TEST(JobThatFitsNoWorkerIsRefusedAtOnce);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    world_ = std::make_unique<World>(QuickWorld(), 3);
+    ApplyFirstRecords(world_.get());
+    world_->Run(Milliseconds(3'000));
+  }
+
+  void LargeJobDoesNotFillTheQueueForRequests() {
+    // More tasks than the queue's depth of 100 requests.
+    SubmitTasks("open-q", 300, 60'000, {.cpu_milli = 3'000});
+    const CallLog* const call =
+        world_->Submit("entry-a-1", {.queue = "open-q"});
+    world_->Run(Milliseconds(2'000));
+    CPPUNIT_ASSERT(Answered(*call));
+  }
+
+  void UrgentWorkStartsInTimeOnAFullDomain() {
+    SubmitTasks("red-q", 100, 600'000, {.cpu_milli = 1'000});
+    const CallLog* const call = world_->Submit("entry-a-1", Urgent());
+    world_->Run(kUrgentBound);
+    CPPUNIT_ASSERT(Answered(*call));
+    CPPUNIT_ASSERT(Check(*world_).empty());
+  }
+
+  void UrgentWorkStartsInTimeWhenThePlacerDies() {
+    world_->Kill(world_->ActivePlacer("a"));
+    const CallLog* const call = world_->Submit("entry-a-1", Urgent());
+    world_->Run(kUrgentBound);
+    CPPUNIT_ASSERT(Answered(*call));
+  }
+
+  void GangStartsAlthoughSmallerWorkKeepsComing() {
+    for (int i = 0; i < 200; ++i) {
+      world_->At(world_->now() + Milliseconds(i * 100), [this] {
+        SubmitTasks("red-q", 3, 1'500, {.cpu_milli = 900}, 0);
+      });
+    }
+    world_->Run(Milliseconds(3'000));
+    // Larger than what smaller work ever leaves free at once.
+    const JobLog* const gang =
+        world_->SubmitJob("entry-a-1",
+                          {.queue = "red-q",
+                           .key = "key-red",
+                           .idempotent = true,
+                           .run_ms = 500,
+                           .size = {.cpu_milli = 3'500, .memory_mib = 64}},
+                          wire::WORK_CLASS_GANG, 2);
+    world_->Run(Milliseconds(15'000));
+    world_->AskJobs();
+    world_->Run(Milliseconds(1'000));
+    CPPUNIT_ASSERT_EQUAL(std::string("done"), gang->last_state);
+  }
+
+  void WorkerThatFailsEverythingIsUsedLast() {
+    world_->FailEverything("worker-a-1");
+    for (int i = 0; i < 150; ++i) {
+      world_->At(world_->now() + Milliseconds(i * 40), [this] {
+        world_->Submit("entry-a-1",
+                       {.queue = "red-q", .key = "key-red", .run_ms = 30});
+      });
+    }
+    world_->Run(Milliseconds(8'000));
+    const auto failed =
+        std::count_if(world_->events().begin(), world_->events().end(),
+                      [](const standin::WorkerEvent& event) {
+                        return event.outcome == wire::OUTCOME_FAILED;
+                      });
+    constexpr int kMostFailed = 15;  // of 150, a third of them unheeded
+    CPPUNIT_ASSERT(failed > 0);
+    CPPUNIT_ASSERT(failed <= kMostFailed);
+  }
+
+  void CancellingALargeJobEmptiesTheQueue() {
+    JobLog* const job =
+        SubmitTasks("red-q", 2'000, 600'000, {.cpu_milli = 1'000});
+    CPPUNIT_ASSERT(Status().waiting > 1'900);
+    world_->CancelJob(job);
+    world_->Run(Milliseconds(3'000));
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, Status().waiting);
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, Status().attempts);
+    CPPUNIT_ASSERT_EQUAL(std::string("cancelled"), job->last_state);
+  }
+
+  void JobThatFitsNoWorkerIsRefusedAtOnce() {
+    const JobLog* const job =
+        SubmitTasks("red-q", 1, 10, {.cpu_milli = 4'001}, 200);
+    CPPUNIT_ASSERT(job->refusal == std::optional<std::string>("never_fits"));
+  }
+
+ private:
+  static CallSpec Urgent() {
+    return {.queue = "blue-q",
+            .key = "key-blue",
+            .urgent = true,
+            .size = {.cpu_milli = 1'000, .memory_mib = 64, .slots = 1}};
+  }
+
+  static bool Answered(const CallLog& call) {
+    return call.replies.size() == 1 &&
+           std::holds_alternative<AnswerReply>(call.replies.front());
+  }
+
+  JobLog* SubmitTasks(const std::string& queue, uint32_t tasks, int run_ms,
+                      const Resources& size, int64_t run_after_ms = 1'500) {
+    JobLog* const job = world_->SubmitJob("entry-a-1",
+                                          {.queue = queue,
+                                           .key = "key-red",
+                                           .idempotent = true,
+                                           .run_ms = run_ms,
+                                           .size = size},
+                                          wire::WORK_CLASS_BATCH, tasks);
+    if (run_after_ms > 0) world_->Run(Milliseconds(run_after_ms));
+    return job;
+  }
+
+  PlacerStatus Status() const {
+    return world_->StatusOf(world_->ActivePlacer("a"));
+  }
+
+  std::unique_ptr<World> world_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PolicyTest);
+
+}  // namespace
+}  // namespace quetzal::testing
--- a/tests/support/world.cc
+++ b/tests/support/world.cc
@@ -284,6 +284,10 @@
   Flush(process);
 }
 
+void World::FailEverything(const std::string& name) {
+  Find(name)->worker->FailEverything(true);
+}
+
 void World::BeginEntryDrain(const std::string& name) {
   const Process* const process = Find(name);
   if (!process->alive) return;
--- a/tests/support/world.h
+++ b/tests/support/world.h
@@ -144,6 +144,7 @@
   void DropNextAnswer() { drop_answers_ = 1; }
   void SetVmListStale(bool stale);
   void Leave(const std::string& worker);
+  void FailEverything(const std::string& worker);
   void BeginEntryDrain(const std::string& entry);
   void BeginPlacerShutdown(const std::string& placer);
   void CompactHistory() { kv_.Compact(); }
