--- a/tests/fault_matrix_test.cc
+++ b/tests/fault_matrix_test.cc
@@ -63,8 +63,9 @@
       std::cout << '\n';
     }
     std::cout << "faults, by column:";
-    for (const Fault& fault : AllFaults())
+    for (const Fault& fault : AllFaults()) {
       std::cout << ' ' << fault.name << ';';
+    }
     std::cout << "\npassed " << passed << ", not applicable " << not_applicable
               << ", not struck " << not_struck << '\n';
     CPPUNIT_ASSERT_MESSAGE(failures.str(), failures.str().empty());
--- a/tests/property_test.cc
+++ b/tests/property_test.cc
@@ -18,8 +18,6 @@
 namespace quetzal::testing {
 namespace {
 
-const int kSeedIsSet = setenv("RC_PARAMS", "seed=20261204 max_success=300", 0);
-
 Time At(int64_t ms) { return Time(Milliseconds(ms)); }
 
 std::string TeamText(int share) {
@@ -47,6 +45,10 @@
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  void setUp() override {
+    setenv("RC_PARAMS", "seed=20261204 max_success=300", 0);
+  }
+
   // A history of writes reaches a store as watch updates and snapshots, some
   // of them repeated, late or left out.
   void RecordsNeverRevertWhateverTheOrderOfUpdates() {
@@ -95,6 +97,7 @@
       const std::vector<FailureDomainId> names = {
           FailureDomainId("a"), FailureDomainId("b"), FailureDomainId("c")};
       std::vector<Domain> domains;
+      domains.reserve(names.size());
       for (const FailureDomainId& name : names) {
         domains.emplace_back(name.text(), names);
       }
--- a/tests/support/world_process.h
+++ b/tests/support/world_process.h
@@ -38,12 +38,11 @@
       : world_(world), process_(std::move(process)) {}
 
   void Call(const KvCall& call, KvHandler handler) override {
-    world_->CallPlatform(world_->Find(process_), call, std::move(handler));
+    world_->CallPlatform(world_->Find(process_), call, handler);
   }
   void Watch(const std::string& prefix, Revision after, Milliseconds wait,
              WatchHandler handler) override {
-    world_->WatchPlatform(world_->Find(process_), prefix, after, wait,
-                          std::move(handler));
+    world_->WatchPlatform(world_->Find(process_), prefix, after, wait, handler);
   }
   void ListVms(VmHandler handler) override { handler(std::nullopt); }
   PlatformHealth health() const override { return health_; }
