Processes end without running static destructors under gRPC's threads

A core showed gRPC's threads still freeing a cancelled call's channel while exit() destroyed the libraries' static data (corrupted double-linked list; once a segmentation fault). Ruled out: a drain that doesn't end (all replies were 200, the log says 'drains, pending 0', the process was gone at once); the order of our own members (the core was in exit(), the service already destroyed). Conclusion: the loop's end destroys the service, flushes and leaves by _Exit. Also: the posting queue is never destroyed, and the HTTP server drops its handlers on connections that wait for a request.

--- a/quetzal/http/http.cc
+++ b/quetzal/http/http.cc
@@ -72,7 +72,10 @@
   }
   ~SoupHttpServer() override {
     g_signal_handlers_disconnect_by_data(server_, this);
-    for (const auto& [message, open] : reading_) g_source_remove(open.timer);
+    for (const auto& [message, open] : reading_) {
+      g_source_remove(open.timer);
+      g_signal_handlers_disconnect_by_data(message, this);
+    }
     for (const auto& [id, message] : calls_) {
       g_signal_handlers_disconnect_by_data(message, this);
     }
--- a/quetzal/program/program.cc
+++ b/quetzal/program/program.cc
@@ -6,6 +6,7 @@
 #include <tclap/CmdLine.h>
 
 #include <csignal>
+#include <cstdlib>
 #include <iostream>
 #include <random>
 #include <utility>
@@ -42,10 +43,19 @@
   return G_SOURCE_CONTINUE;
 }
 
+// gRPC's threads may still be closing calls. They must not meet libraries whose
+// static data was destroyed, so the process ends without doing that.
+[[noreturn]] void EndProcess(int exit_code) {
+  google::FlushLogFiles(google::INFO);
+  std::cout.flush();
+  std::cerr.flush();
+  std::_Exit(exit_code);
+}
+
 int RunService(const ProgramFacts& facts, const nlohmann::json& json) {
   Problems problems;
   TheLoop().loop = g_main_loop_new(nullptr, FALSE);
-  const std::unique_ptr<Service> service = facts.start(json, false, &problems);
+  std::unique_ptr<Service> service = facts.start(json, false, &problems);
   if (!service) {
     std::cerr << Describe(problems);
     return kExitFailed;
@@ -53,7 +63,8 @@
   g_unix_signal_add(SIGTERM, &OnSignal, service.get());
   g_unix_signal_add(SIGINT, &OnSignal, service.get());
   g_main_loop_run(TheLoop().loop);
-  return TheLoop().exit_code;
+  service.reset();
+  EndProcess(TheLoop().exit_code);
 }
 
 }  // namespace
--- a/quetzal/rpc/rpc.cc
+++ b/quetzal/rpc/rpc.cc
@@ -92,9 +92,10 @@
 // the queue, however many functions came.
 class PostQueue {
  public:
+  // Never destroyed: gRPC's threads may post until the process has ended.
   static PostQueue& Instance() {
-    static PostQueue queue;
-    return queue;
+    static PostQueue* const queue = new PostQueue;
+    return *queue;
   }
   void Push(std::function<void()> function) {
     const std::lock_guard<std::mutex> lock(mutex_);
--- a/tests/process_test.cc
+++ b/tests/process_test.cc
@@ -120,6 +120,7 @@
   CPPUNIT_TEST(LostAnswersAreSettledByReadingBack);
   CPPUNIT_TEST(LeavingWorkerEndsWhatItRunsAndGetsNothingNew);
   CPPUNIT_TEST(GracefulShutdownCutsOffNoRequest);
+  CPPUNIT_TEST(ProcessesThatEndAtOnceEndCleanly);
   CPPUNIT_TEST(BadInputGetsAClearErrorAndCostsNobodyElse);
   CPPUNIT_TEST(OperatorsMistakesAreToldWithExitCodes);
   CPPUNIT_TEST_SUITE_END();
@@ -290,6 +291,24 @@
     JudgeLog(cluster.WorkerLog("a"));
   }
 
+  // Links still open at the end must not bring a process down.
+  void ProcessesThatEndAtOnceEndCleanly() {
+    constexpr int kRounds = 12;
+    Cluster cluster({.binaries = Binaries(), .vms_per_domain = 8});
+    StartWithRecords(&cluster);
+    for (int round = 0; round < kRounds; ++round) {
+      for (const std::string& entry : cluster.Entries("a")) {
+        cluster.Signal(entry, SIGTERM);
+      }
+      for (const std::string& entry : cluster.Entries("a")) {
+        CPPUNIT_ASSERT(cluster.WaitExit(entry, 20) == std::optional(0));
+      }
+      for (const std::string& entry : cluster.Entries("a")) {
+        CPPUNIT_ASSERT(cluster.Restart(entry));
+      }
+    }
+  }
+
   void BadInputGetsAClearErrorAndCostsNobodyElse() {
     Cluster cluster({.binaries = Binaries()});
     StartWithRecords(&cluster);
