--- a/programs/entry/main.cc
+++ b/programs/entry/main.cc
@@ -7,6 +7,8 @@
 #include <utility>
 
 #include "programs/entry/caller_api.h"
+#include "programs/entry/entry_settings.h"
+#include "quetzal/entry_vm/entry_vm.h"
 #include "quetzal/follow/follow.h"
 #include "quetzal/platform/platform.h"
 #include "quetzal/program/program.h"
@@ -17,34 +19,16 @@
 
 constexpr Milliseconds kTick{50};
 constexpr Milliseconds kVmListEvery{5'000};
-// Two waits of the watch: less would call records stale in ordinary times.
-constexpr int64_t kLeastFreshnessMs = 9'000;
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
 constexpr int kMethodNotAllowed = 405;
 constexpr int kUnavailable = 503;
 
-struct PlacerAddress {
-  PlacerId name;
-  std::string address;
-};
-
-struct ProgramSettings {
-  std::string name;
-  FailureDomainId domain;
-  std::string http_address;
-  HttpLimits http;
-  HttpPlatformSettings platform;
-  std::vector<PlacerAddress> placers;
-  Milliseconds drain_grace{0};
-  EntrySettings entry;
-};
-
 class EntryService : public Service {
  public:
-  explicit EntryService(ProgramSettings settings)
+  explicit EntryService(EntryProgramSettings settings)
       : settings_(std::move(settings)),
-        platform_(Platform::OverHttp(settings_.platform, &metrics_)),
+        platform_(Platform::OverHttp(settings_.vm.platform, &metrics_)),
         core_(settings_.entry, &records_, &metrics_),
         follower_({.prefix = std::string(kRecordPrefix)}, platform_.get(),
                   &records_, FollowHandlersOf()) {
@@ -55,8 +39,8 @@
   }
 
   bool Start() {
-    auto server = HttpServer::Listen(
-        settings_.http_address, settings_.http,
+    server_ = ListenForHttp(
+        settings_.vm.http_address, settings_.http,
         {.on_request =
              [this](HttpCall call, const HttpRequest& request) {
                OnHttp(call, request);
@@ -67,17 +51,13 @@
                core_.OnCallerGone(CallId{static_cast<uint64_t>(call)}, Now());
                Flush();
              }});
-    if (!server) {
-      LOG(ERROR) << settings_.http_address << ": " << server.error().message();
-      return false;
-    }
-    server_ = std::move(server.value());
+    if (!server_) return false;
     for (const PlacerAddress& placer : settings_.placers) Connect(placer);
     follower_.Start();
-    ListVms();
-    Every(kVmListEvery, [this] { ListVms(); });
+    FollowVms(platform_.get(), kVmListEvery,
+              [this](const std::vector<Vm>& vms) { OnVms(vms); });
     Every(kTick, [this] { Tick(); });
-    LOG(INFO) << settings_.name << " serves callers on port "
+    LOG(INFO) << settings_.vm.name << " serves callers on port "
               << server_->port();
     return true;
   }
@@ -87,7 +67,7 @@
   void BeginShutdown() override {
     if (leaving_) return;
     leaving_ = true;
-    LOG(INFO) << settings_.name << " drains, pending " << core_.pending();
+    LOG(INFO) << settings_.vm.name << " drains, pending " << core_.pending();
     After(settings_.drain_grace, [this] { core_.BeginDrain(); });
   }
 
@@ -122,23 +102,23 @@
                              }});
   }
 
-  void ListVms() {
-    platform_->ListVms([this](const std::optional<std::vector<Vm>>& vms) {
-      if (!vms) return;  // what was known stays
-      for (const Vm& vm : *vms) {
-        const bool placer = vm.role == VmRole::kEntry &&
-                            vm.domain == settings_.domain &&
-                            !vm.placer_address.empty();
-        if (!placer) continue;
-        if (vm.state == VmState::kGone) {
-          if (links_.erase(PlacerId(vm.name)) > 0) {
-            core_.OnPlacerLink(PlacerId(vm.name), false, Now());
-          }
-        } else {
-          Connect({PlacerId(vm.name), vm.placer_address});
-        }
+  void OnVms(const std::vector<Vm>& vms) {
+    for (const Vm& vm : vms) {
+      const bool placer = vm.role == VmRole::kEntry &&
+                          vm.domain == settings_.vm.domain &&
+                          !vm.placer_address.empty();
+      if (!placer) continue;
+      if (vm.state == VmState::kGone) {
+        Disconnect(PlacerId(vm.name));
+      } else {
+        Connect({PlacerId(vm.name), vm.placer_address});
       }
-    });
+    }
+  }
+
+  void Disconnect(const PlacerId& placer) {
+    if (links_.erase(placer) == 0) return;
+    core_.OnPlacerLink(placer, false, Now());
   }
 
   void OnHttp(HttpCall call, const HttpRequest& request) {
@@ -211,22 +191,17 @@
   }
 
   HttpReply Page() {
-    const RpcTraffic traffic = TotalTraffic();
-    metrics_.Set("quetzal_rpc_sent_bytes", {},
-                 static_cast<double>(traffic.sent_bytes));
-    metrics_.Set("quetzal_rpc_received_bytes", {},
-                 static_cast<double>(traffic.received_bytes));
     metrics_.Set("quetzal_pending", {}, static_cast<double>(core_.pending()));
     metrics_.Set("quetzal_record_revision", {},
                  static_cast<double>(records_.revision()));
-    return {.body = metrics_.Render(), .content_type = "text/plain"};
+    return MetricsPage(&metrics_);
   }
 
   HttpReply Status() const {
     const std::optional<PlacerId> placer = core_.active_placer();
     const nlohmann::json json = {
-        {"name", settings_.name},
-        {"failure_domain", settings_.domain.text()},
+        {"name", settings_.vm.name},
+        {"failure_domain", settings_.vm.domain.text()},
         {"record_revision", static_cast<uint64_t>(records_.revision())},
         {"records_confirmed_ago_ms", records_.ConfirmedAgo(Now()).count()},
         {"active_placer", placer ? placer->text() : ""},
@@ -262,7 +237,7 @@
     server_->Reply(HttpCall{static_cast<uint64_t>(reply.call)}, ToHttp(reply));
   }
 
-  ProgramSettings settings_;
+  EntryProgramSettings settings_;
   Metrics metrics_;
   RecordStore records_;
   std::unique_ptr<Platform> platform_;
@@ -273,39 +248,9 @@
   bool leaving_ = false;
 };
 
-ProgramSettings ReadSettings(const nlohmann::json& json, Problems* problems) {
-  ObjectReader reader(json, "settings", problems);
-  ProgramSettings settings;
-  settings.name = reader.Text("name");
-  settings.domain = FailureDomainId(reader.Text("failure_domain"));
-  settings.http_address = reader.Text("http_address");
-  settings.platform.address = reader.Text("platform_address");
-  settings.platform.call_timeout = Milliseconds(
-      reader.Integer("platform_timeout_ms", {.least = 10, .fallback = 1'500}));
-  settings.drain_grace = Milliseconds(
-      reader.Integer("drain_grace_ms", {.least = 0, .fallback = 3'000}));
-  settings.http.body_bytes = static_cast<size_t>(reader.Integer(
-      "most_body_bytes",
-      {.least = 1024, .most = 16 * 1024 * 1024, .fallback = 256 * 1024}));
-  settings.http.read_time = Milliseconds(
-      reader.Integer("read_time_ms", {.least = 100, .fallback = 30'000}));
-  settings.entry.self = EntryId(NameOfThisStart(settings.name));
-  settings.entry.freshness = Milliseconds(reader.Integer(
-      "freshness_ms", {.least = kLeastFreshnessMs, .fallback = 12'000}));
-  settings.entry.most_pending = static_cast<size_t>(
-      reader.Integer("most_pending", {.least = 1, .fallback = 20'000}));
-  for (ObjectReader& each : reader.Objects("placers")) {
-    settings.placers.push_back(
-        {PlacerId(each.Text("name")), each.Text("address")});
-    each.Finish();
-  }
-  reader.Finish();
-  return settings;
-}
-
 std::unique_ptr<Service> StartEntry(const nlohmann::json& json, bool only_check,
                                     Problems* problems) {
-  ProgramSettings settings = ReadSettings(json, problems);
+  EntryProgramSettings settings = ReadEntryProgramSettings(json, problems);
   if (only_check || !problems->empty()) return nullptr;
   auto service = std::make_unique<EntryService>(std::move(settings));
   if (!service->Start()) return nullptr;
--- a/programs/placer/main.cc
+++ b/programs/placer/main.cc
@@ -7,6 +7,8 @@
 #include <set>
 #include <utility>
 
+#include "programs/placer/placer_settings.h"
+#include "quetzal/entry_vm/entry_vm.h"
 #include "quetzal/follow/follow.h"
 #include "quetzal/http/http.h"
 #include "quetzal/placer/placer.h"
@@ -24,28 +26,28 @@
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
 
-struct ProgramSettings {
-  std::string name;
-  std::string listen_address;
-  std::string http_address;
-  HttpPlatformSettings platform;
-  PlacerSettings placer;
-};
-
 class PlacerService : public Service {
  public:
-  explicit PlacerService(ProgramSettings settings)
+  explicit PlacerService(PlacerProgramSettings settings)
       : settings_(std::move(settings)),
-        platform_(Platform::OverHttp(settings_.platform, &metrics_)),
+        platform_(Platform::OverHttp(settings_.vm.platform, &metrics_)),
         core_(settings_.placer, &records_, &metrics_),
         follower_({.prefix = std::string(kSharedPrefix)}, platform_.get(),
                   &records_, FollowHandlersOf()) {}
 
   bool Start() {
-    if (!ListenForEntries() || !ListenForHttp()) return false;
+    if (!ListenForEntries()) return false;
+    http_ =
+        ListenForHttp(settings_.vm.http_address, {},
+                      {.on_request =
+                           [this](HttpCall call, const HttpRequest& request) {
+                             http_->Reply(call, Serve(request));
+                           },
+                       .on_gone = [](HttpCall) {}});
+    if (!http_) return false;
     follower_.Start();
-    ListVms();
-    Every(kVmListEvery, [this] { ListVms(); });
+    FollowVms(platform_.get(), kVmListEvery,
+              [this](const std::vector<Vm>& vms) { OnVms(vms); });
     Every(kTick, [this] { Tick(); });
     LOG(INFO) << settings_.placer.self << " serves entries on port "
               << entries_->port();
@@ -103,22 +105,6 @@
     return true;
   }
 
-  bool ListenForHttp() {
-    auto server = HttpServer::Listen(
-        settings_.http_address, {},
-        {.on_request =
-             [this](HttpCall call, const HttpRequest& request) {
-               http_->Reply(call, Serve(request));
-             },
-         .on_gone = [](HttpCall) {}});
-    if (!server) {
-      LOG(ERROR) << settings_.http_address << ": " << server.error().message();
-      return false;
-    }
-    http_ = std::move(server.value());
-    return true;
-  }
-
   // An entry names itself in the first message of its stream.
   void OnEntryMessage(PeerId peer, const wire::EntryToPlacer& message) {
     const Time now = Now();
@@ -143,24 +129,21 @@
     core_.OnEntryLink(entry.mapped(), false, Now());
   }
 
-  void ListVms() {
-    platform_->ListVms([this](const std::optional<std::vector<Vm>>& vms) {
-      if (!vms) return;  // what was known stays
-      std::vector<ListedWorker> listed;
-      for (const Vm& vm : *vms) {
-        if (vm.role != VmRole::kWorker) continue;
-        if (vm.domain != settings_.placer.domain) continue;
-        const WorkerId worker(vm.name);
-        listed.push_back({.id = worker,
-                          .rack = vm.rack,
-                          .capacity = vm.capacity,
-                          .leaving = vm.state == VmState::kLeaving,
-                          .gone = vm.state == VmState::kGone});
-        addresses_[worker] = vm.contract_address;
-      }
-      core_.OnWorkers(listed, Now());
-      Flush();
-    });
+  void OnVms(const std::vector<Vm>& vms) {
+    std::vector<ListedWorker> listed;
+    for (const Vm& vm : vms) {
+      if (vm.role != VmRole::kWorker) continue;
+      if (vm.domain != settings_.placer.domain) continue;
+      const WorkerId worker(vm.name);
+      listed.push_back({.id = worker,
+                        .rack = vm.rack,
+                        .capacity = vm.capacity,
+                        .leaving = vm.state == VmState::kLeaving,
+                        .gone = vm.state == VmState::kGone});
+      addresses_[worker] = vm.contract_address;
+    }
+    core_.OnWorkers(listed, Now());
+    Flush();
   }
 
   // Only the active placer keeps links: a standby costs the workers nothing.
@@ -231,18 +214,13 @@
   }
 
   HttpReply Page(const PlacerStatus& status) {
-    const RpcTraffic traffic = TotalTraffic();
-    metrics_.Set("quetzal_rpc_sent_bytes", {},
-                 static_cast<double>(traffic.sent_bytes));
-    metrics_.Set("quetzal_rpc_received_bytes", {},
-                 static_cast<double>(traffic.received_bytes));
     metrics_.Set("quetzal_active", {}, status.active ? 1 : 0);
     metrics_.Set("quetzal_waiting", {}, static_cast<double>(status.waiting));
     metrics_.Set("quetzal_attempts", {}, static_cast<double>(status.attempts));
     metrics_.Set("quetzal_packing", {}, status.packing);
     metrics_.Set("quetzal_workers_reached", {},
                  static_cast<double>(status.workers_reached));
-    return {.body = metrics_.Render(), .content_type = "text/plain"};
+    return MetricsPage(&metrics_);
   }
 
   void Tick() {
@@ -274,7 +252,7 @@
     });
   }
 
-  ProgramSettings settings_;
+  PlacerProgramSettings settings_;
   Metrics metrics_;
   RecordStore records_;
   std::unique_ptr<Platform> platform_;
@@ -289,80 +267,9 @@
   bool leaving_ = false;
 };
 
-ContractTimes ReadContract(ObjectReader reader) {
-  ContractTimes times;
-  times.ttl = Milliseconds(
-      reader.Integer("ttl_ms", {.least = 200, .fallback = times.ttl.count()}));
-  times.renew_every = Milliseconds(reader.Integer(
-      "renew_every_ms", {.least = 50, .fallback = times.renew_every.count()}));
-  times.task_lease = Milliseconds(reader.Integer(
-      "task_lease_ms", {.least = 500, .fallback = times.task_lease.count()}));
-  if (times.renew_every * 2 > times.ttl) {
-    reader.Report("renew_every_ms", "too long for ttl_ms",
-                  "at most half of ttl_ms");
-  }
-  if (times.ttl > times.task_lease) {
-    reader.Report("task_lease_ms", "shorter than ttl_ms", "at least ttl_ms");
-  }
-  reader.Finish();
-  return times;
-}
-
-SeatTimes ReadSeat(ObjectReader reader) {
-  SeatTimes times;
-  times.lease = Milliseconds(reader.Integer(
-      "lease_ms", {.least = 200, .fallback = times.lease.count()}));
-  times.renew_every = Milliseconds(reader.Integer(
-      "renew_every_ms", {.least = 50, .fallback = times.renew_every.count()}));
-  times.fallback_after = Milliseconds(
-      reader.Integer("fallback_after_ms",
-                     {.least = 200, .fallback = times.fallback_after.count()}));
-  if (times.renew_every * 2 > times.lease) {
-    reader.Report("renew_every_ms", "too long for lease_ms",
-                  "at most half of lease_ms");
-  }
-  reader.Finish();
-  return times;
-}
-
-ProgramSettings ReadSettings(const nlohmann::json& json, Problems* problems) {
-  ObjectReader reader(json, "settings", problems);
-  ProgramSettings settings;
-  settings.name = reader.Text("name");
-  settings.placer.self = PlacerId(NameOfThisStart(settings.name));
-  settings.placer.domain = FailureDomainId(reader.Text("failure_domain"));
-  settings.listen_address = reader.Text("listen_address");
-  settings.http_address = reader.Text("http_address");
-  settings.platform.address = reader.Text("platform_address");
-  settings.platform.call_timeout = Milliseconds(
-      reader.Integer("platform_timeout_ms", {.least = 10, .fallback = 1'000}));
-  for (ObjectReader& each : reader.Objects("failure_domains")) {
-    settings.placer.domains.emplace_back(each.Text("name"));
-    each.Finish();
-  }
-  settings.placer.contract = ReadContract(reader.Object("contract"));
-  settings.placer.seat = ReadSeat(reader.Object("seat"));
-  settings.placer.gang_patience =
-      Milliseconds(reader.Integer("gang_patience_ms", {.fallback = 5'000}));
-  settings.placer.urgent_patience =
-      Milliseconds(reader.Integer("urgent_patience_ms", {.fallback = 500}));
-  const std::string division =
-      reader.Choice("limit_division", {"demand", "static"}, "demand");
-  settings.placer.division =
-      division == "static" ? DivisionPolicy::kStatic : DivisionPolicy::kDemand;
-  const auto& domains = settings.placer.domains;
-  if (std::find(domains.begin(), domains.end(), settings.placer.domain) ==
-      domains.end()) {
-    reader.Report("failure_domains", "this failure domain is not in the list",
-                  "every failure domain of the fleet, this one included");
-  }
-  reader.Finish();
-  return settings;
-}
-
 std::unique_ptr<Service> StartPlacer(const nlohmann::json& json,
                                      bool only_check, Problems* problems) {
-  ProgramSettings settings = ReadSettings(json, problems);
+  PlacerProgramSettings settings = ReadPlacerProgramSettings(json, problems);
   if (only_check || !problems->empty()) return nullptr;
   auto service = std::make_unique<PlacerService>(std::move(settings));
   if (!service->Start()) return nullptr;
--- /dev/null
+++ b/quetzal/entry_vm/entry_vm.h
@@ -0,0 +1,49 @@
+// What the programs of an entry VM do alike: settings they share, the HTTP
+// listener, the list of VMs, the metrics page.
+//
+//   const EntryVmSettings vm = ReadEntryVmSettings(&reader, kCallTimeout);
+//   FollowVms(platform, kVmListEvery, [](const std::vector<Vm>& vms) { ... });
+#ifndef QUETZAL_ENTRY_VM_ENTRY_VM_H_
+#define QUETZAL_ENTRY_VM_ENTRY_VM_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "quetzal/http/http.h"
+#include "quetzal/ids/ids.h"
+#include "quetzal/metrics/metrics.h"
+#include "quetzal/platform/platform.h"
+#include "quetzal/settings/settings.h"
+
+namespace quetzal {
+
+struct EntryVmSettings {
+  std::string name;
+  FailureDomainId domain;
+  std::string http_address;
+  HttpPlatformSettings platform;
+};
+
+// Reads "name", "failure_domain", "http_address", "platform_address" and
+// "platform_timeout_ms", which is `platform_timeout` if absent.
+EntryVmSettings ReadEntryVmSettings(ObjectReader* reader,
+                                    Milliseconds platform_timeout);
+
+// Null, with the remedy in the log, if the address can't be listened on.
+std::unique_ptr<HttpServer> ListenForHttp(const std::string& address,
+                                          HttpLimits limits,
+                                          HttpHandlers handlers);
+
+// Asks for the list of VMs now and every `period`. Lists that could not be had
+// are passed over: what was known stays. `platform` must outlive the main loop.
+void FollowVms(Platform* platform, Milliseconds period,
+               std::function<void(const std::vector<Vm>& vms)> on_vms);
+
+// All metrics as Prometheus text, the traffic of this process included.
+HttpReply MetricsPage(Metrics* metrics);
+
+}  // namespace quetzal
+
+#endif  // QUETZAL_ENTRY_VM_ENTRY_VM_H_
--- a/quetzal/program/program.h
+++ b/quetzal/program/program.h
@@ -2,8 +2,9 @@
 // file, logs, main loop and signals.
 //
 //   int main(int argc, char** argv) {
-//     return RunProgram({.name = "quetzal-entry", .purpose = "..."}, argc,
-//                       argv, [](const nlohmann::json& settings, ...) { ... });
+//     return quetzal::RunProgram(
+//         {.name = "quetzal-entry", .purpose = "...", .start = StartEntry},
+//         argc, argv);
 //   }
 //
 // Exit codes: 0 done, 1 failed while running, 2 wrong command line or settings.
