Policy bench: distance from share counts what teams want

Cause: the distance was measured from the part by weight among teams with something running, so a team that wanted little counted as unfairly treated, and the flooding team as unfair for using what others left.

--- a/bench/policy.cc
+++ b/bench/policy.cc
@@ -141,20 +141,58 @@
   std::vector<std::string> teams_;
 };
 
-// Distance of each team's part of what runs from its part by weight, among
-// the teams that have work running while others wait.
+struct Claim {
+  double used = 0;    // dominant share of the fleet
+  double wanted = 0;  // running and waiting
+  double weight = 1;
+  double fair = 0;
+};
+
+// Divides `total` by weights among teams, none getting more than it wants; what
+// one leaves goes to the others.
+void DivideFairly(double total, std::vector<Claim>* claims) {
+  constexpr double kNothing = 1e-9;
+  while (total > kNothing) {
+    double weights = 0;
+    for (const Claim& claim : *claims) {
+      if (claim.wanted - claim.fair > kNothing) weights += claim.weight;
+    }
+    if (weights == 0) return;
+    double given = 0;
+    for (Claim& claim : *claims) {
+      const double more =
+          std::min(claim.wanted - claim.fair, total * claim.weight / weights);
+      if (more <= kNothing) continue;
+      claim.fair += more;
+      given += more;
+    }
+    total -= given;
+  }
+}
+
+// Distance of each team's part of what runs from its fair part: by weight, as
+// far as it has work for it.
 void SampleShares(const VirtualDomain& domain, const Mix& mix, Result* result) {
   const Resources total = domain.TotalCapacity();
+  const std::map<TeamId, Resources> usage = domain.Usage();
+  const std::map<std::string, Resources> demand = domain.Demand();
+  std::vector<Claim> claims;
   double sum = 0;
-  double weights = 0;
-  for (const auto& [team, used] : domain.Usage()) {
-    sum += used.DominantShare(total);
-    weights += mix.shares.at(team.text());
+  for (const auto& [team, share] : mix.shares) {
+    Claim claim{.weight = static_cast<double>(share)};
+    const auto used = usage.find(TeamId(team));
+    if (used != usage.end()) claim.used = used->second.DominantShare(total);
+    const auto wanted = demand.find(team);
+    if (wanted != demand.end()) {
+      claim.wanted = wanted->second.DominantShare(total);
+    }
+    claim.wanted = std::max(claim.wanted, claim.used);
+    sum += claim.used;
+    claims.push_back(claim);
   }
-  for (const auto& [team, used] : domain.Usage()) {
-    const double fair = mix.shares.at(team.text()) / weights;
-    result->distance.push_back(
-        std::abs(used.DominantShare(total) / sum - fair));
+  DivideFairly(sum, &claims);
+  for (const Claim& claim : claims) {
+    result->distance.push_back(std::abs(claim.used - claim.fair) / sum);
   }
 }
 
--- a/bench/support/virtual_domain.cc
+++ b/bench/support/virtual_domain.cc
@@ -112,7 +112,8 @@
 
 void VirtualDomain::Submit(const VirtualWork& work) {
   const std::string id = "x" + std::to_string(next_work_++);
-  known_[id] = {.work = work, .submitted = now_};
+  known_[id] = {.work = work, .submitted = now_, .left = work.tasks};
+  demand_[work.team] += work.size * work.tasks;
   wire::Work message;
   message.set_work_id(id);
   message.set_team(work.team);
@@ -150,12 +151,15 @@
         if (reply->message.has_settled()) {
           const wire::Settled& settled = reply->message.settled();
           if (!settled.refusal().empty()) ++refused_[settled.refusal()];
+          NoteEnded(settled.work_id(), 1);
           wire::EntryToPlacer received;
           received.mutable_settle_received()->add_work_ids(settled.work_id());
           core_->OnEntryMessage(TheEntry(), received, now_);
         } else if (reply->message.has_job() &&
                    !reply->message.job().refusal().empty()) {
           ++refused_[reply->message.job().refusal()];
+          const std::string& job = reply->message.job().query_id();
+          NoteEnded(job, known_[job].left);
         }
       } else {
         core_->OnKvAnswer(kv_.Apply(std::get<KvCall>(effect), now_), now_);
@@ -226,6 +230,17 @@
   }
 }
 
+std::map<std::string, Resources> VirtualDomain::Demand() const {
+  return demand_;
+}
+
+void VirtualDomain::NoteEnded(const std::string& id, uint32_t tasks) {
+  Known& known = known_[id];
+  const uint32_t ended = std::min(known.left, tasks);
+  known.left -= ended;
+  demand_[known.work.team] -= known.work.size * ended;
+}
+
 void VirtualDomain::NoteStart(const wire::Work& work) {
   Known& known = known_[IdOf(work)];
   if (std::exchange(known.started, true)) return;
@@ -264,6 +279,10 @@
   const auto ran = static_cast<uint64_t>((now_ - running.started).count()) *
                    running.work.size().cpu_milli() / 1'000;
   (outcome == wire::OUTCOME_ANSWERED ? useful_ms_ : wasted_ms_) += ran;
+  const bool task = running.work.work_class() != wire::WORK_CLASS_REQUEST;
+  if (task && outcome == wire::OUTCOME_ANSWERED) {
+    NoteEnded(IdOf(running.work), 1);
+  }
   wire::WorkerToPlacer message;
   message.mutable_ended()->set_attempt_id(attempt);
   message.mutable_ended()->set_outcome(outcome);
--- a/bench/support/virtual_domain.h
+++ b/bench/support/virtual_domain.h
@@ -64,6 +64,8 @@
   uint64_t useful_ms() const { return useful_ms_; }
   PlacerStatus Status() const { return core_->Status(now_); }
   std::map<TeamId, Resources> Usage() const { return core_->Usage(); }
+  // Of each team: the sizes of all its work that was taken and has not ended.
+  std::map<std::string, Resources> Demand() const;
   Resources TotalCapacity() const;
   uint64_t sent_messages() const { return messages_; }
   uint64_t sent_bytes() const { return bytes_; }
@@ -90,6 +92,7 @@
   struct Known {
     VirtualWork work;
     Time submitted;
+    uint32_t left = 0;  // tasks that have not ended
     bool started = false;
   };
 
@@ -101,6 +104,7 @@
   void OnGrant(const WorkerId& worker, const wire::Grant& grant);
   void Begin(const std::string& attempt);
   void End(const std::string& attempt, wire::Outcome outcome);
+  void NoteEnded(const std::string& id, uint32_t tasks);
   void NoteStart(const wire::Work& work);
   bool Fails(const WorkerId& worker) const;
 
@@ -116,6 +120,7 @@
   std::priority_queue<Event> events_;
   std::unordered_map<std::string, Running> running_;
   std::unordered_map<std::string, Known> known_;  // by request or job id
+  std::map<std::string, Resources> demand_;
   std::vector<VirtualOutcome> started_;
   std::map<std::string, uint64_t> refused_;
   uint64_t wasted_ms_ = 0;
