Gangs gather room part by part; measured use no longer blocks freed room

A new test of gangs on a full domain showed two more: a worker's report of use, taken as the larger of charges and report, blocked the room of ended tasks until the next report, and a gang of a team at its limit was never tried. LaggingUsageReportsLeaveNoRoomUnused and GangOfManyPartsGathersRoomAsItComesFree failed before.

--- a/programs/placer/placer_settings.cc
+++ b/programs/placer/placer_settings.cc
@@ -62,7 +62,7 @@
   settings.placer.contract = ReadContract(reader.Object("contract"));
   settings.placer.seat = ReadSeat(reader.Object("seat"));
   settings.placer.gang_patience =
-      Milliseconds(reader.Integer("gang_patience_ms", {.fallback = 5'000}));
+      Milliseconds(reader.Integer("gang_patience_ms", {.fallback = 1'000}));
   settings.placer.urgent_patience =
       Milliseconds(reader.Integer("urgent_patience_ms", {.fallback = 500}));
   const std::string division =
--- a/quetzal/ledger/ledger.cc
+++ b/quetzal/ledger/ledger.cc
@@ -70,7 +70,7 @@
 void Ledger::SetUsage(const WorkerId& worker, const Resources& in_use) {
   Slot* const slot = Find(worker);
   if (slot == nullptr) return;
-  slot->reported = in_use;
+  slot->overuse = Max(in_use - slot->charged, Resources());
   Refresh(slot);
 }
 
@@ -78,8 +78,25 @@
   if (Slot* const slot = Find(worker)) slot->reserved_for = group;
 }
 
+void Ledger::Hold(const WorkerId& worker, const std::string& group,
+                  const Resources& size) {
+  if (Slot* const slot = Find(worker)) slot->held[group] += size;
+}
+
+void Ledger::Unhold(const WorkerId& worker, const std::string& group) {
+  if (Slot* const slot = Find(worker)) slot->held.erase(group);
+}
+
+Resources Ledger::RoomFor(const Slot& slot, const std::string& group) {
+  Resources room = slot.free;
+  for (const auto& [holder, size] : slot.held) {
+    if (holder != group) room -= size;
+  }
+  return room;
+}
+
 void Ledger::Refresh(Slot* slot) {
-  slot->free = slot->facts.capacity - Max(slot->charged, slot->reported);
+  slot->free = slot->facts.capacity - slot->charged - slot->overuse;
 }
 
 void Ledger::Charge(const AttemptId& attempt, const ChargedAttempt& charge) {
@@ -137,12 +154,13 @@
   return slot == nullptr ? 0 : slot->attempts;
 }
 
-double Ledger::Score(const Slot& slot, const PlacementQuery& query,
+double Ledger::Score(const Slot& slot, const Resources& room,
+                     const PlacementQuery& query,
                      const std::vector<int>* group_racks) const {
   if (query.policy == PlacementPolicy::kFirstFit) return 0;
-  const Resources left = slot.free - query.size;
-  const double room = left.DominantShare(slot.facts.capacity);
-  double score = query.policy == PlacementPolicy::kPackTight ? room : -room;
+  const Resources left = room - query.size;
+  const double part = left.DominantShare(slot.facts.capacity);
+  double score = query.policy == PlacementPolicy::kPackTight ? part : -part;
   if (query.policy == PlacementPolicy::kSpreadRacks && group_racks != nullptr &&
       slot.rack < group_racks->size()) {
     score += kRackPenalty * (*group_racks)[slot.rack];
@@ -158,11 +176,12 @@
   double best_score = std::numeric_limits<double>::max();
   for (const Slot& slot : slots_) {
     if (!slot.open || slot.facts.leaving) continue;
-    if (!query.size.FitsIn(slot.free)) continue;
+    const Resources room = RoomFor(slot, query.group);
+    if (!query.size.FitsIn(room)) continue;
     if (!slot.reserved_for.empty() && slot.reserved_for != query.group) {
       continue;
     }
-    const double score = Score(slot, query, racks);
+    const double score = Score(slot, room, query, racks);
     if (score >= best_score) continue;
     best = &slot;
     best_score = score;
@@ -171,6 +190,26 @@
   return best->facts.id;
 }
 
+std::optional<WorkerId> Ledger::NearestRoom(const Resources& size) const {
+  const Slot* best = nullptr;
+  double least = std::numeric_limits<double>::max();
+  for (const Slot& slot : slots_) {
+    if (!slot.open || slot.facts.leaving || !slot.reserved_for.empty()) {
+      continue;
+    }
+    const Resources room = RoomFor(slot, "");
+    const Resources held = slot.free - room;
+    if (!(held + size).FitsIn(slot.facts.capacity)) continue;
+    const Resources missing = Max(size - room, Resources());
+    const double part = missing.DominantShare(slot.facts.capacity);
+    if (part >= least) continue;
+    best = &slot;
+    least = part;
+  }
+  if (best == nullptr) return std::nullopt;
+  return best->facts.id;
+}
+
 bool Ledger::EverFits(const Resources& size) const {
   return std::any_of(slots_.begin(), slots_.end(), [&](const Slot& slot) {
     return size.FitsIn(slot.facts.capacity);
--- a/quetzal/ledger/ledger.h
+++ b/quetzal/ledger/ledger.h
@@ -60,11 +60,19 @@
   void SetLeaving(const WorkerId& worker);
   // Set aside for failing what it starts; picked only if nothing else fits.
   void SetAside(const WorkerId& worker, bool aside);
-  // Measured use of a worker over all its tasks; it lags.
+  // Measured use of a worker over all its tasks. What it is above the charges
+  // of this moment counts as used until the next report.
   void SetUsage(const WorkerId& worker, const Resources& in_use);
   // Keeps the worker's free room for `group`; an empty group ends it.
   void Reserve(const WorkerId& worker, const std::string& group);
 
+  // Keeps `size` of the worker's room for `group`, beside what it keeps
+  // already.
+  void Hold(const WorkerId& worker, const std::string& group,
+            const Resources& size);
+  // Ends all that the worker holds for `group`.
+  void Unhold(const WorkerId& worker, const std::string& group);
+
   void Charge(const AttemptId& attempt, const ChargedAttempt& charge);
   // Ends the charge; no effect if there is none.
   void Settle(const AttemptId& attempt);
@@ -75,6 +83,9 @@
 
   // The best open worker for the query; nothing if none has room.
   std::optional<WorkerId> Pick(const PlacementQuery& query) const;
+  // The open worker that needs the least to come free before `size` fits beside
+  // all that is held there; nothing if it would not fit on any when empty.
+  std::optional<WorkerId> NearestRoom(const Resources& size) const;
   // True if some known worker could run this when empty.
   bool EverFits(const Resources& size) const;
   // The largest amount of each resource any one worker has.
@@ -97,17 +108,21 @@
     bool open = false;
     bool aside = false;
     std::string reserved_for;
+    std::map<std::string, Resources> held;  // by group
     size_t attempts = 0;
     Resources charged;
-    Resources reported;
+    Resources overuse;  // at the last report
     Resources free;
   };
 
+  // Free room that `group` may use.
+  static Resources RoomFor(const Slot& slot, const std::string& group);
   void Refresh(Slot* slot);
   size_t RackIndex(const RackId& rack);
   Slot* Find(const WorkerId& worker);
   const Slot* Find(const WorkerId& worker) const;
-  double Score(const Slot& slot, const PlacementQuery& query,
+  double Score(const Slot& slot, const Resources& room,
+               const PlacementQuery& query,
                const std::vector<int>* group_racks) const;
 
   std::vector<Slot> slots_;
--- a/quetzal/placer/internal/gangs.cc
+++ b/quetzal/placer/internal/gangs.cc
@@ -8,29 +8,18 @@
 namespace quetzal::placer_internal {
 namespace {
 
-// Workers are chosen anew for a gang that could not start on its reserved ones.
-constexpr Milliseconds kReservationLife{30'000};
-
-int64_t Copies(int64_t room, int64_t size, int64_t most) {
-  return size <= 0 ? most : std::min(most, room / size);
-}
-
-// How many tasks of `size` an empty worker could run, up to `most`.
-int64_t CopiesIn(const Resources& capacity, const Resources& size,
-                 int64_t most) {
-  int64_t copies = most;
-  copies = Copies(capacity.cpu_milli, size.cpu_milli, copies);
-  copies = Copies(capacity.memory_mib, size.memory_mib, copies);
-  copies = Copies(capacity.accelerators, size.accelerators, copies);
-  return Copies(capacity.slots, size.slots, copies);
-}
+// Room gathered for a gang that could not start by then is given up.
+constexpr Milliseconds kGatheringLife{30'000};
+// Parts that found no room by then wait for it on workers of their own, which
+// nothing else fills up meanwhile: room for a large part never comes free at
+// once.
+constexpr Milliseconds kClaimAfter{5'000};
 
 }  // namespace
 
 void Gangs::Clear() {
   gangs_.clear();
-  reserved_for_.reset();
-  reserved_.clear();
+  gathering_.reset();
 }
 
 void Gangs::Add(const JobId& job, const std::vector<WorkId>& members,
@@ -99,7 +88,11 @@
                                          .group = item.job->text()});
   }
   for (const AttemptId& attempt : trial) state_->ledger.Settle(attempt);
-  if (places.size() < gang.parts.size()) return false;
+  if (places.size() < gang.parts.size()) {
+    const bool gathers = gathering_ && gathering_->job == *item.job;
+    if (gathers) Gather(item, gang.parts.size(), now);
+    return false;
+  }
   bool may_start = true;
   for (const WorkId& part : gang.parts) {
     WorkItem* const part_item = state_->FindWork(part);
@@ -116,7 +109,7 @@
     if (part_item == nullptr) continue;
     StartAttempt(state_, part_item, worker, hold, now);
   }
-  if (reserved_for_ == *item.job) Release();
+  StopGathering(*item.job);
   return true;
 }
 
@@ -187,53 +180,80 @@
 
 void Gangs::Remove(const JobId& job) {
   gangs_.erase(job);
-  if (reserved_for_ == job) Release();
+  StopGathering(job);
 }
 
-void Gangs::Release() {
-  for (const WorkerId& worker : reserved_) state_->ledger.Reserve(worker, "");
-  reserved_.clear();
-  reserved_for_.reset();
+void Gangs::StopGathering(const JobId& job) {
+  if (!gathering_ || gathering_->job != job) return;
+  for (const WorkerId& worker : gathering_->workers) {
+    state_->ledger.Unhold(worker, job.text());
+  }
+  gathering_.reset();
 }
 
-void Gangs::MaybeReserveWorkers(Time now) {
-  if (reserved_for_ && now - reserved_at_ < kReservationLife) return;
-  if (reserved_for_) Release();
+const JobId* Gangs::LongestWaiting() const {
   const JobId* oldest = nullptr;
-  const Gang* chosen = nullptr;
+  Time since = Time::max();
   for (const auto& [job, gang] : gangs_) {
-    if (gang.phase != Phase::kWaiting) continue;
-    if (now - gang.waiting_since < state_->settings.gang_patience) continue;
-    const bool older =
-        chosen == nullptr || gang.waiting_since < chosen->waiting_since ||
-        (gang.waiting_since == chosen->waiting_since && job < *oldest);
-    if (!older) continue;
+    if (gang.phase != Phase::kWaiting || gang.waiting_since > since) continue;
+    if (gang.waiting_since == since && *oldest < job) continue;
     oldest = &job;
-    chosen = &gang;
+    since = gang.waiting_since;
   }
-  if (chosen == nullptr) return;
-  const WorkItem* const part = state_->FindWork(chosen->parts.front());
-  if (part == nullptr) return;
-  auto wanted = static_cast<int64_t>(chosen->parts.size());
-  std::vector<std::pair<double, WorkerId>> by_room;
-  for (const WorkerId& worker : state_->contracts.Workers()) {
+  return oldest;
+}
+
+void Gangs::ChooseGathering(Time now) {
+  const bool old = gathering_ && now - gathering_->since >= kGatheringLife;
+  if (old) StopGathering(JobId(gathering_->job));
+  if (gathering_) return;
+  const JobId* const job = LongestWaiting();
+  if (job == nullptr) return;
+  const Milliseconds waited = now - gangs_.at(*job).waiting_since;
+  if (waited < state_->settings.gang_patience) return;
+  gathering_ = Gathering{.job = *job, .since = now};
+}
+
+Resources Gangs::WantedWithinLimit(const TeamId& team) const {
+  if (!gathering_) return {};
+  const auto gang = gangs_.find(gathering_->job);
+  if (gang == gangs_.end()) return {};
+  const WorkItem* const part = state_->FindWork(gang->second.parts.front());
+  if (part == nullptr || part->team != team) return {};
+  const Resources wanted =
+      part->size * static_cast<int64_t>(gang->second.parts.size());
+  // A gang above the whole limit must not keep the rest of its team waiting.
+  const Resources limit = state_->Room(team) + state_->ledger.UsedBy(team);
+  return wanted.FitsIn(limit) ? wanted : Resources();
+}
+
+void Gangs::DropUselessHolds(Time now) {
+  const std::vector<WorkerId> held = std::exchange(gathering_->workers, {});
+  const std::string group = gathering_->job.text();
+  for (const WorkerId& worker : held) {
     const WorkerFacts* const facts = state_->ledger.Facts(worker);
-    if (facts == nullptr || facts->leaving) continue;
-    const Resources free = state_->ledger.Free(worker);
-    by_room.emplace_back(-free.DominantShare(facts->capacity), worker);
+    const bool of_use = facts != nullptr && !facts->leaving &&
+                        state_->contracts.MayStart(worker, now);
+    if (of_use) {
+      gathering_->workers.push_back(worker);
+    } else {
+      state_->ledger.Unhold(worker, group);
+    }
   }
-  std::sort(by_room.begin(), by_room.end());
-  for (const auto& [room, worker] : by_room) {
-    if (wanted <= 0) break;
-    const Resources& capacity = state_->ledger.Facts(worker)->capacity;
-    const int64_t copies = CopiesIn(capacity, part->size, wanted);
-    if (copies == 0) continue;
-    wanted -= copies;
-    state_->ledger.Reserve(worker, oldest->text());
-    reserved_.push_back(worker);
+}
+
+void Gangs::Gather(const WorkItem& item, size_t parts, Time now) {
+  DropUselessHolds(now);
+  while (gathering_->workers.size() < parts) {
+    // Room that is held already counts as taken, for this gang too.
+    std::optional<WorkerId> worker = state_->ledger.Pick(
+        {.size = item.size, .policy = PlacementPolicy::kPackTight});
+    const bool claims = now - gathering_->since >= kClaimAfter;
+    if (!worker && claims) worker = state_->ledger.NearestRoom(item.size);
+    if (!worker) return;
+    state_->ledger.Hold(*worker, item.job->text(), item.size);
+    gathering_->workers.push_back(*worker);
   }
-  reserved_for_ = *oldest;
-  reserved_at_ = now;
 }
 
 }  // namespace quetzal::placer_internal
--- a/quetzal/placer/internal/gangs.h
+++ b/quetzal/placer/internal/gangs.h
@@ -44,10 +44,12 @@
   // stopped, and may have run before.
   Change OnPartClosed(const JobId& job, const WorkItem& part, bool ended,
                       bool may_have_run, Time now);
-  // Ends the gang and its reservation of workers.
+  // Ends the gang and gives up room gathered for it.
   void Remove(const JobId& job);
-  // Reserves workers for the gang that waited longest, if patience is over.
-  void MaybeReserveWorkers(Time now);
+  // What the gathering gang needs of its team's limit, if it is of this team.
+  Resources WantedWithinLimit(const TeamId& team) const;
+  // Lets the gang that waited longest gather room, if patience is over.
+  void ChooseGathering(Time now);
 
  private:
   enum class Phase { kWaiting, kHolding, kRunning, kUnwinding };
@@ -59,16 +61,25 @@
     bool can_rerun = true;
   };
 
+  // Room on workers that is kept, part by part, as it comes free.
+  struct Gathering {
+    JobId job;
+    std::vector<WorkerId> workers;  // one for each part that has room
+    Time since;
+  };
+
   void QueueGang(const JobId& job, Gang* gang, Time now);
   void StopParts(const Gang& gang, Time now);
   bool AnyAttempt(const Gang& gang) const;
-  void Release();
+  // Null if no gang waits.
+  const JobId* LongestWaiting() const;
+  void Gather(const WorkItem& item, size_t parts, Time now);
+  void DropUselessHolds(Time now);
+  void StopGathering(const JobId& job);
 
   State* state_;
   std::unordered_map<JobId, Gang> gangs_;
-  std::optional<JobId> reserved_for_;
-  std::vector<WorkerId> reserved_;
-  Time reserved_at_;
+  std::optional<Gathering> gathering_;
 };
 
 }  // namespace quetzal::placer_internal
--- a/quetzal/placer/internal/jobs.cc
+++ b/quetzal/placer/internal/jobs.cc
@@ -493,7 +493,7 @@
   store_.Tick(now);
   GiveUpLateSubmissions(now);
   ForgetFinished(now);
-  gangs_.MaybeReserveWorkers(now);
+  gangs_.ChooseGathering(now);
 }
 
 }  // namespace quetzal::placer_internal
--- a/quetzal/placer/internal/placement.cc
+++ b/quetzal/placer/internal/placement.cc
@@ -113,6 +113,9 @@
 bool Placement::WithinLimit(const WorkItem& item) const {
   if (!state_->settings.enforces_limits) return true;
   const Resources room = state_->Room(item.team);
+  if (item.lane == Lane::kBatch) {
+    return item.size.FitsIn(room - gangs_->WantedWithinLimit(item.team));
+  }
   if (item.lane != Lane::kGang || !item.job) return item.size.FitsIn(room);
   const int64_t parts = gangs_->PartCount(*item.job);
   return (item.size * parts).FitsIn(room);
--- a/quetzal/placer/placer.h
+++ b/quetzal/placer/placer.h
@@ -53,7 +53,7 @@
   Milliseconds stop_again_after{1'000};
   Milliseconds start_timeout{2'000};  // for a start that was not answered
   Milliseconds gang_hold{5'000};      // life of a gang's held parts
-  Milliseconds gang_patience{5'000};  // wait before workers are reserved
+  Milliseconds gang_patience{1'000};  // wait before room is gathered
   Milliseconds urgent_patience{500};  // wait before others are stopped
   Milliseconds probe_after{30'000};   // of a worker that was set aside
   int most_tries = 4;
--- a/tests/policy_test.cc
+++ b/tests/policy_test.cc
@@ -18,6 +18,9 @@
   CPPUNIT_TEST(UrgentWorkStartsInTimeOnAFullDomain);
   CPPUNIT_TEST(UrgentWorkStartsInTimeWhenThePlacerDies);
   CPPUNIT_TEST(GangStartsAlthoughSmallerWorkKeepsComing);
+  CPPUNIT_TEST(GangOfLargePartsStartsAmongStaggeredWork);
+  CPPUNIT_TEST(GangOfManyPartsGathersRoomAsItComesFree);
+  CPPUNIT_TEST(LaggingUsageReportsLeaveNoRoomUnused);
   CPPUNIT_TEST(WorkerThatFailsEverythingIsUsedLast);
   CPPUNIT_TEST(CancellingALargeJobEmptiesTheQueue);
   CPPUNIT_TEST(JobThatFitsNoWorkerIsRefusedAtOnce);
@@ -76,6 +79,34 @@
     CPPUNIT_ASSERT_EQUAL(std::string("done"), gang->last_state);
   }
 
+  // No two tasks of a worker end together, so room for a part never comes free
+  // at once.
+  void GangOfLargePartsStartsAmongStaggeredWork() {
+    KeepFullOfStaggeredWork();
+    CPPUNIT_ASSERT(
+        EndsInTime(wire::WORK_CLASS_GANG, 2, {.cpu_milli = 3'500}, 15'000));
+  }
+
+  // A part fits in the room of one task, but the whole gang never does.
+  void GangOfManyPartsGathersRoomAsItComesFree() {
+    KeepFullOfStaggeredWork();
+    CPPUNIT_ASSERT(
+        EndsInTime(wire::WORK_CLASS_GANG, 8, {.cpu_milli = 800}, 6'000));
+  }
+
+  // Workers report their use every two seconds; tasks end in between.
+  void LaggingUsageReportsLeaveNoRoomUnused() {
+    constexpr int kSamples = 100;
+    constexpr double kFull = 0.9;  // four tasks of 900 on 4,000
+    KeepFullOfStaggeredWork();
+    double sum = 0;
+    for (int i = 0; i < kSamples; ++i) {
+      world_->Run(Milliseconds(100));
+      sum += Status().packing;
+    }
+    CPPUNIT_ASSERT(sum / kSamples > kFull * 0.95);
+  }
+
   void WorkerThatFailsEverythingIsUsedLast() {
     world_->FailEverything("worker-a-1");
     for (int i = 0; i < 150; ++i) {
@@ -125,6 +156,37 @@
            std::holds_alternative<AnswerReply>(call.replies.front());
   }
 
+  // In a fleet of one domain, so that the team's limit exceeds the workers.
+  void KeepFullOfStaggeredWork() {
+    WorldSettings settings = QuickWorld();
+    settings.domains = 1;
+    world_ = std::make_unique<World>(settings, 3);
+    ApplyFirstRecords(world_.get());
+    world_->Run(Milliseconds(3'000));
+    for (int i = 0; i < 300; ++i) {
+      const int run_ms = 1'000 + i * 137 % 900;
+      world_->At(world_->now() + Milliseconds(i * 70), [this, run_ms] {
+        SubmitTasks("red-q", 1, run_ms, {.cpu_milli = 900}, 0);
+      });
+    }
+    world_->Run(Milliseconds(3'000));
+  }
+
+  bool EndsInTime(wire::WorkClass kind, uint32_t tasks, const Resources& size,
+                  int64_t within_ms) {
+    const JobLog* const job = world_->SubmitJob("entry-a-1",
+                                                {.queue = "red-q",
+                                                 .key = "key-red",
+                                                 .idempotent = true,
+                                                 .run_ms = 500,
+                                                 .size = size},
+                                                kind, tasks);
+    world_->Run(Milliseconds(within_ms));
+    world_->AskJobs();
+    world_->Run(Milliseconds(500));
+    return job->last_state == "done";
+  }
+
   JobLog* SubmitTasks(const std::string& queue, uint32_t tasks, int run_ms,
                       const Resources& size, int64_t run_after_ms = 1'500) {
     JobLog* const job = world_->SubmitJob("entry-a-1",
