A gang that can't start no longer keeps others from gathering room

Cause: the gang that waited longest gathered again and again; one above a limit that was lowered after it was accepted would have held that place for ever. Before: GangThatCannotStartLetsOthersGather fails (a later gang has not ended 42 s on). Also: one function for the group of a piece of work instead of two.

--- a/quetzal/placer/internal/flow.cc
+++ b/quetzal/placer/internal/flow.cc
@@ -11,12 +11,12 @@
   if (--found->second == 0) counts->erase(found);
 }
 
+}  // namespace
+
 std::string GroupOf(const WorkItem& item) {
   return item.job ? item.job->text() : item.id.text();
 }
 
-}  // namespace
-
 Lane LaneOf(const wire::Work& work) {
   switch (work.work_class()) {
     case wire::WORK_CLASS_GANG:
--- a/quetzal/placer/internal/flow.h
+++ b/quetzal/placer/internal/flow.h
@@ -10,6 +10,8 @@
 
 namespace quetzal::placer_internal {
 
+// Work that is spread or keeps room as one: a job's tasks, or a request alone.
+std::string GroupOf(const WorkItem& item);
 // Lane in which work of this kind waits.
 Lane LaneOf(const wire::Work& work);
 
--- a/quetzal/placer/internal/gangs.cc
+++ b/quetzal/placer/internal/gangs.cc
@@ -204,8 +204,13 @@
 }
 
 void Gangs::ChooseGathering(Time now) {
-  const bool old = gathering_ && now - gathering_->since >= kGatheringLife;
-  if (old) StopGathering(JobId(gathering_->job));
+  if (gathering_ && now - gathering_->since >= kGatheringLife) {
+    // What can't start, such as a gang above a limit that was lowered, must not
+    // keep the others from gathering.
+    const JobId job = gathering_->job;
+    gangs_.at(job).waiting_since = now;
+    StopGathering(job);
+  }
   if (gathering_) return;
   const JobId* const job = LongestWaiting();
   if (job == nullptr) return;
--- a/quetzal/placer/internal/placement.cc
+++ b/quetzal/placer/internal/placement.cc
@@ -37,10 +37,6 @@
   }
 }
 
-std::string GroupFor(const WorkItem& item) {
-  return item.job ? item.job->text() : item.id.text();
-}
-
 }  // namespace
 
 void Placement::Pass(Time now) {
@@ -126,7 +122,7 @@
     return gangs_->TryStart(*item, now) ? Tried::kStarted : Tried::kNoRoom;
   }
   const PlacementQuery query = {
-      .size = item->size, .policy = PolicyOf(*item), .group = GroupFor(*item)};
+      .size = item->size, .policy = PolicyOf(*item), .group = GroupOf(*item)};
   const std::optional<WorkerId> worker = state_->ledger.Pick(query);
   if (!worker) return Tried::kNoRoom;
   const WorkId id = item->id;
@@ -217,7 +213,7 @@
     chosen = worker;
   }
   if (!chosen) return false;
-  state_->ledger.Reserve(*chosen, GroupFor(item));
+  state_->ledger.Reserve(*chosen, GroupOf(item));
   reservations_.push_back({*chosen, item.id, now});
   for (AttemptInfo* const victim : best) {
     state_->metrics->Count("quetzal_preemptions_total");
--- a/tests/policy_test.cc
+++ b/tests/policy_test.cc
@@ -12,6 +12,10 @@
 // Urgent work starts within this, a placer's death included.
 constexpr Milliseconds kUrgentBound{7'100};
 
+// Tasks of a load that lasts 21 or 63 seconds.
+constexpr int kShortLoad = 300;
+constexpr int kLongLoad = 900;
+
 class PolicyTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(PolicyTest);
   CPPUNIT_TEST(LargeJobDoesNotFillTheQueueForRequests);
@@ -20,6 +24,7 @@
   CPPUNIT_TEST(GangStartsAlthoughSmallerWorkKeepsComing);
   CPPUNIT_TEST(GangOfLargePartsStartsAmongStaggeredWork);
   CPPUNIT_TEST(GangOfManyPartsGathersRoomAsItComesFree);
+  CPPUNIT_TEST(GangThatCannotStartLetsOthersGather);
   CPPUNIT_TEST(LaggingUsageReportsLeaveNoRoomUnused);
   CPPUNIT_TEST(WorkerThatFailsEverythingIsUsedLast);
   CPPUNIT_TEST(CancellingALargeJobEmptiesTheQueue);
@@ -94,6 +99,29 @@
         EndsInTime(wire::WORK_CLASS_GANG, 8, {.cpu_milli = 800}, 6'000));
   }
 
+  // The first gang exceeds its team's limit once that is lowered, so it waits
+  // for ever.
+  void GangThatCannotStartLetsOthersGather() {
+    KeepFullOfStaggeredWork();
+    const JobLog* const stuck =
+        world_->SubmitJob("entry-a-1",
+                          {.queue = "blue-q",
+                           .key = "key-blue",
+                           .idempotent = true,
+                           .run_ms = 500,
+                           .size = {.cpu_milli = 800, .memory_mib = 64}},
+                          wire::WORK_CLASS_GANG, 7);
+    world_->Run(Milliseconds(300));
+    LowerLimitOfBlue(world_.get());
+    world_->Run(Milliseconds(200));
+    KeepComing(kLongLoad);
+    CPPUNIT_ASSERT(
+        EndsInTime(wire::WORK_CLASS_GANG, 8, {.cpu_milli = 800}, 42'000));
+    world_->AskJobs();
+    world_->Run(Milliseconds(500));
+    CPPUNIT_ASSERT_EQUAL(std::string("running"), stuck->last_state);
+  }
+
   // Workers report their use every two seconds; tasks end in between.
   void LaggingUsageReportsLeaveNoRoomUnused() {
     constexpr int kSamples = 100;
@@ -163,13 +191,18 @@
     world_ = std::make_unique<World>(settings, 3);
     ApplyFirstRecords(world_.get());
     world_->Run(Milliseconds(3'000));
-    for (int i = 0; i < 300; ++i) {
+    KeepComing(kShortLoad);
+    world_->Run(Milliseconds(3'000));
+  }
+
+  // One task every 70 ms, which is more than the workers can run.
+  void KeepComing(int tasks) {
+    for (int i = 0; i < tasks; ++i) {
       const int run_ms = 1'000 + i * 137 % 900;
       world_->At(world_->now() + Milliseconds(i * 70), [this, run_ms] {
         SubmitTasks("red-q", 1, run_ms, {.cpu_milli = 900}, 0);
       });
     }
-    world_->Run(Milliseconds(3'000));
   }
 
   bool EndsInTime(wire::WorkClass kind, uint32_t tasks, const Resources& size,
--- a/tests/support/scenario.cc
+++ b/tests/support/scenario.cc
@@ -158,8 +158,7 @@
     world->At(world->now() + Milliseconds(ms), std::move(function));
   };
   at(6'000, [world] { world->Withdraw("key/key-green"); });
-  at(9'000,
-     [world] { world->Apply("team/blue", Team("blue", 1, kBlueLowered)); });
+  at(9'000, [world] { LowerLimitOfBlue(world); });
   for (int i = 0; i < 8; ++i) {
     at(2'000 + i * 2'500,
        [world, i] { world->Apply("queue/open-q", OpenQueueRecord(100 + i)); });
@@ -209,6 +208,10 @@
   world->Apply("queue/open-q", OpenQueueRecord(100));
 }
 
+void LowerLimitOfBlue(World* world) {
+  world->Apply("team/blue", Team("blue", 1, kBlueLowered));
+}
+
 std::string OpenQueueRecord(int depth) {
   return Queue("open-q", "red", true, depth);
 }
--- a/tests/support/scenario.h
+++ b/tests/support/scenario.h
@@ -17,6 +17,8 @@
 void ApplyFirstRecords(World* world);
 // A form of the record of the queue that is open to all.
 std::string OpenQueueRecord(int depth);
+// Halves the upper limit of the team blue, to 3,000 milli-processors.
+void LowerLimitOfBlue(World* world);
 // Queues the whole workload, relative to now; it ends after `kWorkloadTime`.
 void ScheduleWorkload(World* world);
 
