--- a/bench/support/http_load.cc
+++ b/bench/support/http_load.cc
@@ -1,7 +1,5 @@
 #include "bench/support/http_load.h"
 
-#include <libsoup/soup.h>
-
 #include <algorithm>
 #include <atomic>
 #include <chrono>
@@ -9,6 +7,8 @@
 #include <nlohmann/json.hpp>
 #include <thread>
 
+#include "programs/ctl/client.h"
+
 namespace quetzal::bench {
 namespace {
 
@@ -42,8 +42,7 @@
 
  private:
   void Work() {
-    SoupSession* const session = soup_session_new_with_options(
-        "timeout", static_cast<guint>(settings_.timeout_seconds), nullptr);
+    ctl::Client client(settings_.timeout_seconds);
     while (true) {
       const size_t index = next_++;
       if (index >= settings_.count) break;
@@ -54,62 +53,33 @@
       // falls behind does not hide it.
       const Clock::time_point due = start_ + offset;
       std::this_thread::sleep_until(due);
-      Send(session, index, due);
+      Send(&client, index, due);
     }
-    g_object_unref(session);
   }
 
-  void Send(SoupSession* session, size_t index, Clock::time_point due) {
+  void Send(ctl::Client* client, size_t index, Clock::time_point due) {
     const LoadRequest request = settings_.make(index);
     const std::string& address =
         settings_.addresses[index % settings_.addresses.size()];
-    const std::string url = "http://" + address + request.path;
-    SoupMessage* const message =
-        soup_message_new(SOUP_METHOD_POST, url.c_str());
-    GBytes* const bytes = g_bytes_new(request.body.data(), request.body.size());
-    soup_message_set_request_body_from_bytes(message, "application/json",
-                                             bytes);
-    g_bytes_unref(bytes);
-    if (!request.key.empty()) {
-      const std::string value = "Bearer " + request.key;
-      soup_message_headers_replace(soup_message_get_request_headers(message),
-                                   "Authorization", value.c_str());
-    }
-    GError* error = nullptr;
-    GBytes* const reply =
-        soup_session_send_and_read(session, message, nullptr, &error);
-    std::string body;
-    int status = 0;
-    if (error != nullptr) {
-      g_error_free(error);
-    } else {
-      gsize size = 0;
-      const auto* const text =
-          static_cast<const char*>(g_bytes_get_data(reply, &size));
-      if (text != nullptr) body.assign(text, size);
-      g_bytes_unref(reply);
-      status = static_cast<int>(soup_message_get_status(message));
-    }
-    g_object_unref(message);
-    Account(request, due, status, body);
+    ctl::FetchOptions options{.body = request.body};
+    if (!request.key.empty()) options.bearer = request.key;
+    Account(request, due,
+            client->Fetch("POST", "http://" + address + request.path, options));
   }
 
-  void Account(const LoadRequest& request, Clock::time_point due, int status,
-               const std::string& body) {
+  void Account(const LoadRequest& request, Clock::time_point due,
+               const ctl::Exchange& reply) {
     const double latency = MillisecondsSince(due);
-    const nlohmann::json json = nlohmann::json::parse(body, nullptr, false);
     const std::lock_guard<std::mutex> lock(mutex_);
     ++done_;
-    if (status == kOk || status == kAccepted) {
+    if (reply.status == kOk || reply.status == kAccepted) {
       ++result_.answered;
       result_.latencies[request.label].push_back(latency);
-      CheckAnswer(request, json);
-    } else if (status == 0) {
+      CheckAnswer(request, reply.json);
+    } else if (!reply.answered()) {
       ++result_.refusals["no answer"];
     } else {
-      const std::string code =
-          json.is_object() ? json.value("error", "unreadable") : "unreadable";
-      ++result_.refusals[code];
+      ++result_.refusals[reply.json.value("error", "unreadable")];
     }
     if (settings_.on_progress) settings_.on_progress(done_);
   }
@@ -117,7 +87,7 @@
   void CheckAnswer(const LoadRequest& request, const nlohmann::json& answer) {
     const nlohmann::json sent =
         nlohmann::json::parse(request.body, nullptr, false);
-    if (!answer.is_object() || !answer.contains("answer")) return;
+    if (!answer.contains("answer")) return;
     const std::string payload = sent.value("payload", "");
     if (!answer.value("answer", "").starts_with(payload)) ++result_.wrong;
   }
--- a/bench/support/virtual_domain.cc
+++ b/bench/support/virtual_domain.cc
@@ -63,7 +63,7 @@
                                          {"depth", 1'000'000}};
     AddRecord("queue/" + team, queue_record.dump(), &update);
   }
-  records_.Apply(update, now_);
+  records_.Apply(update, now());
   placer.self = PlacerId("placer");
   placer.domain = FailureDomainId("a");
   placer.domains = {placer.domain};
@@ -75,44 +75,30 @@
                       .rack = RackId("r" + rack),
                       .capacity = settings_.capacity});
   }
-  core_->OnWorkers(listed, now_);
+  core_->OnWorkers(listed, now());
   for (const ListedWorker& worker : listed) {
-    core_->OnWorkerLink(worker.id, true, now_);
+    core_->OnWorkerLink(worker.id, true, now());
   }
-  core_->OnEntryLink(TheEntry(), true, now_);
+  core_->OnEntryLink(TheEntry(), true, now());
   Tick();
   constexpr Milliseconds kSettle{5'000};
-  RunUntil(now_ + kSettle);
+  RunUntil(now() + kSettle);
 }
 
 Resources VirtualDomain::TotalCapacity() const {
   return settings_.capacity * settings_.workers;
 }
 
-void VirtualDomain::At(Time when, std::function<void()> function) {
-  events_.push({when, order_++, std::move(function)});
-}
-
 void VirtualDomain::Tick() {
-  kv_.OnTick(now_);
-  core_->OnTick(now_);
+  kv_.OnTick(now());
+  core_->OnTick(now());
   Drain();
-  At(now_ + kTick, [this] { Tick(); });
-}
-
-void VirtualDomain::RunUntil(Time until) {
-  while (!events_.empty() && events_.top().at <= until) {
-    const Event event = events_.top();
-    events_.pop();
-    now_ = event.at;
-    event.function();
-  }
-  now_ = until;
+  events_.At(now() + kTick, [this] { Tick(); });
 }
 
 void VirtualDomain::Submit(const VirtualWork& work) {
   const std::string id = "x" + std::to_string(next_work_++);
-  known_[id] = {.work = work, .submitted = now_, .left = work.tasks};
+  known_[id] = {.work = work, .submitted = now(), .left = work.tasks};
   demand_[work.team] += work.size * work.tasks;
   wire::Work message;
   message.set_work_id(id);
@@ -134,7 +120,7 @@
     *job->mutable_work() = message;
     out.mutable_submit_job()->set_deadline_ms(60'000);
   }
-  core_->OnEntryMessage(TheEntry(), out, now_);
+  core_->OnEntryMessage(TheEntry(), out, now());
   Drain();
 }
 
@@ -154,7 +140,7 @@
           NoteEnded(settled.work_id(), 1);
           wire::EntryToPlacer received;
           received.mutable_settle_received()->add_work_ids(settled.work_id());
-          core_->OnEntryMessage(TheEntry(), received, now_);
+          core_->OnEntryMessage(TheEntry(), received, now());
         } else if (reply->message.has_job() &&
                    !reply->message.job().refusal().empty()) {
           ++refused_[reply->message.job().refusal()];
@@ -162,7 +148,7 @@
           NoteEnded(job, known_[job].left);
         }
       } else {
-        core_->OnKvAnswer(kv_.Apply(std::get<KvCall>(effect), now_), now_);
+        core_->OnKvAnswer(kv_.Apply(std::get<KvCall>(effect), now()), now());
       }
     }
   }
@@ -178,7 +164,8 @@
   granted->set_epoch(grant.epoch());
   granted->set_holder(grant.holder());
   granted->set_serial(grant.serial());
-  granted->set_stamp_ms(static_cast<uint64_t>(now_.time_since_epoch().count()));
+  granted->set_stamp_ms(
+      static_cast<uint64_t>(now().time_since_epoch().count()));
   granted->set_incarnation(1);
   granted->set_uptime_ms(1'000'000);
   if (grant.want_inventory()) {
@@ -193,7 +180,7 @@
     if (running.worker == worker) ++attempts;
   }
   granted->set_attempts(attempts);
-  core_->OnWorkerMessage(worker, message, now_);
+  core_->OnWorkerMessage(worker, message, now());
 }
 
 void VirtualDomain::OnWorkerMessage(const WorkerId& worker,
@@ -246,12 +233,12 @@
   if (std::exchange(known.started, true)) return;
   started_.push_back({.label = LabelOf(known.work),
                       .team = known.work.team,
-                      .waited = now_ - known.submitted});
+                      .waited = now() - known.submitted});
 }
 
 void VirtualDomain::Begin(const std::string& attempt) {
   Running& running = running_[attempt];
-  running.started = now_;
+  running.started = now();
   wire::WorkerToPlacer message;
   message.mutable_started()->set_attempt_id(attempt);
   message.mutable_started()->set_held(running.held);
@@ -263,20 +250,20 @@
         fails ? Milliseconds(1) : known_[IdOf(running.work)].work.run;
     const wire::Outcome outcome =
         fails ? wire::OUTCOME_FAILED : wire::OUTCOME_ANSWERED;
-    At(now_ + run, [this, attempt, number = running.number, outcome] {
+    events_.At(now() + run, [this, attempt, number = running.number, outcome] {
       const auto found = running_.find(attempt);
       if (found == running_.end() || found->second.number != number) return;
       End(attempt, outcome);
       Drain();
     });
   }
-  core_->OnWorkerMessage(worker, message, now_);
+  core_->OnWorkerMessage(worker, message, now());
 }
 
 void VirtualDomain::End(const std::string& attempt, wire::Outcome outcome) {
   const auto ended = running_.extract(attempt);
   const Running& running = ended.mapped();
-  const auto ran = static_cast<uint64_t>((now_ - running.started).count()) *
+  const auto ran = static_cast<uint64_t>((now() - running.started).count()) *
                    running.work.size().cpu_milli() / 1'000;
   (outcome == wire::OUTCOME_ANSWERED ? useful_ms_ : wasted_ms_) += ran;
   const bool task = running.work.work_class() != wire::WORK_CLASS_REQUEST;
@@ -286,7 +273,7 @@
   wire::WorkerToPlacer message;
   message.mutable_ended()->set_attempt_id(attempt);
   message.mutable_ended()->set_outcome(outcome);
-  core_->OnWorkerMessage(running.worker, message, now_);
+  core_->OnWorkerMessage(running.worker, message, now());
 }
 
 }  // namespace quetzal::bench
--- a/bench/support/virtual_domain.h
+++ b/bench/support/virtual_domain.h
@@ -11,7 +11,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <queue>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -19,6 +18,7 @@
 
 #include "quetzal/placer/placer.h"
 #include "standins/platform/kv_model.h"
+#include "tests/support/event_queue.h"
 
 namespace quetzal::bench {
 
@@ -51,9 +51,9 @@
   VirtualDomain(VirtualDomainSettings settings, PlacerSettings placer,
                 const std::map<std::string, int>& team_shares);
 
-  Time now() const { return now_; }
+  Time now() const { return events_.now(); }
   void Submit(const VirtualWork& work);
-  void RunUntil(Time until);
+  void RunUntil(Time until) { events_.RunUntil(until); }
 
   // First starts, with how long the work waited.
   const std::vector<VirtualOutcome>& started() const { return started_; }
@@ -62,7 +62,7 @@
     return wasted_ms_;
   }  // of stopped or failed runs
   uint64_t useful_ms() const { return useful_ms_; }
-  PlacerStatus Status() const { return core_->Status(now_); }
+  PlacerStatus Status() const { return core_->Status(now()); }
   std::map<TeamId, Resources> Usage() const { return core_->Usage(); }
   // Of each team: the sizes of all its work that was taken and has not ended.
   std::map<std::string, Resources> Demand() const;
@@ -70,8 +70,6 @@
   uint64_t sent_messages() const { return messages_; }
   uint64_t sent_bytes() const { return bytes_; }
   uint64_t platform_calls() const { return kv_.calls(); }
-  const Metrics& metrics() const { return metrics_; }
-  PlacerCore* core() { return core_.get(); }
 
  private:
   struct Running {
@@ -81,14 +79,6 @@
     Time started;
     uint64_t number = 0;
   };
-  struct Event {
-    Time at;
-    uint64_t order;
-    std::function<void()> function;
-    bool operator<(const Event& other) const {
-      return at != other.at ? at > other.at : order > other.order;
-    }
-  };
   struct Known {
     VirtualWork work;
     Time submitted;
@@ -96,7 +86,6 @@
     bool started = false;
   };
 
-  void At(Time when, std::function<void()> function);
   void Tick();
   void Drain();
   void OnWorkerMessage(const WorkerId& worker,
@@ -113,11 +102,9 @@
   RecordStore records_;
   std::unique_ptr<PlacerCore> core_;
   standin::KvModel kv_;
-  Time now_{Milliseconds(1'000'000)};
-  uint64_t order_ = 0;
   uint64_t next_work_ = 1;
   uint64_t next_run_ = 1;
-  std::priority_queue<Event> events_;
+  testing::EventQueue events_{Time(Milliseconds(1'000'000))};
   std::unordered_map<std::string, Running> running_;
   std::unordered_map<std::string, Known> known_;  // by request or job id
   std::map<std::string, Resources> demand_;
--- a/cmake/Quetzal.cmake
+++ b/cmake/Quetzal.cmake
@@ -13,6 +13,9 @@
 # quetzal_test(name SOURCES ... DEPENDS ... [TIMEOUT seconds]): one CppUnit
 # program that ctest runs.
 function(quetzal_test name)
+  if(QUETZAL_DEPLOY_ONLY)
+    return()
+  endif()
   cmake_parse_arguments(ARG "" "TIMEOUT" "SOURCES;DEPENDS" ${ARGN})
   add_executable(${name} ${ARG_SOURCES})
   target_link_libraries(${name} PRIVATE quetzal_test_main ${ARG_DEPENDS})
--- /dev/null
+++ b/programs/cell_placer/main.cc
@@ -0,0 +1,153 @@
+// quetzal-cell-placer: decides where tasks run. One on each entry VM; the one
+// that holds the seat acts, the others wait for it.
+#include <glog/logging.h>
+
+#include <ctime>
+#include <utility>
+
+#include "platform/adapter.h"
+#include "programs/cell_placer/term.h"
+#include "programs/cell_settings/cell_settings.h"
+#include "quetzal/http/http.h"
+#include "quetzal/leadership/leadership.h"
+#include "quetzal/program/program.h"
+
+namespace quetzal {
+namespace {
+
+// Runs of successive terms are told apart by it; a term that goes on beyond it
+// sees the runs that it must stay above on the workers.
+constexpr int64_t kRunsInTerm = 16;
+// The longest that a confirmed majority may be old: see Cell::HoldsMajority.
+constexpr Milliseconds kConfirmedWithin{2'400};
+// A process that stood still longer must hear from store or workers first.
+constexpr Milliseconds kFreezeTolerance{300};
+// Machines with less processor leave the seat to others at first.
+constexpr double kHandicapMsPerMissingCore = 600;
+constexpr Milliseconds kResignTimeout{800};
+
+// By how much the suspended time of this machine grew; the steady clock
+// doesn't count it.
+Milliseconds SuspendedTime() {
+  timespec boot{};
+  timespec steady{};
+  clock_gettime(CLOCK_BOOTTIME, &boot);
+  clock_gettime(CLOCK_MONOTONIC, &steady);
+  return Milliseconds((boot.tv_sec - steady.tv_sec) * 1'000 +
+                      (boot.tv_nsec - steady.tv_nsec) / 1'000'000);
+}
+
+class CellPlacer : public Service {
+ public:
+  explicit CellPlacer(CellProgramSettings settings)
+      : settings_(std::move(settings)),
+        log_("placer@" + settings_.machine,
+             {.lines_per_second = settings_.log_lines_per_second}),
+        http_client_(HttpClient::Create({.most_idle_connections = 1'024})),
+        store_(platform::MakeStoreClient(settings_.store_address,
+                                         http_client_.get())),
+        workers_(platform::MakeWorkerClient(http_client_.get(), {})) {}
+
+  bool Start() {
+    log_.Line("start", {{"store", settings_.store_address}});
+    metrics_server_ = ListenForHttp(
+        settings_.placer_metrics_address(), {},
+        {.on_request =
+             [this](HttpCall call, const HttpRequest&) {
+               metrics_server_->Reply(call, {.body = metrics_.Render(),
+                                             .content_type = "text/plain"});
+             },
+         .on_gone = [](HttpCall) {}});
+    if (!metrics_server_) return false;
+    suspended_ = SuspendedTime();
+    const double missing = 1.0 - settings_.processor_share;
+    leadership_ = std::make_unique<Leadership>(
+        store_.get(),
+        LeadershipSettings{.self = NameOfThisStart(settings_.machine),
+                           .handicap = Milliseconds(static_cast<int64_t>(
+                               missing * kHandicapMsPerMissingCore))},
+        LeadershipHandlers{
+            .on_lead = [this](Fence fence,
+                              int64_t term) { BeginTerm(fence, term); },
+            .on_fence_raised =
+                [this](Fence fence) {
+                  if (term_) term_->RaiseFence(fence);
+                },
+            .on_lost = [this](const std::string&) { EndTerm(); }},
+        &After, &Now, &log_);
+    leadership_->Start();
+    return true;
+  }
+
+  void BeginShutdown() override {
+    if (std::exchange(stopping_, true)) return;
+    log_.Line("stop_asked", {{"leads", leadership_->leads() ? "yes" : "no"}});
+    term_.reset();
+    After(kResignTimeout, [] { Quit(kExitDone); });
+    leadership_->Resign([this] {
+      log_.Line("stop", {});
+      Quit(kExitDone);
+    });
+  }
+
+ private:
+  void BeginTerm(Fence fence, int64_t term) {
+    TermParts parts{
+        .store = store_.get(),
+        .workers = workers_.get(),
+        .log = &log_,
+        .metrics = &metrics_,
+        .may_order = [this](const Cell& cell) { return MayOrder(cell); },
+        .on_deposed =
+            [this](const std::string& reason) { leadership_->Lose(reason); }};
+    term_ = std::make_unique<Term>(parts, settings_.cell, fence,
+                                   term * kRunsInTerm);
+    term_->Start();
+  }
+
+  // Not within a call of the term: it is destroyed.
+  void EndTerm() {
+    After(Milliseconds(0), [this] {
+      if (!leadership_->leads()) term_.reset();
+    });
+  }
+
+  bool MayOrder(const Cell& cell) {
+    if (!leadership_->leads()) return false;
+    const Milliseconds suspended = SuspendedTime();
+    if (suspended - suspended_ > kFreezeTolerance) {
+      log_.Line("was_suspended", {{"ms", (suspended - suspended_).count()}});
+      suspended_ = suspended;
+      leadership_->Lose("this machine was suspended");
+      return false;
+    }
+    suspended_ = suspended;
+    return leadership_->IsSure(Now()) ||
+           cell.HoldsMajority(kConfirmedWithin, Now());
+  }
+
+  CellProgramSettings settings_;
+  EventLog log_;
+  Metrics metrics_;
+  std::unique_ptr<HttpClient> http_client_;
+  std::unique_ptr<Store> store_;
+  std::unique_ptr<WorkerPort> workers_;
+  std::unique_ptr<HttpServer> metrics_server_;
+  std::unique_ptr<Leadership> leadership_;
+  std::unique_ptr<Term> term_;
+  Milliseconds suspended_{0};
+  bool stopping_ = false;
+};
+
+}  // namespace
+}  // namespace quetzal
+
+int main(int argc, char** argv) {
+  return quetzal::RunProgram(
+      {.name = "quetzal-cell-placer",
+       .purpose = "Decides where the tasks of jobs run.",
+       .settings_variable = quetzal::platform::kSettingsVariable,
+       .start = quetzal::StartWith<quetzal::CellPlacer>(
+           &quetzal::ReadCellProgramSettings)},
+      argc, argv);
+}
--- /dev/null
+++ b/programs/cell_placer/term.cc
@@ -0,0 +1,398 @@
+#include "programs/cell_placer/term.h"
+
+#include <utility>
+
+#include "platform/adapter.h"
+#include "quetzal/program/program.h"
+
+namespace quetzal {
+namespace {
+
+// Of causes that come together, such as the ends of a gang.
+constexpr Milliseconds kDecideWithin{4};
+constexpr Milliseconds kDecideAtLeastEvery{50};
+// Between two watches: changes within it come in one answer, as each call of
+// the store costs. Jobs wait for it, workers' entries hardly matter sooner.
+constexpr Milliseconds kJobsPause{20};
+constexpr Milliseconds kWorkerListPause{150};
+constexpr Milliseconds kRetry{100};
+constexpr Milliseconds kRemoveEvery{2'000};
+// One condition for the seat; a condition and a put for each job.
+constexpr size_t kJobsInCommit = (kMostCommitEntries - 1) / 2;
+// Enough for the round trip to a far store at the rate of ends.
+constexpr int kMostCommitsInFlight = 6;
+constexpr size_t kExpiredInCommit = 8;  // three keys each, and the seat
+
+}  // namespace
+
+Term::Term(TermParts parts, CellSettings settings, Fence fence,
+           int64_t run_floor)
+    : parts_(std::move(parts)),
+      cell_(settings, fence, run_floor, Now(), parts_.log, parts_.metrics),
+      fence_(fence),
+      advice_(
+          parts_.store, &After,
+          [this](const std::vector<AdviserId>& advisers) {
+            cell_.OnAdvisers(advisers);
+            Wake();
+          },
+          parts_.log) {}
+
+Term::~Term() { *alive_ = false; }
+
+template <typename Answer>
+std::function<void(const Answer&)> Term::Guard(
+    std::function<void(const Answer&)> callback) {
+  std::weak_ptr<bool> alive = alive_;
+  return [alive, callback = std::move(callback)](const Answer& answer) {
+    if (const auto held = alive.lock(); held && *held) callback(answer);
+  };
+}
+
+void Term::Later(Milliseconds delay, std::function<void()> step) {
+  std::weak_ptr<bool> alive = alive_;
+  After(delay, [alive, step = std::move(step)] {
+    if (const auto held = alive.lock(); held && *held) step();
+  });
+}
+
+void Term::Start() {
+  advice_.Start();
+  FollowConfiguration();
+  FollowWorkers();
+  FollowCell();
+  Later(kDecideAtLeastEvery, [this] { Decide(); });
+  Later(kRemoveEvery, [this] { RemoveExpired(); });
+}
+
+void Term::RaiseFence(Fence fence) {
+  fence_ = fence;
+  cell_.OnFenceRaised(fence);
+}
+
+void Term::FollowConfiguration() {
+  configuration_ = std::make_unique<StoreFollower>(
+      parts_.store, platform::kConfigurationKey, FollowerTiming{},
+      FollowerHandlers{
+          .on_put =
+              [this](const StoreItem& item) {
+                auto catalog = platform::DecodeConfiguration(item.value);
+                if (!catalog) {
+                  parts_.log->Line("configuration_unreadable",
+                                   {{"problems", Describe(catalog.error())}});
+                  return;
+                }
+                if (!catalogs_.Offer(catalog.value())) return;
+                parts_.log->Line("configuration_in_force",
+                                 {{"version", catalog.value()->version()}});
+                cell_.OnCatalog(catalog.value());
+                Wake();
+              },
+          .on_removed = [](const std::string&) {}},
+      &After);
+  configuration_->Start();
+}
+
+void Term::FollowWorkers() {
+  const std::string prefix = platform::kWorkerPrefix;
+  workers_ = std::make_unique<StoreFollower>(
+      parts_.store, prefix, FollowerTiming{.pause = kWorkerListPause},
+      FollowerHandlers{
+          .on_put =
+              [this, prefix](const StoreItem& item) {
+                const WorkerId id(item.key.substr(prefix.size()));
+                const auto entry = platform::DecodeWorkerEntry(id, item.value);
+                if (!entry) {
+                  parts_.log->Line("worker_entry_unreadable",
+                                   {{"worker", id.text()},
+                                    {"problems", Describe(entry.error())}});
+                  cell_.OnWorkerEntryRemoved(id, Now());
+                  return;
+                }
+                cell_.OnWorkerEntry(entry.value(), Now());
+              },
+          .on_removed =
+              [this, prefix](const std::string& key) {
+                cell_.OnWorkerEntryRemoved(WorkerId(key.substr(prefix.size())),
+                                           Now());
+              }},
+      &After);
+  workers_->Start();
+}
+
+void Term::FollowCell() {
+  jobs_ = std::make_unique<StoreFollower>(
+      parts_.store, CellPrefix(), FollowerTiming{.pause = kJobsPause},
+      FollowerHandlers{
+          .on_put = [this](const StoreItem& item) { OnCellItem(item); },
+          .on_removed = [this](const std::string& key) { OnCellRemoved(key); },
+          .on_listed = [this] { OnCellListed(); }},
+      &After);
+  jobs_->Start();
+}
+
+void Term::OnCellItem(const StoreItem& item) {
+  const CellKey key = ParseCellKey(item.key);
+  const JobId id(key.name);
+  switch (key.kind) {
+    case CellKeyKind::kJob:
+      if (jobs_->is_listed()) {
+        LearnJob(id, item);
+      } else {
+        listed_jobs_[id] = item;
+      }
+      break;
+    case CellKeyKind::kProgress: {
+      Revision& known = progress_revisions_[id];
+      if (item.revision > known) known = item.revision;
+      if (!jobs_->is_listed()) listed_progress_[id] = item.value;
+      break;
+    }
+    case CellKeyKind::kCancel:
+      if (jobs_->is_listed()) {
+        cell_.OnCancel(id, Now());
+      } else {
+        listed_jobs_[id].lease = LeaseId{1};  // marks it as cancelled
+      }
+      break;
+    case CellKeyKind::kSeat:
+    case CellKeyKind::kHelper:
+    case CellKeyKind::kOther:
+      return;
+  }
+  Wake();
+}
+
+void Term::OnCellRemoved(const std::string& key) {
+  const CellKey parsed = ParseCellKey(key);
+  if (parsed.kind == CellKeyKind::kProgress) {
+    progress_revisions_.erase(JobId(parsed.name));
+  }
+}
+
+void Term::LearnJob(const JobId& id, const StoreItem& item) {
+  const auto job = DecodeJob(id, item.value);
+  if (!job) {
+    parts_.log->Line("job_unreadable",
+                     {{"job", id.text()}, {"problems", Describe(job.error())}});
+    return;
+  }
+  std::optional<JobProgress> progress;
+  const auto stored = listed_progress_.find(id);
+  if (stored != listed_progress_.end()) {
+    auto decoded = DecodeProgress(job.value().spec, stored->second);
+    if (decoded) {
+      progress = std::move(decoded.value());
+    } else {
+      parts_.log->Line(
+          "progress_unreadable",
+          {{"job", id.text()}, {"problems", Describe(decoded.error())}});
+    }
+  }
+  cell_.OnJob(job.value(), item.created, progress, Now());
+}
+
+void Term::OnCellListed() {
+  for (const auto& [id, item] : listed_jobs_) {
+    if (item.value.empty()) continue;  // cancelled, but not accepted
+    LearnJob(id, item);
+  }
+  for (const auto& [id, item] : listed_jobs_) {
+    if (item.lease != kNoLease) cell_.OnCancel(id, Now());
+  }
+  listed_jobs_.clear();
+  listed_progress_.clear();
+  cell_.OnRecovered(Now());
+  Wake();
+}
+
+void Term::Wake() {
+  if (std::exchange(wake_pending_, true)) return;
+  Later(kDecideWithin, [this] {
+    wake_pending_ = false;
+    if (!parts_.may_order(cell_)) return;
+    cell_.Decide(Now());
+    for (const CellAction& action : cell_.TakeActions()) {
+      if (!*alive_) return;
+      Act(action);
+    }
+    FlushWrites();
+  });
+}
+
+void Term::Decide() {
+  Wake();
+  Later(kDecideAtLeastEvery, [this] { Decide(); });
+}
+
+void Term::Act(const CellAction& action) {
+  struct Visitor {
+    Term* term;
+    void operator()(const HoldAction& hold) const { term->Hold(hold); }
+    void operator()(const StartAction& start) const { term->StartTask(start); }
+    void operator()(const StopAction& stop) const { term->StopTask(stop); }
+    void operator()(const AskAction& ask) const { term->Ask(ask); }
+    void operator()(const ResignAction& resign) const {
+      const std::string reason = resign.reason;
+      const auto on_deposed = term->parts_.on_deposed;
+      // Not from within: it ends this term.
+      After(Milliseconds(0), [on_deposed, reason] { on_deposed(reason); });
+    }
+  };
+  std::visit(Visitor{this}, action);
+}
+
+void Term::Hold(const HoldAction& action) {
+  const Time sent = Now();
+  const WorkerId id = action.worker.id;
+  const HoldRequest request = action.request;
+  parts_.workers->Hold(
+      action.worker, request,
+      Guard<HoldAnswer>([this, id, request, sent](const HoldAnswer& answer) {
+        cell_.OnHold(id, request, sent, answer, Now());
+        Wake();
+      }));
+}
+
+void Term::StartTask(const StartAction& action) {
+  const Time sent = Now();
+  const WorkerId id = action.worker.id;
+  const StartOrder order = action.order;
+  parts_.workers->Start(
+      action.worker, order,
+      Guard<OrderAnswer>([this, id, order, sent](const OrderAnswer& answer) {
+        parts_.metrics->Observe("quetzal_worker_call_ms", {{"call", "start"}},
+                                static_cast<double>((Now() - sent).count()));
+        cell_.OnStart(id, order, answer, Now());
+        Wake();
+      }));
+}
+
+void Term::StopTask(const StopAction& action) {
+  const WorkerId id = action.worker.id;
+  const StopOrder order = action.order;
+  parts_.workers->Stop(
+      action.worker, order,
+      Guard<OrderAnswer>([this, id, order](const OrderAnswer& answer) {
+        cell_.OnStop(id, order, answer, Now());
+        Wake();
+      }));
+}
+
+void Term::Ask(const AskAction& action) {
+  const AdviserId adviser = action.adviser;
+  const AdviceQuestion question = action.question;
+  advice_.Ask(adviser, question, action.timeout,
+              Guard<AdviceAnswer>(
+                  [this, adviser, question](const AdviceAnswer& answer) {
+                    cell_.OnAdvice(adviser, question, answer, Now());
+                    Wake();
+                  }));
+}
+
+void Term::FlushWrites() {
+  while (cell_.has_writes() && writes_in_flight_ < kMostCommitsInFlight) {
+    SendWrites(cell_.TakeWrites(kJobsInCommit));
+  }
+}
+
+void Term::SendWrites(const std::vector<ProgressWrite>& writes) {
+  if (writes.empty()) return;
+  Commit commit;
+  commit.conditions.push_back(
+      {SeatKey(), Revision(static_cast<uint64_t>(fence_))});
+  for (const ProgressWrite& write : writes) {
+    const std::string key = ProgressKey(write.job);
+    const auto known = progress_revisions_.find(write.job);
+    commit.conditions.push_back(
+        {key, known == progress_revisions_.end() ? kAbsent : known->second});
+    commit.puts.push_back({.key = key, .value = write.value});
+  }
+  ++writes_in_flight_;
+  const Time sent = Now();
+  parts_.store->Apply(
+      commit, Guard<CommitAnswer>([this, writes, sent](const CommitAnswer& a) {
+        parts_.metrics->Observe("quetzal_store_commit_ms",
+                                {{"what", "progress"}},
+                                static_cast<double>((Now() - sent).count()));
+        OnWritten(writes, a);
+      }));
+}
+
+void Term::OnWritten(const std::vector<ProgressWrite>& writes,
+                     const CommitAnswer& answer) {
+  --writes_in_flight_;
+  if (answer.outcome == StoreOutcome::kDone) {
+    for (const ProgressWrite& write : writes) {
+      progress_revisions_[write.job] = answer.revision;
+      cell_.OnStored(write.job, write.version, Now());
+    }
+    Wake();
+    return;
+  }
+  parts_.metrics->Count("quetzal_progress_retries_total");
+  if (answer.outcome == StoreOutcome::kConflict) {
+    for (const StoreItem& item : answer.current) {
+      if (item.key == SeatKey()) continue;
+      const JobId id(ParseCellKey(item.key).name);
+      progress_revisions_[id] = item.revision;
+    }
+  }
+  if (answer.outcome == StoreOutcome::kUnknown) {
+    ++writes_in_flight_;
+    ReadBack(writes, 0);
+    return;
+  }
+  ++writes_in_flight_;
+  Later(kRetry, [this, writes] {
+    --writes_in_flight_;
+    SendWrites(writes);
+  });
+}
+
+// Learns the revisions that a write without an answer may have changed.
+void Term::ReadBack(const std::vector<ProgressWrite>& writes, size_t next) {
+  if (next == writes.size()) {
+    --writes_in_flight_;
+    SendWrites(writes);
+    return;
+  }
+  parts_.store->Read(
+      ProgressKey(writes[next].job),
+      Guard<ReadAnswer>([this, writes, next](const ReadAnswer& answer) {
+        const JobId& id = writes[next].job;
+        if (answer.outcome == StoreOutcome::kDone) {
+          progress_revisions_[id] = answer.items[0].revision;
+        } else if (answer.outcome == StoreOutcome::kMissing) {
+          progress_revisions_.erase(id);
+        } else {
+          Later(kRetry, [this, writes, next] { ReadBack(writes, next); });
+          return;
+        }
+        ReadBack(writes, next + 1);
+      }));
+}
+
+void Term::RemoveExpired() {
+  const std::vector<JobId> expired = cell_.TakeExpired(kExpiredInCommit, Now());
+  if (!expired.empty()) {
+    Commit commit;
+    commit.conditions.push_back(
+        {SeatKey(), Revision(static_cast<uint64_t>(fence_))});
+    for (const JobId& id : expired) {
+      commit.removes.push_back(JobKey(id));
+      commit.removes.push_back(ProgressKey(id));
+      commit.removes.push_back(CancelKey(id));
+    }
+    parts_.store->Apply(commit,
+                        Guard<CommitAnswer>([this](const CommitAnswer& answer) {
+                          // The next term finds and removes what is left.
+                          if (answer.outcome != StoreOutcome::kDone) {
+                            parts_.log->Line("removal_failed", {});
+                          }
+                        }));
+  }
+  Later(expired.empty() ? kRemoveEvery : kRetry, [this] { RemoveExpired(); });
+}
+
+}  // namespace quetzal
--- /dev/null
+++ b/programs/cell_placer/term.h
@@ -0,0 +1,98 @@
+// One placer's term: connects the decisions of a cell with the store, the
+// workers and the advice service.
+//
+//   Term term(parts, fence, run_floor, settings);
+//   term.Start();
+//
+// Lives from the taking of the seat to its loss. Answers that come later find
+// it gone and are dropped.
+#ifndef PROGRAMS_CELL_PLACER_TERM_H_
+#define PROGRAMS_CELL_PLACER_TERM_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "quetzal/advice_pool/advice_pool.h"
+#include "quetzal/catalog/catalog.h"
+#include "quetzal/cell/cell.h"
+#include "quetzal/store/store.h"
+
+namespace quetzal {
+
+// What a term works with; owned by the program.
+struct TermParts {
+  Store* store = nullptr;
+  WorkerPort* workers = nullptr;
+  EventLog* log = nullptr;
+  Metrics* metrics = nullptr;
+  // False while another placer might lead: nothing is ordered then.
+  std::function<bool(const Cell& cell)> may_order;
+  // The store or a worker showed that another placer leads.
+  std::function<void(const std::string& reason)> on_deposed;
+};
+
+class Term {
+ public:
+  Term(TermParts parts, CellSettings settings, Fence fence, int64_t run_floor);
+  ~Term();
+  Term(const Term&) = delete;
+  Term& operator=(const Term&) = delete;
+
+  void Start();
+  void RaiseFence(Fence fence);
+  // Decides soon; many causes within a moment are one decision.
+  void Wake();
+
+ private:
+  struct Stored {
+    std::string value;
+    Revision revision{0};
+  };
+
+  void FollowConfiguration();
+  void FollowWorkers();
+  void FollowCell();
+  void OnCellItem(const StoreItem& item);
+  void OnCellRemoved(const std::string& key);
+  void OnCellListed();
+  void LearnJob(const JobId& id, const StoreItem& item);
+  void Decide();
+  void Act(const CellAction& action);
+  void Hold(const HoldAction& action);
+  void StartTask(const StartAction& action);
+  void StopTask(const StopAction& action);
+  void Ask(const AskAction& action);
+  void FlushWrites();
+  void SendWrites(const std::vector<ProgressWrite>& writes);
+  void OnWritten(const std::vector<ProgressWrite>& writes,
+                 const CommitAnswer& answer);
+  void ReadBack(const std::vector<ProgressWrite>& writes, size_t next);
+  void RemoveExpired();
+  // Runs `step` later if the term still lives.
+  void Later(Milliseconds delay, std::function<void()> step);
+  template <typename Answer>
+  std::function<void(const Answer&)> Guard(
+      std::function<void(const Answer&)> callback);
+
+  TermParts parts_;
+  Cell cell_;
+  Fence fence_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+  AdvicePool advice_;
+  std::unique_ptr<StoreFollower> configuration_;
+  std::unique_ptr<StoreFollower> workers_;
+  std::unique_ptr<StoreFollower> jobs_;
+  CatalogInForce catalogs_;
+  // Until the first listing ends: jobs whose progress may still come.
+  std::unordered_map<JobId, StoreItem> listed_jobs_;
+  std::unordered_map<JobId, std::string> listed_progress_;
+  std::unordered_map<JobId, Revision> progress_revisions_;
+  bool wake_pending_ = false;
+  int writes_in_flight_ = 0;
+};
+
+}  // namespace quetzal
+
+#endif  // PROGRAMS_CELL_PLACER_TERM_H_
--- /dev/null
+++ b/programs/cell_settings/cell_settings.h
@@ -0,0 +1,42 @@
+// Settings of the two programs of a cell, which share one file.
+//
+//   CellProgramSettings settings = ReadCellProgramSettings(json, &problems);
+//
+// docs/CONFIGURATION.md lists every field.
+#ifndef PROGRAMS_CELL_SETTINGS_CELL_SETTINGS_H_
+#define PROGRAMS_CELL_SETTINGS_CELL_SETTINGS_H_
+
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "quetzal/cell/cell.h"
+#include "quetzal/ids/ids.h"
+#include "quetzal/settings/settings.h"
+
+namespace quetzal {
+
+struct CellProgramSettings {
+  std::string machine;
+  std::string ip;
+  std::string store_address;
+  std::string advice_address;
+  std::string callers_address;
+  std::string readiness_address;
+  int first_internal_port = 0;
+  double processor_share = 1;
+  Milliseconds grace{6'000};  // from SIGTERM to SIGKILL
+  CellSettings cell;
+  int64_t log_lines_per_second = 0;
+
+  // Ports of a machine's own services, counted from the first internal one.
+  std::string entry_metrics_address() const;
+  std::string helper_address() const;
+  std::string placer_metrics_address() const;
+};
+
+CellProgramSettings ReadCellProgramSettings(const nlohmann::json& json,
+                                            Problems* problems);
+
+}  // namespace quetzal
+
+#endif  // PROGRAMS_CELL_SETTINGS_CELL_SETTINGS_H_
--- a/programs/ctl/client.cc
+++ b/programs/ctl/client.cc
@@ -6,8 +6,14 @@
 
 namespace quetzal::ctl {
 
-Exchange Fetch(const std::string& method, const std::string& url,
-               const FetchOptions& options) {
+Client::Client(int timeout_seconds)
+    : session_(soup_session_new_with_options(
+          "timeout", static_cast<guint>(timeout_seconds), nullptr)) {}
+
+Client::~Client() { g_object_unref(session_); }
+
+Exchange Client::Fetch(const std::string& method, const std::string& url,
+                       const FetchOptions& options) {
   Exchange result;
   result.json = nlohmann::json::object();
   SoupMessage* const message = soup_message_new(method.c_str(), url.c_str());
@@ -15,8 +21,6 @@
     result.error = "'" + url + "' is not an address; write it as IP:port";
     return result;
   }
-  SoupSession* const session = soup_session_new_with_options(
-      "timeout", static_cast<guint>(options.timeout_seconds), nullptr);
   if (options.bearer) {
     const std::string value = "Bearer " + *options.bearer;
     soup_message_headers_replace(soup_message_get_request_headers(message),
@@ -30,7 +34,7 @@
   }
   GError* error = nullptr;
   GBytes* const bytes =
-      soup_session_send_and_read(session, message, nullptr, &error);
+      soup_session_send_and_read(session_, message, nullptr, &error);
   if (error != nullptr) {
     result.error = error->message;
     g_error_free(error);
@@ -45,15 +49,12 @@
     if (json.is_object()) result.json = std::move(json);
   }
   g_object_unref(message);
-  g_object_unref(session);
   return result;
 }
 
-std::string Escape(const std::string& text) {
-  gchar* const escaped = g_uri_escape_string(text.c_str(), nullptr, FALSE);
-  std::string result = escaped;
-  g_free(escaped);
-  return result;
+Exchange Fetch(const std::string& method, const std::string& url,
+               const FetchOptions& options) {
+  return Client(options.timeout_seconds).Fetch(method, url, options);
 }
 
 std::string RandomHex(int bytes) {
--- a/programs/ctl/client.h
+++ b/programs/ctl/client.h
@@ -1,10 +1,12 @@
-// Plain blocking HTTP exchanges for the command line.
+// Plain blocking HTTP exchanges, for the command line, tests and load drivers.
 //
-//   const Exchange result = Fetch("GET", "http://127.0.0.1:8080/v1/status",
-//   {}); if (result.answered() && result.status == 200) ...
+//   const Exchange result = Fetch("GET", url, {});
+//   if (result.status == 200) ...
 #ifndef PROGRAMS_CTL_CLIENT_H_
 #define PROGRAMS_CTL_CLIENT_H_
 
+#include <libsoup/soup.h>
+
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
@@ -30,13 +32,27 @@
 struct FetchOptions {
   std::string body;
   std::optional<std::string> bearer;
-  int timeout_seconds = 5;
+  int timeout_seconds = 5;  // of a call without a client
+};
+
+// Keeps its connections between calls. For one thread.
+class Client {
+ public:
+  explicit Client(int timeout_seconds);
+  ~Client();
+  Client(const Client&) = delete;
+  Client& operator=(const Client&) = delete;
+
+  Exchange Fetch(const std::string& method, const std::string& url,
+                 const FetchOptions& options);
+
+ private:
+  SoupSession* session_;
 };
 
+// One call on a connection of its own.
 Exchange Fetch(const std::string& method, const std::string& url,
                const FetchOptions& options);
-// Text as part of a URL.
-std::string Escape(const std::string& text);
 // Random hexadecimal digits.
 std::string RandomHex(int bytes);
 
--- a/programs/ctl/job_commands.cc
+++ b/programs/ctl/job_commands.cc
@@ -5,6 +5,7 @@
 #include <thread>
 
 #include "programs/ctl/client.h"
+#include "quetzal/kv/kv.h"
 #include "quetzal/settings/settings.h"
 
 namespace quetzal::ctl {
@@ -27,7 +28,7 @@
 }
 
 std::string JobUrl(const JobOptions& options, const std::string& job) {
-  return "http://" + options.entry + "/v1/jobs/" + Escape(job);
+  return "http://" + options.entry + "/v1/jobs/" + EscapeForUrl(job);
 }
 
 int WaitUntilOver(const JobOptions& options, const std::string& job) {
--- a/programs/ctl/record_commands.cc
+++ b/programs/ctl/record_commands.cc
@@ -68,15 +68,21 @@
   return valid;
 }
 
-std::string KeyUrl(const RecordOptions& options, const std::string& path) {
-  return "http://" + options.platform +
-         "/v1/kv?key=" + Escape(std::string(kRecordPrefix) + path);
+std::string UrlOf(const RecordOptions& options, const KvCall& call) {
+  return "http://" + options.platform + TargetOf(call);
+}
+
+// A call on one record; `expected` as in `KvCall`.
+std::string RecordUrl(const RecordOptions& options, const std::string& path,
+                      std::optional<Revision> expected = std::nullopt) {
+  return UrlOf(options, {.key = std::string(kRecordPrefix) + path,
+                         .expected = expected});
 }
 
 std::optional<StoredRecord> Look(const RecordOptions& options,
                                  const std::string& path) {
   for (int attempt = 0; attempt < kMostTries; ++attempt) {
-    const Exchange result = Fetch("GET", KeyUrl(options, path), {});
+    const Exchange result = Fetch("GET", RecordUrl(options, path), {});
     if (result.status == kNotFound) return StoredRecord{};
     if (result.status == kOk && !result.json["items"].empty()) {
       const nlohmann::json& item = result.json["items"][0];
@@ -91,6 +97,15 @@
   return std::nullopt;
 }
 
+// The same; a record that isn't there is told as a mistake.
+std::optional<StoredRecord> LookExisting(const RecordOptions& options,
+                                         const std::string& path) {
+  std::optional<StoredRecord> stored = Look(options, path);
+  if (!stored || stored->revision > 0) return stored;
+  std::cerr << path << ": no such record\n";
+  return std::nullopt;
+}
+
 nlohmann::json WithoutChangeId(nlohmann::json json) {
   if (json.is_object()) json.erase("change_id");
   return json;
@@ -120,8 +135,7 @@
   const std::string change_id = RandomHex(kChangeIdBytes);
   json["change_id"] = change_id;
   const uint64_t before = stored->revision;
-  const std::string url =
-      KeyUrl(options, local.path) + "&expected=" + std::to_string(before);
+  const std::string url = RecordUrl(options, local.path, Revision{before});
   for (int attempt = 0; attempt < kMostTries; ++attempt) {
     const Exchange result = Fetch("PUT", url, {.body = json.dump()});
     if (result.status == kOk) {
@@ -232,10 +246,11 @@
 int GetRecords(const RecordOptions& options,
                const std::vector<std::string>& paths) {
   if (paths.empty()) {
-    const Exchange all = Fetch("GET",
-                               "http://" + options.platform + "/v1/kv?prefix=" +
-                                   Escape(std::string(kRecordPrefix)),
-                               {});
+    const Exchange all = Fetch(
+        "GET",
+        UrlOf(options,
+              {.kind = KvCall::Kind::kList, .key = std::string(kRecordPrefix)}),
+        {});
     if (all.status != kOk) {
       std::cerr << options.platform << ": the platform does not answer\n";
       return kFailed;
@@ -247,12 +262,8 @@
     return kDone;
   }
   for (const std::string& path : paths) {
-    const std::optional<StoredRecord> stored = Look(options, path);
+    const std::optional<StoredRecord> stored = LookExisting(options, path);
     if (!stored) return kFailed;
-    if (stored->revision == 0) {
-      std::cerr << path << ": no such record\n";
-      return kFailed;
-    }
     std::cout << stored->revision << " " << stored->json.dump() << "\n";
   }
   return kDone;
@@ -262,15 +273,10 @@
              const std::vector<std::string>& paths) {
   uint64_t newest = 0;
   for (const std::string& path : paths) {
-    const std::optional<StoredRecord> stored = Look(options, path);
+    const std::optional<StoredRecord> stored = LookExisting(options, path);
     if (!stored) return kFailed;
-    if (stored->revision == 0) {
-      std::cerr << path << ": no such record\n";
-      return kFailed;
-    }
-    const std::string url =
-        KeyUrl(options, path) + "&expected=" + std::to_string(stored->revision);
-    const Exchange result = Fetch("DELETE", url, {});
+    const Exchange result = Fetch(
+        "DELETE", RecordUrl(options, path, Revision{stored->revision}), {});
     if (result.status == kHttpConflict) return ReportConflict(path);
     const std::optional<StoredRecord> after = Look(options, path);
     if (!after) return kFailed;
--- a/programs/entry/caller_api.cc
+++ b/programs/entry/caller_api.cc
@@ -31,6 +31,24 @@
   }
 }
 
+// What a caller sent, or every problem found in its body. `read` reads the
+// fields that are particular to `Caller`.
+template <typename Caller, typename Read>
+Checked<Caller> ReadBody(HttpCall call, const HttpRequest& request,
+                         const Read& read) {
+  Problems problems;
+  const nlohmann::json json = ParseObject(request.body, "body", &problems);
+  if (!problems.empty()) return problems;
+  ObjectReader reader(json, "body", &problems);
+  Caller caller;
+  caller.call = CallId{static_cast<uint64_t>(call)};
+  caller.key = request.bearer;
+  read(&reader, &caller);
+  reader.Finish();
+  if (!problems.empty()) return problems;
+  return caller;
+}
+
 const char* NameOf(wire::RunFate fate) {
   switch (fate) {
     case wire::RUN_FATE_NOT_RUN:
@@ -50,47 +68,34 @@
 }  // namespace
 
 Checked<CallerRequest> ReadRequest(HttpCall call, const HttpRequest& request) {
-  Problems problems;
-  const nlohmann::json json = ParseObject(request.body, "body", &problems);
-  if (!problems.empty()) return problems;
-  ObjectReader reader(json, "body", &problems);
-  CallerRequest caller;
-  caller.call = CallId{static_cast<uint64_t>(call)};
-  caller.key = request.bearer;
-  ReadWork(&reader, kDefaultRequestSize, &caller.work);
-  caller.work.set_work_class(wire::WORK_CLASS_REQUEST);
-  caller.work.set_request_key(reader.Text("request_key", ""));
-  if (caller.work.request_key().size() > kLongestRequestKey) {
-    reader.Report("request_key", "too long", "at most 200 bytes");
-  }
-  caller.deadline = Milliseconds(reader.Integer(
-      "deadline_ms",
-      {.least = 1, .most = kMostDeadlineMs, .fallback = kDefaultDeadlineMs}));
-  reader.Finish();
-  if (!problems.empty()) return problems;
-  return caller;
+  return ReadBody<CallerRequest>(
+      call, request, [](ObjectReader* reader, CallerRequest* caller) {
+        ReadWork(reader, kDefaultRequestSize, &caller->work);
+        caller->work.set_work_class(wire::WORK_CLASS_REQUEST);
+        caller->work.set_request_key(reader->Text("request_key", ""));
+        if (caller->work.request_key().size() > kLongestRequestKey) {
+          reader->Report("request_key", "too long", "at most 200 bytes");
+        }
+        caller->deadline = Milliseconds(
+            reader->Integer("deadline_ms", {.least = 1,
+                                            .most = kMostDeadlineMs,
+                                            .fallback = kDefaultDeadlineMs}));
+      });
 }
 
 Checked<CallerJob> ReadJob(HttpCall call, const HttpRequest& request) {
-  Problems problems;
-  const nlohmann::json json = ParseObject(request.body, "body", &problems);
-  if (!problems.empty()) return problems;
-  ObjectReader reader(json, "body", &problems);
-  CallerJob job;
-  job.call = CallId{static_cast<uint64_t>(call)};
-  job.key = request.bearer;
-  wire::Work* const work = job.spec.mutable_work();
-  ReadWork(&reader, kDefaultTaskSize, work);
-  const std::string kind =
-      reader.Choice("kind", {"batch", "gang", "service"}, "batch");
-  work->set_work_class(kind == "gang"      ? wire::WORK_CLASS_GANG
-                       : kind == "service" ? wire::WORK_CLASS_SERVICE
-                                           : wire::WORK_CLASS_BATCH);
-  job.spec.set_tasks(static_cast<uint32_t>(reader.Integer(
-      "tasks", {.least = 1, .most = kMostTasks, .fallback = 1})));
-  reader.Finish();
-  if (!problems.empty()) return problems;
-  return job;
+  return ReadBody<CallerJob>(
+      call, request, [](ObjectReader* reader, CallerJob* job) {
+        wire::Work* const work = job->spec.mutable_work();
+        ReadWork(reader, kDefaultTaskSize, work);
+        const std::string kind =
+            reader->Choice("kind", {"batch", "gang", "service"}, "batch");
+        work->set_work_class(kind == "gang"      ? wire::WORK_CLASS_GANG
+                             : kind == "service" ? wire::WORK_CLASS_SERVICE
+                                                 : wire::WORK_CLASS_BATCH);
+        job->spec.set_tasks(static_cast<uint32_t>(reader->Integer(
+            "tasks", {.least = 1, .most = kMostTasks, .fallback = 1})));
+      });
 }
 
 HttpReply ToHttp(const AnswerReply& reply) {
--- a/programs/entry/main.cc
+++ b/programs/entry/main.cc
@@ -48,7 +48,7 @@
              },
          .on_gone =
              [this](HttpCall call) {
-               core_.OnCallerGone(CallId{static_cast<uint64_t>(call)}, Now());
+               core_.OnCallerGone(CallId{static_cast<uint64_t>(call)});
                Flush();
              }});
     if (!server_) return false;
@@ -248,15 +248,6 @@
   bool leaving_ = false;
 };
 
-std::unique_ptr<Service> StartEntry(const nlohmann::json& json, bool only_check,
-                                    Problems* problems) {
-  EntryProgramSettings settings = ReadEntryProgramSettings(json, problems);
-  if (only_check || !problems->empty()) return nullptr;
-  auto service = std::make_unique<EntryService>(std::move(settings));
-  if (!service->Start()) return nullptr;
-  return service;
-}
-
 }  // namespace
 }  // namespace quetzal
 
@@ -264,6 +255,7 @@
   return quetzal::RunProgram(
       {.name = "quetzal-entry",
        .purpose = "Takes callers' work and hands it to the active placer",
-       .start = quetzal::StartEntry},
+       .start = quetzal::StartWith<quetzal::EntryService>(
+           &quetzal::ReadEntryProgramSettings)},
       argc, argv);
 }
--- /dev/null
+++ b/programs/job_entry/job_api.cc
@@ -0,0 +1,247 @@
+#include "programs/job_entry/job_api.h"
+
+#include <glib.h>
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "platform/adapter.h"
+#include "quetzal/program/program.h"
+
+namespace quetzal {
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kUnauthorized = 401;
+constexpr int kNotFound = 404;
+constexpr int kMethodNotAllowed = 405;
+constexpr int kGone = 410;
+constexpr int kUnprocessable = 422;
+constexpr int kUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+// A caller that doesn't say how long it waits.
+constexpr Milliseconds kDefaultDeadline{3'000};
+// Left for the answer to reach the caller.
+constexpr Milliseconds kAnswerTime{250};
+// An outage of the store lasts seconds; callers that come back sooner are
+// likely to be refused again, ones that come later lose time.
+constexpr Milliseconds kComeBack{1'000};
+constexpr Milliseconds kCancelRetry{50};
+constexpr int64_t kMicrosecondsInMillisecond = 1'000;
+
+std::string HeaderOf(const HttpRequest& request, const char* name) {
+  const auto found = request.headers.find(name);
+  return found == request.headers.end() ? "" : found->second;
+}
+
+Time DeadlineOf(const HttpRequest& request) {
+  const std::string text = HeaderOf(request, platform::kDeadlineHeader);
+  const guint64 ms = g_ascii_strtoull(text.c_str(), nullptr, 10);
+  const Milliseconds wait = ms == 0 || ms > G_MAXINT32
+                                ? kDefaultDeadline
+                                : Milliseconds(static_cast<int64_t>(ms));
+  return Now() + std::max(wait - kAnswerTime, kAnswerTime);
+}
+
+std::string HostOf(const HttpRequest& request) {
+  const std::string host = HeaderOf(request, "host");
+  return host.substr(0, host.find(':'));
+}
+
+HttpReply Error(int status, const char* reason, const std::string& remedy) {
+  return {.status = status,
+          .body = nlohmann::json{{"error", reason}, {"remedy", remedy}}.dump(
+              -1, ' ', false, nlohmann::json::error_handler_t::replace)};
+}
+
+}  // namespace
+
+JobApi::JobApi(const CatalogInForce* catalogs, const JobBook* book,
+               JobIntake* intake, Store* store, StoreFollower::Timer after,
+               EventLog* log, Metrics* metrics)
+    : catalogs_(catalogs),
+      book_(book),
+      intake_(intake),
+      store_(store),
+      after_(std::move(after)),
+      log_(log),
+      metrics_(metrics) {}
+
+void JobApi::Refuse(const Call& call, int status, const char* reason,
+                    const std::string& remedy) {
+  metrics_->Count("quetzal_refusals_total", {{"reason", reason}});
+  log_->Line("refused", {{"path", call.request.path},
+                         {"method", call.request.method},
+                         {"status", status},
+                         {"reason", reason},
+                         {"version", call.catalog ? call.catalog->version()
+                                                  : int64_t{0}}});
+  HttpReply reply = Error(status, reason, remedy);
+  if (status == kUnavailable) reply.retry_after = kComeBack;
+  call.answer(reply);
+}
+
+void JobApi::Serve(const HttpRequest& request, Answer answer) {
+  auto call = std::make_shared<Call>();
+  call->request = request;
+  call->answer = std::move(answer);
+  call->catalog = catalogs_->current();
+  call->deadline = DeadlineOf(request);
+  if (!call->catalog) {
+    Refuse(*call, kUnavailable, "no_configuration",
+           "try again; this machine has just started");
+    return;
+  }
+  call->queue = call->catalog->FindQueue(HostOf(request), request.path);
+  if (call->queue == nullptr) {
+    Refuse(*call, kNotFound, "no_such_queue",
+           "name a configured host and prefix");
+    return;
+  }
+  const Team* const team =
+      call->catalog->TeamOfKey(HeaderOf(request, platform::kKeyHeader));
+  if (team == nullptr && !call->queue->is_public) {
+    Refuse(*call, kUnauthorized, "unknown_key",
+           "send a key of your team that is in force");
+    return;
+  }
+  if (team != nullptr) call->team = team->name;
+  const std::string name = request.path.substr(call->queue->prefix.size());
+  if (name.empty() && request.method == "GET") {
+    ReportPending(*call);
+    return;
+  }
+  if (!platform::IsJobId(name)) {
+    Refuse(*call, request.method == "GET" ? kGone : kBadRequest, "not_a_job_id",
+           "name the job by 16 hexadecimal digits");
+    return;
+  }
+  call->id = JobId(name);
+  if (request.method == "POST") {
+    Submit(call);
+  } else if (request.method == "GET") {
+    ReportState(call);
+  } else if (request.method == "DELETE") {
+    Cancel(call);
+  } else {
+    Refuse(*call, kMethodNotAllowed, "unknown_method",
+           "use POST, GET or DELETE");
+  }
+}
+
+void JobApi::Submit(const std::shared_ptr<Call>& call) {
+  if (book_->StateOf(call->id)) {
+    call->answer({.status = kOk, .body = "{}"});
+    return;
+  }
+  Checked<JobSpec> spec = platform::DecodeJobBody(call->request.body);
+  if (!spec) {
+    Refuse(*call, kBadRequest, "malformed_job", Describe(spec.error()));
+    return;
+  }
+  if (IsUnsupportedKind(spec.value())) {
+    Refuse(*call, kUnprocessable, "unsupported_kind",
+           "long-running and scheduled jobs aren't served yet");
+    return;
+  }
+  if (!store_reached_) {
+    Refuse(*call, kUnavailable, "store_unreachable",
+           "try again, at another machine if you can");
+    return;
+  }
+  AcceptedJob job;
+  job.id = call->id;
+  job.team = call->team;
+  job.queue = call->queue->name;
+  job.service = call->queue->service;
+  job.accepted = WallTime(g_get_real_time() / kMicrosecondsInMillisecond);
+  job.spec = std::move(spec.value());
+  intake_->Submit(job, call->deadline, [this, call](IntakeOutcome outcome) {
+    switch (outcome) {
+      case IntakeOutcome::kAccepted:
+        log_->Line("accepted", {{"job", call->id.text()},
+                                {"queue", call->queue->name.text()},
+                                {"team", call->team.text()},
+                                {"version", call->catalog->version()}});
+        metrics_->Count("quetzal_jobs_accepted_total",
+                        {{"queue", call->queue->name.text()}});
+        call->answer({.status = kOk, .body = "{}"});
+        return;
+      case IntakeOutcome::kNotAccepted:
+        Refuse(*call, kUnavailable, "store_refused",
+               "try again, at another machine if you can");
+        return;
+      case IntakeOutcome::kUnsure:
+        Refuse(*call, kGatewayTimeout, "store_silent",
+               "send the job again under the same id");
+        return;
+    }
+  });
+}
+
+void JobApi::ReportState(const std::shared_ptr<Call>& call) {
+  if (const auto state = book_->StateOf(call->id)) {
+    call->answer({.status = kOk, .body = platform::EncodeJobState(*state)});
+    return;
+  }
+  // Accepted by another entry a moment ago, or never.
+  store_->Read(JobKey(call->id), [this, call](const ReadAnswer& answer) {
+    if (answer.outcome == StoreOutcome::kDone) {
+      const auto state = book_->StateOf(call->id).value_or(JobState::kQueued);
+      call->answer({.status = kOk, .body = platform::EncodeJobState(state)});
+    } else if (answer.outcome == StoreOutcome::kMissing) {
+      call->answer(Error(kGone, "no_such_job", "check the id"));
+    } else {
+      Refuse(*call, kUnavailable, "store_unreachable", "ask again");
+    }
+  });
+}
+
+void JobApi::ReportPending(const Call& call) {
+  call.answer(
+      {.status = kOk,
+       .body = platform::EncodePending(book_->PendingOf(call.queue->name))});
+}
+
+void JobApi::Cancel(const std::shared_ptr<Call>& call) {
+  const auto state = book_->StateOf(call->id);
+  if (state && IsFinal(*state)) {
+    call->answer({.status = kOk, .body = platform::EncodeJobState(*state)});
+    return;
+  }
+  store_->Read(JobKey(call->id), [this, call](const ReadAnswer& answer) {
+    if (answer.outcome == StoreOutcome::kDone) {
+      WriteCancel(call, answer.items[0].revision);
+    } else if (answer.outcome == StoreOutcome::kMissing) {
+      call->answer(Error(kGone, "no_such_job", "check the id"));
+    } else if (Now() + kCancelRetry < call->deadline) {
+      after_(kCancelRetry, [this, call] { Cancel(call); });
+    } else {
+      Refuse(*call, kGatewayTimeout, "store_unreachable", "cancel again");
+    }
+  });
+}
+
+void JobApi::WriteCancel(const std::shared_ptr<Call>& call, Revision accepted) {
+  store_->Apply(
+      {.conditions = {{JobKey(call->id), accepted},
+                      {CancelKey(call->id), kAbsent}},
+       .puts = {{.key = CancelKey(call->id), .value = "{}"}}},
+      [this, call](const CommitAnswer& answer) {
+        const bool was_cancelled = answer.outcome == StoreOutcome::kConflict;
+        if (answer.outcome == StoreOutcome::kDone || was_cancelled) {
+          log_->Line("cancelled",
+                     {{"job", call->id.text()}, {"team", call->team.text()}});
+          call->answer(
+              {.status = kOk,
+               .body = platform::EncodeJobState(JobState::kCancelled)});
+        } else if (Now() + kCancelRetry < call->deadline) {
+          after_(kCancelRetry, [this, call] { Cancel(call); });
+        } else {
+          Refuse(*call, kGatewayTimeout, "store_unreachable", "cancel again");
+        }
+      });
+}
+
+}  // namespace quetzal
--- a/programs/placer/main.cc
+++ b/programs/placer/main.cc
@@ -267,15 +267,6 @@
   bool leaving_ = false;
 };
 
-std::unique_ptr<Service> StartPlacer(const nlohmann::json& json,
-                                     bool only_check, Problems* problems) {
-  PlacerProgramSettings settings = ReadPlacerProgramSettings(json, problems);
-  if (only_check || !problems->empty()) return nullptr;
-  auto service = std::make_unique<PlacerService>(std::move(settings));
-  if (!service->Start()) return nullptr;
-  return service;
-}
-
 }  // namespace
 }  // namespace quetzal
 
@@ -283,6 +274,7 @@
   return quetzal::RunProgram(
       {.name = "quetzal-placer",
        .purpose = "Decides where the work of a failure domain runs",
-       .start = quetzal::StartPlacer},
+       .start = quetzal::StartWith<quetzal::PlacerService>(
+           &quetzal::ReadPlacerProgramSettings)},
       argc, argv);
 }
--- /dev/null
+++ b/quetzal/catalog/catalog.h
@@ -0,0 +1,110 @@
+// The configuration in force: queues, services, teams and their keys.
+//
+//   std::shared_ptr<const Catalog> catalog = ...;
+//   const Queue* queue = catalog->FindQueue(host, path, &rest);
+//   const Team* team = catalog->TeamOfKey(key);
+//
+// A catalog is one version, whole and immutable. `CatalogInForce` keeps the
+// newest one and never goes back.
+#ifndef QUETZAL_CATALOG_CATALOG_H_
+#define QUETZAL_CATALOG_CATALOG_H_
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "quetzal/ids/ids.h"
+#include "quetzal/job/job.h"
+#include "quetzal/resources/resources.h"
+
+namespace quetzal {
+
+// What asking for the allowed workers of a step costs, and how long the
+// permits hold.
+struct AdviceTerms {
+  double call_ms = 0;
+  double worker_ms = 0;  // for each worker named, on top
+  Milliseconds validity{0};
+};
+
+struct Queue {
+  QueueId name;
+  std::string host;
+  std::string prefix;
+  ServiceId service;
+  int priority = 0;  // 0 comes first
+  int most_attempts = 1;
+  double slack_factor = 1;
+  Milliseconds latency_target{0};
+  bool is_public = false;
+  std::optional<AdviceTerms> advice;
+
+  // From the first send, for a job whose longest chain of work is `chain`.
+  Milliseconds ObjectiveOf(Milliseconds chain) const;
+};
+
+struct ServiceTerms {
+  ServiceId name;
+  bool guards_capacity = false;  // workers reject what doesn't fit
+  bool standby = false;
+};
+
+struct Team {
+  TeamId name;
+  std::vector<std::string> keys;
+  double weight = 1;
+  Resources limit;  // of all that runs; an amount of 0: no limit
+};
+
+struct CatalogLimits {
+  size_t body_bytes = 256 * 1024;
+};
+
+class Catalog {
+ public:
+  Catalog(int64_t version, std::vector<Queue> queues,
+          std::vector<ServiceTerms> services, std::vector<Team> teams,
+          CatalogLimits limits);
+
+  int64_t version() const { return version_; }
+  const std::vector<Queue>& queues() const { return queues_; }
+  const std::vector<Team>& teams() const { return teams_; }
+  const CatalogLimits& limits() const { return limits_; }
+
+  // The queue of the host with the longest prefix that `path` begins with;
+  // null if there is none.
+  const Queue* FindQueue(const std::string& host,
+                         const std::string& path) const;
+  const Queue* FindQueue(const QueueId& name) const;
+  const ServiceTerms* FindService(const ServiceId& name) const;
+  const Team* FindTeam(const TeamId& name) const;
+  // Null for an unknown key.
+  const Team* TeamOfKey(const std::string& key) const;
+
+ private:
+  int64_t version_;
+  std::vector<Queue> queues_;
+  std::vector<ServiceTerms> services_;
+  std::vector<Team> teams_;
+  CatalogLimits limits_;
+  std::multimap<std::string, size_t> queues_by_host_;
+  std::unordered_map<std::string, size_t> teams_by_key_;
+};
+
+class CatalogInForce {
+ public:
+  // True if it is newer than the one in force and replaced it.
+  bool Offer(std::shared_ptr<const Catalog> catalog);
+  // Null until the first one was offered.
+  const std::shared_ptr<const Catalog>& current() const { return current_; }
+
+ private:
+  std::shared_ptr<const Catalog> current_;
+};
+
+}  // namespace quetzal
+
+#endif  // QUETZAL_CATALOG_CATALOG_H_
--- /dev/null
+++ b/quetzal/cell/cell.cc
@@ -0,0 +1,168 @@
+#include "quetzal/cell/cell.h"
+
+#include <utility>
+
+#include "quetzal/cell/internal/asking.h"
+#include "quetzal/cell/internal/fleet.h"
+#include "quetzal/cell/internal/placing.h"
+#include "quetzal/cell/internal/state.h"
+#include "quetzal/cell/internal/work.h"
+
+namespace quetzal {
+
+struct Cell::Parts {
+  cell::State state;
+};
+
+Cell::Cell(CellSettings settings, Fence fence, int64_t run_floor, Time now,
+           EventLog* log, Metrics* metrics)
+    : parts_(std::make_unique<Parts>()) {
+  cell::State& state = parts_->state;
+  state.settings = settings;
+  state.fence = fence;
+  state.run_floor = run_floor;
+  state.term_began = now;
+  state.log = log;
+  state.metrics = metrics;
+}
+
+Cell::~Cell() = default;
+
+void Cell::OnCatalog(std::shared_ptr<const Catalog> catalog) {
+  cell::State& state = parts_->state;
+  state.catalog = std::move(catalog);
+  for (auto& [id, job] : state.jobs) {
+    const Queue* const queue = state.catalog->FindQueue(job->accepted.queue);
+    if (queue != nullptr) job->terms = *queue;
+  }
+}
+
+void Cell::OnWorkerEntry(const WorkerEntry& entry, Time now) {
+  cell::LearnEntry(&parts_->state, entry, now);
+}
+
+void Cell::OnWorkerEntryRemoved(const WorkerId& id, Time now) {
+  cell::ForgetEntry(&parts_->state, id, now);
+}
+
+void Cell::OnJob(const AcceptedJob& job, Revision created,
+                 const std::optional<JobProgress>& progress, Time now) {
+  cell::AddJob(&parts_->state, job, created, progress, now);
+}
+
+void Cell::OnCancel(const JobId& id, Time now) {
+  cell::Job* const job = parts_->state.FindJob(id);
+  if (job != nullptr) cell::CancelJob(&parts_->state, job, now);
+}
+
+void Cell::OnRecovered(Time now) {
+  cell::State& state = parts_->state;
+  state.recovered = true;
+  state.log->Line("jobs_recovered",
+                  {{"jobs", static_cast<int64_t>(state.jobs.size())},
+                   {"after_ms", (now - state.term_began).count()}});
+}
+
+void Cell::OnFenceRaised(Fence fence) { parts_->state.fence = fence; }
+
+void Cell::OnHold(const WorkerId& id, const HoldRequest& request, Time sent,
+                  const HoldAnswer& answer, Time now) {
+  cell::Worker* const worker = parts_->state.FindWorker(id);
+  if (worker == nullptr) return;
+  cell::ApplyHold(&parts_->state, worker, request, sent, answer, now);
+}
+
+void Cell::OnStart(const WorkerId& id, const StartOrder& order,
+                   const OrderAnswer& answer, Time now) {
+  cell::Worker* const worker = parts_->state.FindWorker(id);
+  if (worker == nullptr) return;
+  cell::ApplyStart(&parts_->state, worker, order, answer, now);
+}
+
+void Cell::OnStop(const WorkerId& id, const StopOrder& order,
+                  const OrderAnswer& answer, Time now) {
+  cell::Worker* const worker = parts_->state.FindWorker(id);
+  if (worker == nullptr) return;
+  cell::ApplyStop(&parts_->state, worker, order, answer, now);
+}
+
+void Cell::OnAdvisers(const std::vector<AdviserId>& advisers) {
+  parts_->state.advisers = advisers;
+}
+
+void Cell::OnAdvice(const AdviserId& adviser, const AdviceQuestion& question,
+                    const AdviceAnswer& answer, Time now) {
+  cell::ApplyAdvice(&parts_->state, adviser, question, answer, now);
+}
+
+void Cell::OnStored(const JobId& id, uint64_t version, Time now) {
+  cell::Job* const job = parts_->state.FindJob(id);
+  if (job == nullptr) return;
+  job->stored_version = std::max(job->stored_version, version);
+  cell::AcknowledgeStored(&parts_->state, now);
+}
+
+void Cell::Decide(Time now) {
+  cell::State& state = parts_->state;
+  cell::TendWorkers(&state, now);
+  if (!state.recovered) return;
+  for (const cell::WaitingStep& step : cell::InOrder(state)) {
+    cell::PlaceStep(&state, step, now);
+    cell::AskForStep(&state, step, now);
+  }
+}
+
+std::vector<CellAction> Cell::TakeActions() {
+  return std::exchange(parts_->state.actions, {});
+}
+
+std::vector<ProgressWrite> Cell::TakeWrites(size_t most) {
+  cell::State& state = parts_->state;
+  std::vector<ProgressWrite> writes;
+  while (!state.dirty.empty() && writes.size() < most) {
+    const JobId id = state.dirty.front();
+    state.dirty.pop_front();
+    cell::Job* const job = state.FindJob(id);
+    if (job == nullptr) continue;
+    job->dirty = false;
+    writes.push_back({id, job->version, EncodeProgress(ProgressOf(*job))});
+  }
+  return writes;
+}
+
+bool Cell::has_writes() const { return !parts_->state.dirty.empty(); }
+
+std::vector<JobId> Cell::TakeExpired(size_t most, Time now) {
+  cell::State& state = parts_->state;
+  std::vector<JobId> expired;
+  while (!state.finished.empty() && expired.size() < most) {
+    const JobId id = state.finished.front();
+    cell::Job* const job = state.FindJob(id);
+    if (job != nullptr) {
+      if (now - job->finished_at < state.settings.keep_finished) break;
+      if (job->active_runs > 0 || job->dirty) break;
+    }
+    state.finished.pop_front();
+    state.jobs.erase(id);
+    expired.push_back(id);
+  }
+  return expired;
+}
+
+bool Cell::HoldsMajority(Milliseconds age, Time now) const {
+  return cell::HoldsMajority(parts_->state, age, now);
+}
+
+size_t Cell::waiting_tasks() const {
+  size_t tasks = 0;
+  for (const cell::Job* const job : parts_->state.waiting) {
+    for (const cell::Step& step : job->steps) {
+      if (cell::HasWaitingTasks(step)) {
+        tasks += static_cast<size_t>(cell::TasksToStart(step));
+      }
+    }
+  }
+  return tasks;
+}
+
+}  // namespace quetzal
--- /dev/null
+++ b/quetzal/cell/cell.h
@@ -0,0 +1,149 @@
+// Decides where the tasks of jobs run, for one cell: all workers of the
+// platform, over all failure domains. No sockets, threads or clocks.
+//
+//   Cell cell(settings, fence, run_floor, now, &log, &metrics);
+//   cell.OnCatalog(catalog);
+//   cell.OnJob(job, created, progress, now);
+//   cell.OnRecovered(now);
+//   cell.Decide(now);
+//   for (const CellAction& action : cell.TakeActions()) std::visit(...,
+//   action); for (const ProgressWrite& write : cell.TakeWrites(n)) ...
+//
+// What keeps its promises:
+//  - A worker is used only after it answered a hold under this cell's fence;
+//    what it says it runs is adopted, or stopped if nobody asked for it.
+//  - A run ends by its worker's word, by the end of its worker's incarnation,
+//    or when its lease has surely lapsed. Until then it is charged to worker
+//    and team, and its task isn't started elsewhere.
+//  - A start without an answer is stopped, and counts as running until the
+//    worker shows that it is not.
+//  - Ends are acknowledged to workers only once they are stored.
+//  - Tasks of jobs that a former placer may have started wait until every
+//    worker was reached or its leases have lapsed.
+#ifndef QUETZAL_CELL_CELL_H_
+#define QUETZAL_CELL_CELL_H_
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "quetzal/catalog/catalog.h"
+#include "quetzal/event_log/event_log.h"
+#include "quetzal/ids/ids.h"
+#include "quetzal/job/job.h"
+#include "quetzal/metrics/metrics.h"
+#include "quetzal/store/store.h"
+#include "quetzal/worker/worker.h"
+
+namespace quetzal {
+
+struct CellSettings {
+  // Longest lease that a worker gives; the platform's bound.
+  Milliseconds most_lease{6'000};
+  // A gang's members must all be there within it.
+  Milliseconds gang_timeout{3'000};
+  // How long a stop may take on a worker.
+  Milliseconds stop_timeout{900};
+  // A hold waits so long for an end. Shorter ones notice a cut sooner.
+  Milliseconds hold_wait{800};
+  // Finished jobs can be asked for at least so long.
+  Milliseconds keep_finished{120'000};
+};
+
+// An adviser is a machine that may ask for advice; each answers one call at a
+// time.
+using AdviserId = Id<struct AdviserTag>;
+
+struct HoldAction {
+  WorkerEntry worker;
+  HoldRequest request;
+};
+struct StartAction {
+  WorkerEntry worker;
+  StartOrder order;
+};
+struct StopAction {
+  WorkerEntry worker;
+  StopOrder order;
+};
+struct AskAction {
+  AdviserId adviser;
+  AdviceQuestion question;
+  Milliseconds timeout{0};
+};
+// Another placer was seen to lead: this one must end its term.
+struct ResignAction {
+  std::string reason;
+};
+using CellAction =
+    std::variant<HoldAction, StartAction, StopAction, AskAction, ResignAction>;
+
+// A job's progress that must be stored.
+struct ProgressWrite {
+  JobId job;
+  uint64_t version = 0;
+  std::string value;
+};
+
+class Cell {
+ public:
+  // `run_floor`: the number of each task's first run in this term is above it.
+  Cell(CellSettings settings, Fence fence, int64_t run_floor, Time now,
+       EventLog* log, Metrics* metrics);
+  ~Cell();
+  Cell(const Cell&) = delete;
+  Cell& operator=(const Cell&) = delete;
+
+  void OnCatalog(std::shared_ptr<const Catalog> catalog);
+  void OnWorkerEntry(const WorkerEntry& entry, Time now);
+  void OnWorkerEntryRemoved(const WorkerId& id, Time now);
+
+  // `created` is the revision of the job's acceptance; `progress` is what an
+  // earlier term stored.
+  void OnJob(const AcceptedJob& job, Revision created,
+             const std::optional<JobProgress>& progress, Time now);
+  void OnCancel(const JobId& id, Time now);
+  // All jobs that the store held when the term began were told.
+  void OnRecovered(Time now);
+  // The seat was taken again under a higher fence, with no other placer's term
+  // in between.
+  void OnFenceRaised(Fence fence);
+
+  void OnHold(const WorkerId& id, const HoldRequest& request, Time sent,
+              const HoldAnswer& answer, Time now);
+  void OnStart(const WorkerId& id, const StartOrder& order,
+               const OrderAnswer& answer, Time now);
+  void OnStop(const WorkerId& id, const StopOrder& order,
+              const OrderAnswer& answer, Time now);
+
+  void OnAdvisers(const std::vector<AdviserId>& advisers);
+  void OnAdvice(const AdviserId& adviser, const AdviceQuestion& question,
+                const AdviceAnswer& answer, Time now);
+
+  // Stored; acknowledges the ends behind it.
+  void OnStored(const JobId& id, uint64_t version, Time now);
+
+  // Starts, stops, holds and asks as far as everything known allows.
+  void Decide(Time now);
+  std::vector<CellAction> TakeActions();
+  std::vector<ProgressWrite> TakeWrites(size_t most);
+  bool has_writes() const;
+  // Finished jobs whose time to be asked for is over; forgets them.
+  std::vector<JobId> TakeExpired(size_t most, Time now);
+
+  // More than half of the listed workers answered under this fence within
+  // `age`: no other placer can have raised a majority's fence before.
+  bool HoldsMajority(Milliseconds age, Time now) const;
+  // When an order or hold may be due next, at the latest.
+  size_t waiting_tasks() const;
+
+ private:
+  struct Parts;
+  std::unique_ptr<Parts> parts_;
+};
+
+}  // namespace quetzal
+
+#endif  // QUETZAL_CELL_CELL_H_
--- /dev/null
+++ b/quetzal/cell/internal/fleet.cc
@@ -0,0 +1,515 @@
+#include "quetzal/cell/internal/fleet.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "quetzal/cell/internal/work.h"
+
+namespace quetzal::cell {
+namespace {
+
+// A hold that waits for ends which aren't stored yet would be answered at once
+// by the same ends; renewing leases this often is enough meanwhile.
+constexpr Milliseconds kHoldWhileStoring{400};
+// Between tries to reach a worker that didn't answer.
+constexpr Milliseconds kHoldRetry{200};
+constexpr Milliseconds kStopRetry{300};
+// A worker whose entry is gone may be back within about two seconds of the
+// store's return; its leases are extended so long, and no longer.
+constexpr Milliseconds kUnlistedGrace{2'500};
+// A worker that refused an order for no lasting reason.
+constexpr Milliseconds kAvoidAfterRefusal{500};
+// Failures above this rate have a worker passed over for a while.
+constexpr double kSuspectFailureRate = 0.5;
+constexpr double kFailureSmoothing = 0.2;
+constexpr Milliseconds kAvoidAfterFailures{4'000};
+
+void Resign(State* state, const std::string& reason) {
+  state->actions.emplace_back(ResignAction{reason});
+}
+
+// Removes a run and applies what became of it.
+void EndRun(State* state, Worker* worker, const TaskName& name, int64_t number,
+            EndKind how, const std::string& checkpoint, Time now) {
+  const auto found = worker->runs.find(name);
+  Job* job = state->FindJob(name.job);
+  std::string saved = checkpoint;
+  if (found != worker->runs.end() && found->second.number == number) {
+    if (saved.empty()) saved = found->second.checkpoint;
+    RemoveRun(state, worker, name);
+  }
+  if (job != nullptr) ApplyEnd(state, job, name, number, how, saved, now);
+}
+
+std::vector<std::pair<TaskName, int64_t>> NamesOfRuns(const Worker& worker) {
+  std::vector<std::pair<TaskName, int64_t>> names;
+  for (const auto& [name, run] : worker.runs) {
+    names.emplace_back(name, run.number);
+  }
+  return names;
+}
+
+// Nothing runs there any more.
+void EndAllRuns(State* state, Worker* worker, const char* why, Time now) {
+  if (!worker->runs.empty()) {
+    state->log->Line("worker_runs_lost",
+                     {{"worker", worker->entry.id.text()},
+                      {"why", why},
+                      {"runs", static_cast<int64_t>(worker->runs.size())}});
+  }
+  for (const auto& [name, number] : NamesOfRuns(*worker)) {
+    EndRun(state, worker, name, number, EndKind::kLapsed, "", now);
+  }
+  worker->unseen.clear();
+  worker->known_gone = true;
+}
+
+void ForgetIncarnation(Worker* worker) {
+  worker->last_seen = 0;
+  worker->last_processed = 0;
+  worker->unseen.clear();
+  worker->clock = WorkerClock{0};
+  worker->reached = false;
+}
+
+void ObserveEnd(State* state, Worker* worker, EndKind how, Time now) {
+  if (how != EndKind::kDone && how != EndKind::kFailed) return;
+  const double failed = how == EndKind::kFailed ? 1.0 : 0.0;
+  worker->failure_rate += kFailureSmoothing * (failed - worker->failure_rate);
+  if (how == EndKind::kFailed && worker->failure_rate > kSuspectFailureRate) {
+    worker->avoid_until = now + kAvoidAfterFailures;
+    state->log->Line(
+        "worker_avoided",
+        {{"worker", worker->entry.id.text()},
+         {"why", "failures"},
+         {"percent", static_cast<int64_t>(worker->failure_rate * 100)}});
+  }
+}
+
+void ApplyEnded(State* state, Worker* worker, const EndedTask& ended,
+                Time now) {
+  if (ended.number <= worker->last_processed) return;
+  worker->last_processed = ended.number;
+  ObserveEnd(state, worker, ended.how, now);
+  EndRun(state, worker, ended.task, ended.run, ended.how, ended.checkpoint,
+         now);
+  const Job* const job = state->FindJob(ended.task.job);
+  worker->unseen.push_back(
+      {ended.number, ended.task.job, job == nullptr ? 0 : job->version});
+}
+
+// A run that this term didn't order: of a former term, or nobody's.
+void Adopt(State* state, Worker* worker, const RunningTask& row, Time now) {
+  Run run{.task = row.task,
+          .number = row.run,
+          .state = RunState::kRunning,
+          .ordered = now,
+          .start_clock = worker->clock,
+          .checkpoint = row.checkpoint};
+  Job* const job = state->FindJob(row.task.job);
+  const auto step_index = static_cast<size_t>(row.task.step);
+  const auto task_index = static_cast<size_t>(row.task.index);
+  const bool known = job != nullptr && row.task.step >= 0 &&
+                     row.task.index >= 0 && step_index < job->steps.size() &&
+                     task_index < job->steps[step_index].tasks.size();
+  bool wanted = known && !IsFinal(job->state);
+  if (known) {
+    Step& step = job->steps[step_index];
+    Task& task = step.tasks[task_index];
+    run.job = job;
+    run.charge = ChargeOf(*step.spec);
+    wanted = wanted && !task.progress.done && task.active_runs == 0;
+    task.progress.last_run = std::max(task.progress.last_run, row.run);
+    if (wanted && step.spec->gang) {
+      if (step.gang_members == 0) step.gang_run = row.run;
+      wanted = step.gang_run == row.run;
+    }
+  }
+  if (!wanted) {
+    run.state = RunState::kStopping;
+    run.stop_again = now;
+  }
+  state->log->Line("run_adopted", {{"worker", worker->entry.id.text()},
+                                   {"job", row.task.job.text()},
+                                   {"step", row.task.step},
+                                   {"task", row.task.index},
+                                   {"run", row.run},
+                                   {"kept", wanted ? "yes" : "no"}});
+  AddRun(state, worker, std::move(run));
+  if (wanted) {
+    if (job->state == JobState::kQueued) {
+      job->state = JobState::kRunning;
+      Touch(state, job);
+    }
+    UpdateReadiness(state, job, now);
+  }
+}
+
+// Runs that the worker's list lacks although it was made after they were known
+// to be there.
+void EndVanished(State* state, Worker* worker, const HoldAnswer& answer,
+                 Time now) {
+  std::set<TaskName> listed;
+  for (const RunningTask& row : answer.running) listed.insert(row.task);
+  for (const auto& [name, number] : NamesOfRuns(*worker)) {
+    if (listed.contains(name)) continue;
+    const Run& run = worker->runs.at(name);
+    const bool was_there =
+        run.state == RunState::kRunning && run.start_clock < answer.clock;
+    const bool was_stopped = run.stop_clock && *run.stop_clock < answer.clock;
+    if (!was_there && !was_stopped) continue;
+    EndRun(state, worker, name, number,
+           was_stopped ? EndKind::kStopped : EndKind::kLapsed, "", now);
+  }
+}
+
+void ApplyRunning(State* state, Worker* worker, const HoldAnswer& answer,
+                  Time now) {
+  for (const RunningTask& row : answer.running) {
+    const auto found = worker->runs.find(row.task);
+    if (found == worker->runs.end()) {
+      Adopt(state, worker, row, now);
+      continue;
+    }
+    Run& run = found->second;
+    if (run.number != row.run) continue;
+    if (!row.checkpoint.empty()) run.checkpoint = row.checkpoint;
+    if (run.state == RunState::kStarting) {
+      run.state = RunState::kRunning;
+      run.start_clock = answer.clock;
+    }
+  }
+}
+
+void SendHold(State* state, Worker* worker, Time now) {
+  const bool extends =
+      !worker->silent && worker->reached &&
+      (worker->listed || now - worker->unlisted_since < kUnlistedGrace);
+  HoldRequest request{.fence = state->fence, .last_seen = worker->last_seen};
+  if (extends) {
+    request.lease_until =
+        WorkerClock(static_cast<int64_t>(ClockOf(*worker, now)) +
+                    state->settings.most_lease.count());
+    worker->lease_basis = now;
+    // Ends that wait to be stored would answer it at once.
+    if (worker->unseen.empty()) request.wait = state->settings.hold_wait;
+  }
+  worker->hold_in_flight = true;
+  state->actions.emplace_back(HoldAction{worker->entry, request});
+}
+
+void SendStop(State* state, Worker* worker, Run* run, Time now) {
+  run->stop_in_flight = true;
+  run->stop_again = now + kStopRetry;
+  state->actions.emplace_back(StopAction{
+      worker->entry,
+      {.task = run->task, .run = run->number, .fence = state->fence}});
+}
+
+void OweStop(Run* run, Time now) {
+  run->state = RunState::kStopping;
+  run->stop_again = now;
+}
+
+// Gangs miss a member: the others would only wait for it.
+void BreakGang(State* state, Job* job, int index, Time now) {
+  Step& step = job->steps[static_cast<size_t>(index)];
+  if (!step.spec->gang || step.gang_done || step.gang_broken) return;
+  step.gang_broken = true;
+  StopRuns(state, job, index, now);
+}
+
+void ReturnTask(State* state, Worker* worker, const StartOrder& order,
+                Time now) {
+  const auto found = worker->runs.find(order.task);
+  if (found == worker->runs.end() || found->second.number != order.run) return;
+  Job* const job = found->second.job;
+  RemoveRun(state, worker, order.task);
+  if (job == nullptr) return;
+  BreakGang(state, job, order.task.step, now);
+  UpdateReadiness(state, job, now);
+}
+
+const char* NameOf(OrderOutcome outcome) {
+  switch (outcome) {
+    case OrderOutcome::kDone:
+      return "done";
+    case OrderOutcome::kFenced:
+      return "fenced";
+    case OrderOutcome::kOldRun:
+      return "old_run";
+    case OrderOutcome::kTooLate:
+      return "too_late";
+    case OrderOutcome::kNoRoom:
+      return "no_room";
+    case OrderOutcome::kNoTicket:
+      return "no_ticket";
+    case OrderOutcome::kOtherLife:
+      return "other_incarnation";
+    case OrderOutcome::kNotDone:
+      return "not_done";
+    case OrderOutcome::kRefused:
+      return "connection_refused";
+    case OrderOutcome::kUnknown:
+      return "no_answer";
+  }
+  return "?";
+}
+
+void CheckLapses(State* state, Time now) {
+  const Milliseconds lease = LongestLease(*state);
+  bool all_accounted = state->recovered;
+  for (auto& [id, worker] : state->workers) {
+    if (worker.reached || worker.known_gone) {
+      if (!worker.runs.empty() && now - worker.lease_basis > lease) {
+        EndAllRuns(state, &worker, "lease lapsed", now);
+      }
+      continue;
+    }
+    if (worker.listed) all_accounted = false;
+  }
+  // A former placer may have gone on until a majority was lost to it.
+  const bool lapsed = state->had_majority &&
+                      now - state->majority_since > lease + kConfirmedWithin;
+  if (state->accounted || (!all_accounted && !lapsed)) return;
+  if (!state->recovered) return;
+  state->accounted = true;
+  state->log->Line("all_workers_accounted",
+                   {{"after_ms", (now - state->term_began).count()},
+                    {"how", all_accounted ? "reached" : "lapsed"}});
+}
+
+}  // namespace
+
+WorkerClock ClockOf(const Worker& worker, Time now) {
+  return WorkerClock(static_cast<int64_t>(worker.clock) +
+                     (now - worker.clock_at).count());
+}
+
+bool TakesWork(const Worker& worker, Time now) {
+  return worker.listed && worker.reached && !worker.silent &&
+         !worker.entry.draining && worker.avoid_until <= now &&
+         now - worker.confirmed < kConfirmedWithin;
+}
+
+void LearnEntry(State* state, const WorkerEntry& entry, Time now) {
+  Worker& worker = state->workers[entry.id];
+  if (!worker.listed) {
+    worker.listed = true;
+    worker.next_hold = now;
+    state->log->Line("worker_listed",
+                     {{"worker", entry.id.text()}, {"address", entry.address}});
+  }
+  if (entry.draining && !worker.entry.draining) {
+    state->log->Line("worker_draining",
+                     {{"worker", entry.id.text()},
+                      {"least_left_ms", entry.least_left.count()}});
+  }
+  if (entry.incarnation != Incarnation{0} &&
+      worker.incarnation != Incarnation{0} &&
+      entry.incarnation != worker.incarnation) {
+    EndAllRuns(state, &worker, "started again", now);
+    ForgetIncarnation(&worker);
+    worker.incarnation = entry.incarnation;
+  }
+  worker.entry = entry;
+}
+
+void ForgetEntry(State* state, const WorkerId& id, Time now) {
+  Worker* const worker = state->FindWorker(id);
+  if (worker == nullptr || !worker->listed) return;
+  worker->listed = false;
+  worker->unlisted_since = now;
+  state->log->Line("worker_unlisted",
+                   {{"worker", id.text()},
+                    {"runs", static_cast<int64_t>(worker->runs.size())}});
+}
+
+void ApplyHold(State* state, Worker* worker, const HoldRequest& request,
+               Time sent, const HoldAnswer& answer, Time now) {
+  worker->hold_in_flight = false;
+  worker->next_hold = now + kHoldRetry;
+  if (answer.outcome == OrderOutcome::kFenced) {
+    if (request.fence == state->fence)
+      Resign(state, "a worker knows a higher fence");
+    return;
+  }
+  if (answer.outcome == OrderOutcome::kRefused) {
+    // Nothing listens there: its process, and all that it ran, are gone.
+    if (worker->reached) EndAllRuns(state, worker, "nothing listens", now);
+    ForgetIncarnation(worker);
+    worker->known_gone = true;
+    return;
+  }
+  if (answer.outcome != OrderOutcome::kDone) {
+    if (!worker->silent) {
+      state->log->Line("worker_silent", {{"worker", worker->entry.id.text()},
+                                         {"how", NameOf(answer.outcome)}});
+    }
+    worker->silent = true;
+    // It may be another incarnation by the time it answers, whose ends start
+    // at 1 again and must not be taken for acknowledged.
+    worker->last_seen = 0;
+    return;
+  }
+  if (answer.incarnation != worker->incarnation) {
+    if (worker->incarnation != Incarnation{0}) {
+      EndAllRuns(state, worker, "started again", now);
+      ForgetIncarnation(worker);
+    }
+    worker->incarnation = answer.incarnation;
+  }
+  if (worker->silent) {
+    state->log->Line("worker_back", {{"worker", worker->entry.id.text()}});
+  }
+  worker->silent = false;
+  worker->known_gone = false;
+  worker->confirmed = sent;
+  worker->clock = answer.clock;
+  worker->clock_at = now;
+  worker->next_hold = now;
+  for (const EndedTask& ended : answer.ended) {
+    ApplyEnded(state, worker, ended, now);
+  }
+  // The list of runs is whole, that of ends may come in parts.
+  ApplyRunning(state, worker, answer, now);
+  EndVanished(state, worker, answer, now);
+  worker->reached = true;
+  AcknowledgeStored(state, now);
+  if (!worker->unseen.empty()) worker->next_hold = now + kHoldWhileStoring;
+}
+
+void ApplyStart(State* state, Worker* worker, const StartOrder& order,
+                const OrderAnswer& answer, Time now) {
+  if (answer.outcome != OrderOutcome::kDone) {
+    state->metrics->Count("quetzal_starts_failed_total",
+                          {{"reason", NameOf(answer.outcome)}});
+    state->log->Line("start_failed", {{"worker", worker->entry.id.text()},
+                                      {"job", order.task.job.text()},
+                                      {"step", order.task.step},
+                                      {"task", order.task.index},
+                                      {"run", order.run},
+                                      {"how", NameOf(answer.outcome)}});
+  }
+  const auto found = worker->runs.find(order.task);
+  const bool present =
+      found != worker->runs.end() && found->second.number == order.run;
+  switch (answer.outcome) {
+    case OrderOutcome::kDone:
+      if (present) {
+        found->second.start_clock = answer.clock;
+        if (found->second.state == RunState::kStarting) {
+          found->second.state = RunState::kRunning;
+        }
+      }
+      return;
+    case OrderOutcome::kFenced:
+      if (order.fence == state->fence) {
+        Resign(state, "a worker knows a higher fence");
+      }
+      return;
+    case OrderOutcome::kUnknown:
+      // It may be carried out yet: stopped first, then started elsewhere.
+      if (present) {
+        OweStop(&found->second, now);
+        Job* const job = found->second.job;
+        if (job != nullptr) BreakGang(state, job, order.task.step, now);
+      }
+      return;
+    case OrderOutcome::kOldRun:
+    case OrderOutcome::kNoTicket:
+    case OrderOutcome::kTooLate:
+      break;
+    case OrderOutcome::kNoRoom:
+    case OrderOutcome::kOtherLife:
+    case OrderOutcome::kNotDone:
+    case OrderOutcome::kRefused:
+      worker->avoid_until = now + kAvoidAfterRefusal;
+      break;
+  }
+  if (!present) return;
+  Job* const job = found->second.job;
+  if (job != nullptr) {
+    Step& step = job->steps[static_cast<size_t>(order.task.step)];
+    if (answer.outcome == OrderOutcome::kNoTicket) {
+      step.permits.erase(worker->entry.id);
+    }
+    Task& task = step.tasks[static_cast<size_t>(order.task.index)];
+    task.progress.last_run = std::max(task.progress.last_run, order.run);
+  }
+  ReturnTask(state, worker, order, now);
+}
+
+void ApplyStop(State* state, Worker* worker, const StopOrder& order,
+               const OrderAnswer& answer, Time now) {
+  if (answer.outcome == OrderOutcome::kFenced && order.fence == state->fence) {
+    Resign(state, "a worker knows a higher fence");
+    return;
+  }
+  const auto found = worker->runs.find(order.task);
+  if (found == worker->runs.end() || found->second.number != order.run) return;
+  Run& run = found->second;
+  run.stop_in_flight = false;
+  run.stop_again = now + kStopRetry;
+  if (answer.outcome == OrderOutcome::kDone ||
+      answer.outcome == OrderOutcome::kOldRun) {
+    run.stop_clock = answer.clock;
+    // A hold made after it tells whether anything was there.
+    worker->next_hold = std::min(worker->next_hold, now);
+  }
+}
+
+void AcknowledgeStored(State* state, Time now) {
+  for (auto& [id, worker] : state->workers) {
+    if (worker.unseen.empty()) continue;
+    while (!worker.unseen.empty()) {
+      const UnseenEnd& end = worker.unseen.front();
+      const Job* const job = state->FindJob(end.job);
+      if (job != nullptr && job->stored_version < end.version) break;
+      worker.last_seen = std::max(worker.last_seen, end.number);
+      worker.unseen.pop_front();
+    }
+    if (worker.unseen.empty()) worker.next_hold = now;
+  }
+}
+
+void TendWorkers(State* state, Time now) {
+  if (!state->had_majority && HoldsMajority(*state, kConfirmedWithin, now)) {
+    state->had_majority = true;
+    state->majority_since = now;
+  }
+  CheckLapses(state, now);
+  for (auto each = state->workers.begin(); each != state->workers.end();) {
+    Worker& worker = each->second;
+    if (!worker.listed && worker.runs.empty() && worker.unseen.empty() &&
+        !worker.hold_in_flight) {
+      each = state->workers.erase(each);
+      continue;
+    }
+    ++each;
+    if (!state->recovered) continue;
+    if (!worker.hold_in_flight && now >= worker.next_hold) {
+      SendHold(state, &worker, now);
+    }
+    for (auto& [name, run] : worker.runs) {
+      const bool owed = run.state == RunState::kStopping &&
+                        !run.stop_in_flight && !run.stop_clock &&
+                        now >= run.stop_again;
+      if (owed) SendStop(state, &worker, &run, now);
+    }
+  }
+}
+
+bool HoldsMajority(const State& state, Milliseconds age, Time now) {
+  size_t listed = 0;
+  size_t confirmed = 0;
+  for (const auto& [id, worker] : state.workers) {
+    if (!worker.listed) continue;
+    ++listed;
+    if (worker.reached && now - worker.confirmed < age) ++confirmed;
+  }
+  return listed > 0 && confirmed * 2 > listed;
+}
+
+}  // namespace quetzal::cell
--- /dev/null
+++ b/quetzal/cell/internal/fleet.h
@@ -0,0 +1,30 @@
+// Workers under one placer: holds, what they say they run, leases that lapse,
+// orders whose answer is open.
+#ifndef QUETZAL_CELL_INTERNAL_FLEET_H_
+#define QUETZAL_CELL_INTERNAL_FLEET_H_
+
+#include "quetzal/cell/internal/state.h"
+
+namespace quetzal::cell {
+
+void LearnEntry(State* state, const WorkerEntry& entry, Time now);
+void ForgetEntry(State* state, const WorkerId& id, Time now);
+void ApplyHold(State* state, Worker* worker, const HoldRequest& request,
+               Time sent, const HoldAnswer& answer, Time now);
+void ApplyStart(State* state, Worker* worker, const StartOrder& order,
+                const OrderAnswer& answer, Time now);
+void ApplyStop(State* state, Worker* worker, const StopOrder& order,
+               const OrderAnswer& answer, Time now);
+// Ends whose jobs' progress is stored are acknowledged with the next hold.
+void AcknowledgeStored(State* state, Time now);
+// Holds that are due, stops that are owed, leases that have lapsed.
+void TendWorkers(State* state, Time now);
+// What a worker's clock shows now, never behind.
+WorkerClock ClockOf(const Worker& worker, Time now);
+bool HoldsMajority(const State& state, Milliseconds age, Time now);
+// True if new work may be given to the worker.
+bool TakesWork(const Worker& worker, Time now);
+
+}  // namespace quetzal::cell
+
+#endif  // QUETZAL_CELL_INTERNAL_FLEET_H_
--- /dev/null
+++ b/quetzal/cell/internal/state.cc
@@ -0,0 +1,62 @@
+#include "quetzal/cell/internal/state.h"
+
+#include <utility>
+
+namespace quetzal::cell {
+
+Job* State::FindJob(const JobId& id) {
+  const auto found = jobs.find(id);
+  return found == jobs.end() ? nullptr : found->second.get();
+}
+
+Worker* State::FindWorker(const WorkerId& id) {
+  const auto found = workers.find(id);
+  return found == workers.end() ? nullptr : &found->second;
+}
+
+Resources ChargeOf(const StepSpec& spec) {
+  Resources charge = spec.demand;
+  if (spec.fills) charge.cpu_milli = 0;
+  return charge;
+}
+
+Milliseconds LongestLease(const State& state) {
+  return Milliseconds(static_cast<int64_t>(
+             static_cast<double>(state.settings.most_lease.count()) *
+             kSlowestClock)) +
+         kLapseMargin;
+}
+
+void AddRun(State* state, Worker* worker, Run run) {
+  worker->used += run.charge;
+  if (run.job != nullptr) {
+    Job& job = *run.job;
+    Step& step = job.steps[static_cast<size_t>(run.task.step)];
+    if (step.spec->fills) worker->fill_milli += step.spec->demand.cpu_milli;
+    state->team_use[job.accepted.team] += step.spec->demand;
+    ++step.tasks[static_cast<size_t>(run.task.index)].active_runs;
+    ++job.active_runs;
+    if (step.spec->gang) ++step.gang_members;
+  }
+  const TaskName name = run.task;
+  worker->runs.emplace(name, std::move(run));
+}
+
+void RemoveRun(State* state, Worker* worker, const TaskName& task) {
+  const auto found = worker->runs.find(task);
+  if (found == worker->runs.end()) return;
+  const Run& run = found->second;
+  worker->used -= run.charge;
+  if (run.job != nullptr) {
+    Job& job = *run.job;
+    Step& step = job.steps[static_cast<size_t>(task.step)];
+    if (step.spec->fills) worker->fill_milli -= step.spec->demand.cpu_milli;
+    state->team_use[job.accepted.team] -= step.spec->demand;
+    --step.tasks[static_cast<size_t>(task.index)].active_runs;
+    --job.active_runs;
+    if (step.spec->gang) --step.gang_members;
+  }
+  worker->runs.erase(found);
+}
+
+}  // namespace quetzal::cell
--- /dev/null
+++ b/quetzal/cell/internal/state.h
@@ -0,0 +1,169 @@
+// What a cell knows: workers, runs, jobs, teams' use. Internal to
+// quetzal/cell; its other files act on it.
+#ifndef QUETZAL_CELL_INTERNAL_STATE_H_
+#define QUETZAL_CELL_INTERNAL_STATE_H_
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "quetzal/cell/cell.h"
+
+namespace quetzal::cell {
+
+// A worker's clock may run so much slower than ours.
+inline constexpr double kSlowestClock = 1.02;
+// On top of a lease before it counts as lapsed: rounding and late timers.
+inline constexpr Milliseconds kLapseMargin{400};
+// Longest time for which a placer without the store goes on by its workers'
+// confirmations; a successor waits so long before it trusts lapses.
+inline constexpr Milliseconds kConfirmedWithin{2'500};
+
+enum class RunState {
+  kStarting,  // ordered, no answer yet
+  kRunning,
+  kStopping,  // a stop is owed or under way; also starts without an answer
+};
+
+struct Job;
+
+// One run of a task on one worker. Charged until it surely ended.
+struct Run {
+  TaskName task;
+  int64_t number = 0;
+  RunState state = RunState::kStarting;
+  Job* job = nullptr;  // null: nobody asked for it
+  Resources charge;
+  Time ordered;
+  WorkerClock start_clock{0};  // of the answer to the start
+  bool stop_in_flight = false;
+  Time stop_again;
+  std::optional<WorkerClock> stop_clock;  // of the answer to the stop
+  std::string checkpoint;
+};
+
+// An end that the worker listed and that isn't acknowledged yet.
+struct UnseenEnd {
+  int64_t number = 0;
+  JobId job;
+  uint64_t version = 0;  // of the job's progress that must be stored first
+};
+
+struct Worker {
+  WorkerEntry entry;
+  bool listed = false;
+  Time unlisted_since;
+  bool reached = false;     // answered a hold in this term and incarnation
+  bool known_gone = false;  // its incarnation ended, or all its leases lapsed
+  Incarnation incarnation{0};
+  WorkerClock clock{0};  // of its newest answer
+  Time clock_at;         // when that answer came
+  int64_t last_seen = 0;
+  int64_t last_processed = 0;
+  std::deque<UnseenEnd> unseen;
+  bool hold_in_flight = false;
+  bool silent = false;  // its last hold had no answer
+  Time next_hold;
+  Time confirmed;    // when its newest answered hold was sent
+  Time lease_basis;  // when the newest order that may extend leases was sent
+  Resources used;
+  int64_t fill_milli = 0;  // processors wanted by tasks that only fill
+  std::map<TaskName, Run> runs;
+  Time avoid_until;         // it refused or failed what it was given
+  double failure_rate = 0;  // moving mean over its ends
+
+  Resources Free() const { return entry.capacity - used; }
+};
+
+struct PermitState {
+  bool allowed = false;
+  std::string ticket;
+  Time expires;
+  Incarnation incarnation{0};
+};
+
+struct Task {
+  TaskProgress progress;
+  int active_runs = 0;
+};
+
+struct Step {
+  const StepSpec* spec = nullptr;
+  std::vector<Task> tasks;
+  int done = 0;
+  bool ready = false;
+  Time ready_since;
+  bool question_in_flight = false;
+  Time next_question;
+  std::unordered_map<WorkerId, PermitState> permits;
+  // Of a gang: its members' common run, how many of them are charged, and
+  // whether that run is being given up.
+  int64_t gang_run = 0;
+  int gang_members = 0;
+  bool gang_broken = false;
+  bool gang_done = false;
+  int gang_failures = 0;
+  std::string gang_checkpoint;  // of any member; all carry the same
+};
+
+struct Job {
+  AcceptedJob accepted;
+  Revision created{0};
+  JobState state = JobState::kQueued;
+  std::vector<Step> steps;
+  // The queue's terms as last configured.
+  Queue terms;
+  Time known_since;
+  Time finished_at;
+  int active_runs = 0;
+  uint64_t version = 1;
+  uint64_t stored_version = 0;
+  uint64_t writing_version = 0;
+  bool dirty = false;
+  bool may_run_unseen = false;  // accepted before this term
+};
+
+struct State {
+  CellSettings settings;
+  Fence fence{0};
+  int64_t run_floor = 0;
+  Time term_began;
+  EventLog* log = nullptr;
+  Metrics* metrics = nullptr;
+  bool recovered = false;
+  bool accounted = false;  // every worker was reached or its leases lapsed
+  Time majority_since;
+  bool had_majority = false;
+  std::shared_ptr<const Catalog> catalog;
+  std::unordered_map<WorkerId, Worker> workers;
+  std::unordered_map<JobId, std::unique_ptr<Job>> jobs;
+  std::unordered_set<Job*> waiting;  // jobs with a ready step that lacks runs
+  std::deque<JobId> dirty;
+  std::deque<JobId> finished;  // in the order of their ends
+  std::unordered_map<TeamId, Resources> team_use;
+  std::vector<CellAction> actions;
+  std::vector<AdviserId> advisers;
+  std::unordered_map<AdviserId, Time> adviser_busy_until;
+  std::unordered_map<QueueId, double> allowed_share;  // learned from advice
+
+  Job* FindJob(const JobId& id);
+  Worker* FindWorker(const WorkerId& id);
+};
+
+// What a run of the step takes from its worker.
+Resources ChargeOf(const StepSpec& spec);
+// The most a placer's leases can outlast the order that extended them.
+Milliseconds LongestLease(const State& state);
+
+void AddRun(State* state, Worker* worker, Run run);
+// Gives back what the run held. The run is destroyed.
+void RemoveRun(State* state, Worker* worker, const TaskName& task);
+
+}  // namespace quetzal::cell
+
+#endif  // QUETZAL_CELL_INTERNAL_STATE_H_
--- /dev/null
+++ b/quetzal/cell/internal/work.cc
@@ -0,0 +1,219 @@
+#include "quetzal/cell/internal/work.h"
+
+#include <algorithm>
+
+namespace quetzal::cell {
+namespace {
+
+bool AreAllDone(const Job& job) {
+  return std::all_of(job.steps.begin(), job.steps.end(), [](const Step& step) {
+    return step.done == static_cast<int>(step.tasks.size());
+  });
+}
+
+const char* NameOf(JobState state) {
+  switch (state) {
+    case JobState::kCompleted:
+      return "completed";
+    case JobState::kFailed:
+      return "failed";
+    case JobState::kCancelled:
+      return "cancelled";
+    default:
+      return "open";
+  }
+}
+
+void Finish(State* state, Job* job, JobState how, Time now) {
+  if (IsFinal(job->state)) return;
+  job->state = how;
+  job->finished_at = now;
+  state->waiting.erase(job);
+  state->finished.push_back(job->accepted.id);
+  Touch(state, job);
+  StopRuns(state, job, std::nullopt, now);
+  state->metrics->Count(
+      "quetzal_jobs_ended_total",
+      {{"queue", job->terms.name.text()}, {"how", NameOf(how)}});
+  state->log->Line("job_ended",
+                   {{"job", job->accepted.id.text()},
+                    {"how", NameOf(how)},
+                    {"after_ms", (now - job->known_since).count()}});
+}
+
+void MarkDone(Step* step, Task* task) {
+  if (task->progress.done) return;
+  task->progress.done = true;
+  task->progress.checkpoint.clear();
+  ++step->done;
+}
+
+void ApplyGangEnd(State* state, Job* job, int index, int64_t run, EndKind how,
+                  Time now) {
+  Step& step = job->steps[static_cast<size_t>(index)];
+  if (how == EndKind::kDone) {
+    // One member's end stands for all of them.
+    step.gang_done = true;
+    for (Task& task : step.tasks) MarkDone(&step, &task);
+    return;
+  }
+  if (step.gang_done || run != step.gang_run || step.gang_broken) return;
+  step.gang_broken = true;
+  if (how == EndKind::kFailed) {
+    ++step.gang_failures;
+    for (Task& task : step.tasks) task.progress.failures = step.gang_failures;
+  }
+  StopRuns(state, job, index, now);
+}
+
+}  // namespace
+
+void Touch(State* state, Job* job) {
+  ++job->version;
+  if (job->dirty) return;
+  job->dirty = true;
+  state->dirty.push_back(job->accepted.id);
+}
+
+bool HasWaitingTasks(const Step& step) {
+  if (!step.ready) return false;
+  if (step.spec->gang) {
+    return !step.gang_done && step.gang_members == 0;
+  }
+  return std::any_of(step.tasks.begin(), step.tasks.end(), [](const Task& t) {
+    return !t.progress.done && t.active_runs == 0;
+  });
+}
+
+void UpdateReadiness(State* state, Job* job, Time now) {
+  if (IsFinal(job->state)) return;
+  bool waits = false;
+  for (Step& step : job->steps) {
+    if (!step.ready) {
+      step.ready = std::all_of(
+          step.spec->after.begin(), step.spec->after.end(), [&](int before) {
+            const Step& other = job->steps[static_cast<size_t>(before)];
+            return other.done == static_cast<int>(other.tasks.size());
+          });
+      if (step.ready) step.ready_since = now;
+    }
+    waits = waits || HasWaitingTasks(step);
+  }
+  if (waits) {
+    state->waiting.insert(job);
+  } else {
+    state->waiting.erase(job);
+  }
+}
+
+void AddJob(State* state, const AcceptedJob& accepted, Revision created,
+            const std::optional<JobProgress>& progress, Time now) {
+  if (state->jobs.contains(accepted.id)) return;
+  auto owned = std::make_unique<Job>();
+  Job* const job = owned.get();
+  job->accepted = accepted;
+  job->created = created;
+  job->known_since = now;
+  job->may_run_unseen = !state->recovered;
+  job->terms.name = accepted.queue;
+  job->terms.service = accepted.service;
+  if (state->catalog) {
+    const Queue* const queue = state->catalog->FindQueue(accepted.queue);
+    if (queue != nullptr) job->terms = *queue;
+  }
+  for (const StepSpec& spec : job->accepted.spec.steps) {
+    Step step;
+    step.spec = &spec;
+    step.tasks.resize(static_cast<size_t>(spec.count));
+    job->steps.push_back(std::move(step));
+  }
+  state->jobs[accepted.id] = std::move(owned);
+  if (progress) {
+    job->state = progress->state;
+    for (size_t i = 0; i < job->steps.size(); ++i) {
+      Step& step = job->steps[i];
+      for (size_t j = 0; j < step.tasks.size(); ++j) {
+        step.tasks[j].progress = progress->steps[i].tasks[j];
+        if (step.tasks[j].progress.done) ++step.done;
+        const std::string& checkpoint = step.tasks[j].progress.checkpoint;
+        if (!checkpoint.empty()) step.gang_checkpoint = checkpoint;
+        step.gang_failures =
+            std::max(step.gang_failures, step.tasks[j].progress.failures);
+      }
+      step.gang_done =
+          step.spec->gang && step.done == static_cast<int>(step.tasks.size());
+    }
+  }
+  job->stored_version = job->version;
+  if (IsFinal(job->state)) {
+    job->finished_at = now;
+    state->finished.push_back(accepted.id);
+  }
+  UpdateReadiness(state, job, now);
+}
+
+void CancelJob(State* state, Job* job, Time now) {
+  Finish(state, job, JobState::kCancelled, now);
+}
+
+void StopRuns(State* state, Job* job, std::optional<int> step, Time now) {
+  if (job->active_runs == 0) return;
+  for (auto& [id, worker] : state->workers) {
+    for (auto& [name, run] : worker.runs) {
+      if (run.job != job || (step && name.step != *step)) continue;
+      if (run.state == RunState::kStopping) continue;
+      run.state = RunState::kStopping;
+      run.stop_again = now;
+    }
+  }
+}
+
+void ApplyEnd(State* state, Job* job, const TaskName& name, int64_t run,
+              EndKind how, const std::string& checkpoint, Time now) {
+  if (name.step < 0 || static_cast<size_t>(name.step) >= job->steps.size()) {
+    return;
+  }
+  Step& step = job->steps[static_cast<size_t>(name.step)];
+  if (name.index < 0 || static_cast<size_t>(name.index) >= step.tasks.size()) {
+    return;
+  }
+  Task& task = step.tasks[static_cast<size_t>(name.index)];
+  task.progress.last_run = std::max(task.progress.last_run, run);
+  if (!checkpoint.empty() && !task.progress.done) {
+    task.progress.checkpoint = checkpoint;
+    step.gang_checkpoint = checkpoint;
+  }
+  Touch(state, job);
+  if (IsFinal(job->state)) return;
+  if (step.spec->gang) {
+    ApplyGangEnd(state, job, name.step, run, how, now);
+  } else if (how == EndKind::kDone) {
+    MarkDone(&step, &task);
+  } else if (how == EndKind::kFailed && !task.progress.done) {
+    ++task.progress.failures;
+  }
+  if (AreAllDone(*job)) {
+    Finish(state, job, JobState::kCompleted, now);
+    return;
+  }
+  const int failures =
+      step.spec->gang ? step.gang_failures : task.progress.failures;
+  if (!task.progress.done && failures >= job->terms.most_attempts) {
+    Finish(state, job, JobState::kFailed, now);
+    return;
+  }
+  UpdateReadiness(state, job, now);
+}
+
+JobProgress ProgressOf(const Job& job) {
+  JobProgress progress;
+  progress.state = job.state;
+  for (const Step& step : job.steps) {
+    StepProgress stored;
+    for (const Task& task : step.tasks) stored.tasks.push_back(task.progress);
+    progress.steps.push_back(std::move(stored));
+  }
+  return progress;
+}
+
+}  // namespace quetzal::cell
--- a/quetzal/dispatch/dispatch.cc
+++ b/quetzal/dispatch/dispatch.cc
@@ -100,24 +100,34 @@
   const QueueRecord* const queue =
       Admit(request.call, request.key, request.work.queue(), now);
   if (queue == nullptr) return;
-  const std::string id =
-      settings_.self.text() + "-r" + std::to_string(next_id_++);
-  Pending pending;
-  pending.call = request.call;
-  pending.since = now;
-  pending.deadline = now + request.deadline;
+  const std::string id = NewId("r");
+  Pending pending = NewPending(request.call, request.deadline, now);
   wire::Work* const work = pending.message.mutable_submit()->mutable_work();
   *work = request.work;
   work->set_work_id(id);
   work->set_team(queue->team.text());
   metrics_->Count("quetzal_requests_total");
-  AddRequest(id, std::move(pending), now);
+  id_of_call_[static_cast<uint64_t>(request.call)] = id;
+  Add(id, std::move(pending), &requests_, now);
+}
+
+std::string EntryCore::NewId(const std::string& kind) {
+  return settings_.self.text() + "-" + kind + std::to_string(next_id_++);
+}
+
+EntryCore::Pending EntryCore::NewPending(CallId call, Milliseconds deadline,
+                                         Time now) {
+  Pending pending;
+  pending.call = call;
+  pending.since = now;
+  pending.deadline = now + deadline;
+  return pending;
 }
 
-void EntryCore::AddRequest(const std::string& id, Pending pending, Time now) {
+void EntryCore::Add(const std::string& id, Pending pending, PendingById* to,
+                    Time now) {
   deadlines_.emplace(pending.deadline + settings_.settle_grace, id);
-  id_of_call_[static_cast<uint64_t>(pending.call)] = id;
-  Pending& added = requests_[id] = std::move(pending);
+  Pending& added = (*to)[id] = std::move(pending);
   Send(&added, now);
 }
 
@@ -125,19 +135,15 @@
   const QueueRecord* const queue =
       Admit(job.call, job.key, job.spec.work().queue(), now);
   if (queue == nullptr) return;
-  const std::string id =
-      settings_.self.text() + "-j" + std::to_string(next_id_++);
-  Pending pending;
-  pending.call = job.call;
-  pending.since = now;
-  pending.deadline = now + settings_.job_deadline;
+  const std::string id = NewId("j");
+  Pending pending = NewPending(job.call, settings_.job_deadline, now);
   wire::JobSpec* const spec =
       pending.message.mutable_submit_job()->mutable_job();
   *spec = job.spec;
   spec->set_job_id(id);
   spec->mutable_work()->set_team(queue->team.text());
   metrics_->Count("quetzal_jobs_total");
-  AddJobCall(id, std::move(pending), now);
+  Add(id, std::move(pending), &jobs_, now);
 }
 
 void EntryCore::OnJobQuestion(const JobQuestion& question, Time now) {
@@ -151,12 +157,8 @@
     Refuse(question.call, reason);
     return;
   }
-  const std::string id =
-      settings_.self.text() + "-q" + std::to_string(next_id_++);
-  Pending pending;
-  pending.call = question.call;
-  pending.since = now;
-  pending.deadline = now + settings_.ask_deadline;
+  const std::string id = NewId("q");
+  Pending pending = NewPending(question.call, settings_.ask_deadline, now);
   if (question.cancel) {
     wire::CancelJob* const cancel = pending.message.mutable_cancel_job();
     cancel->set_query_id(id);
@@ -168,13 +170,7 @@
     query->set_job_id(question.job.text());
     query->set_team(team->text());
   }
-  AddJobCall(id, std::move(pending), now);
-}
-
-void EntryCore::AddJobCall(const std::string& id, Pending pending, Time now) {
-  deadlines_.emplace(pending.deadline + settings_.settle_grace, id);
-  Pending& added = jobs_[id] = std::move(pending);
-  Send(&added, now);
+  Add(id, std::move(pending), &jobs_, now);
 }
 
 void EntryCore::Send(Pending* pending, Time now) {
@@ -197,7 +193,7 @@
   Reply(ToPlacer{*active_, pending->message});
 }
 
-void EntryCore::OnCallerGone(CallId call, Time now) {
+void EntryCore::OnCallerGone(CallId call) {
   const auto found = id_of_call_.extract(static_cast<uint64_t>(call));
   if (!found) return;
   const auto request = requests_.extract(found.mapped());
@@ -206,7 +202,6 @@
   message.mutable_cancel()->set_work_id(found.mapped());
   Reply(ToPlacer{*active_, std::move(message)});
   metrics_->Count("quetzal_callers_gone_total");
-  (void)now;
 }
 
 wire::EntryToPlacer EntryCore::Hello(Time now) const {
--- a/quetzal/dispatch/dispatch.h
+++ b/quetzal/dispatch/dispatch.h
@@ -113,7 +113,7 @@
   void OnJob(const CallerJob& job, Time now);
   void OnJobQuestion(const JobQuestion& question, Time now);
   // The caller closed its connection: nobody waits for the reply.
-  void OnCallerGone(CallId call, Time now);
+  void OnCallerGone(CallId call);
 
   void OnPlacerLink(const PlacerId& placer, bool up, Time now);
   void OnPlacerMessage(const PlacerId& placer,
@@ -139,6 +139,7 @@
     bool sent = false;  // some placer may have received it
     PlacerId sent_to;   // the last one
   };
+  using PendingById = std::unordered_map<std::string, Pending>;
   struct PlacerView {
     bool linked = false;
     bool active = false;
@@ -153,8 +154,9 @@
                            const std::string& queue, Time now);
   void Refuse(CallId call, Refusal reason, const std::string& detail = "");
   void Reply(EntryEffect effect) { effects_.push_back(std::move(effect)); }
-  void AddRequest(const std::string& id, Pending pending, Time now);
-  void AddJobCall(const std::string& id, Pending pending, Time now);
+  std::string NewId(const std::string& kind);
+  static Pending NewPending(CallId call, Milliseconds deadline, Time now);
+  void Add(const std::string& id, Pending pending, PendingById* to, Time now);
   void Send(Pending* pending, Time now);
   void ChooseActive(Time now);
   void SendAll(Time now);
@@ -175,8 +177,8 @@
   std::map<PlacerId, PlacerView> placers_;
   std::optional<PlacerId> active_;
   uint64_t active_epoch_ = 0;
-  std::unordered_map<std::string, Pending> requests_;  // by request id
-  std::unordered_map<std::string, Pending> jobs_;      // by job or query id
+  PendingById requests_;  // by request id
+  PendingById jobs_;      // by job or query id
   std::unordered_map<uint64_t, std::string> id_of_call_;
   std::set<std::pair<Time, std::string>> deadlines_;
   std::vector<EntryEffect> effects_;
--- a/quetzal/entry_vm/entry_vm.cc
+++ b/quetzal/entry_vm/entry_vm.cc
@@ -1,7 +1,5 @@
 #include "quetzal/entry_vm/entry_vm.h"
 
-#include <glog/logging.h>
-
 #include <optional>
 #include <utility>
 
@@ -28,15 +26,6 @@
   return settings;
 }
 
-std::unique_ptr<HttpServer> ListenForHttp(const std::string& address,
-                                          HttpLimits limits,
-                                          HttpHandlers handlers) {
-  auto server = HttpServer::Listen(address, limits, std::move(handlers));
-  if (server) return std::move(server.value());
-  LOG(ERROR) << address << ": " << server.error().message();
-  return nullptr;
-}
-
 void FollowVms(Platform* platform, Milliseconds period,
                std::function<void(const std::vector<Vm>& vms)> on_vms) {
   const auto ask = [platform, on_vms = std::move(on_vms)] {
--- a/quetzal/entry_vm/entry_vm.h
+++ b/quetzal/entry_vm/entry_vm.h
@@ -1,5 +1,5 @@
-// What the programs of an entry VM do alike: settings they share, the HTTP
-// listener, the list of VMs, the metrics page.
+// What the programs of an entry VM do alike: settings they share, the list of
+// VMs, the metrics page.
 //
 //   const EntryVmSettings vm = ReadEntryVmSettings(&reader, kCallTimeout);
 //   FollowVms(platform, kVmListEvery, [](const std::vector<Vm>& vms) { ... });
@@ -7,7 +7,6 @@
 #define QUETZAL_ENTRY_VM_ENTRY_VM_H_
 
 #include <functional>
-#include <memory>
 #include <string>
 #include <vector>
 
@@ -31,11 +30,6 @@
 EntryVmSettings ReadEntryVmSettings(ObjectReader* reader,
                                     Milliseconds platform_timeout);
 
-// Null, with the remedy in the log, if the address can't be listened on.
-std::unique_ptr<HttpServer> ListenForHttp(const std::string& address,
-                                          HttpLimits limits,
-                                          HttpHandlers handlers);
-
 // Asks for the list of VMs now and every `period`. Lists that could not be had
 // are passed over: what was known stays. `platform` must outlive the main loop.
 void FollowVms(Platform* platform, Milliseconds period,
--- /dev/null
+++ b/quetzal/event_log/event_log.cc
@@ -0,0 +1,74 @@
+#include "quetzal/event_log/event_log.h"
+
+#include <fcntl.h>
+#include <glib.h>
+#include <poll.h>
+#include <unistd.h>
+
+#include <utility>
+
+namespace quetzal {
+namespace {
+
+constexpr int64_t kMicrosecondsInSecond = 1'000'000;
+constexpr int64_t kMicrosecondsInMillisecond = 1'000;
+// A pipe takes writes up to this size whole or not at all.
+constexpr size_t kMostLineBytes = 4'000;
+
+void AppendEscaped(std::string_view text, std::string* line) {
+  for (const char c : text) {
+    if (c == '"' || c == '\\') *line += '\\';
+    *line += static_cast<unsigned char>(c) < ' ' ? ' ' : c;
+  }
+}
+
+}  // namespace
+
+EventLog::EventLog(std::string process, EventLogLimits limits)
+    : process_(std::move(process)), limits_(limits) {}
+
+bool EventLog::IsWithinRate() {
+  const int64_t second = g_get_monotonic_time() / kMicrosecondsInSecond;
+  if (second != second_) {
+    second_ = second;
+    lines_in_second_ = 0;
+  }
+  return ++lines_in_second_ <= limits_.lines_per_second;
+}
+
+void EventLog::Line(std::string_view event,
+                    std::initializer_list<EventField> fields) {
+  if (!IsWithinRate()) {
+    ++dropped_;
+    return;
+  }
+  std::string line =
+      R"({"ms":)" +
+      std::to_string(g_get_real_time() / kMicrosecondsInMillisecond) +
+      R"(,"process":")" + process_ + R"(","event":")" + std::string(event) +
+      '"';
+  for (const EventField& field : fields) {
+    line += ",\"";
+    line += field.name;
+    line += field.is_number ? "\":" : "\":\"";
+    AppendEscaped(field.value, &line);
+    if (!field.is_number) line += '"';
+  }
+  if (dropped_ > dropped_told_) {
+    line += ",\"lines_dropped\":" + std::to_string(dropped_);
+    dropped_told_ = dropped_;
+  }
+  if (line.size() > kMostLineBytes) line.resize(kMostLineBytes);
+  Write(line + "}\n");
+}
+
+void EventLog::Write(const std::string& line) {
+  pollfd out{.fd = STDOUT_FILENO, .events = POLLOUT};
+  if (poll(&out, 1, 0) != 1 || (out.revents & POLLOUT) == 0 ||
+      write(STDOUT_FILENO, line.data(), line.size()) !=
+          static_cast<ssize_t>(line.size())) {
+    ++dropped_;
+  }
+}
+
+}  // namespace quetzal
--- a/quetzal/http/http.cc
+++ b/quetzal/http/http.cc
@@ -1,6 +1,7 @@
 #include "quetzal/http/http.h"
 
 #include <gio/gio.h>
+#include <glog/logging.h>
 #include <microhttpd.h>
 #include <poll.h>
 #include <sys/socket.h>
@@ -77,6 +78,15 @@
   return MHD_YES;
 }
 
+MHD_Result AddHeader(void* headers, MHD_ValueKind /*kind*/, const char* name,
+                     const char* value) {
+  gchar* const lower = g_ascii_strdown(name, -1);
+  (*static_cast<std::map<std::string, std::string>*>(headers))[lower] =
+      value == nullptr ? "" : value;
+  g_free(lower);
+  return MHD_YES;
+}
+
 MHD_Result Queue(MHD_Connection* connection, const HttpReply& reply) {
   MHD_Response* const response = MHD_create_response_from_buffer(
       reply.body.size(), const_cast<char*>(reply.body.data()),
@@ -231,6 +241,8 @@
     call->request.bearer = BearerOf(connection);
     MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, &AddArgument,
                               &call->request.query);
+    MHD_get_connection_values(connection, MHD_HEADER_KIND, &AddHeader,
+                              &call->request.headers);
     return (calls_[id] = std::move(call)).get();
   }
 
@@ -360,4 +372,13 @@
   return std::unique_ptr<HttpServer>(std::move(server));
 }
 
+std::unique_ptr<HttpServer> ListenForHttp(const std::string& address,
+                                          HttpLimits limits,
+                                          HttpHandlers handlers) {
+  auto server = HttpServer::Listen(address, limits, std::move(handlers));
+  if (server) return std::move(server.value());
+  LOG(ERROR) << address << ": " << server.error().message();
+  return nullptr;
+}
+
 }  // namespace quetzal
--- a/quetzal/http/http.h
+++ b/quetzal/http/http.h
@@ -39,7 +39,8 @@
   std::string method;
   std::string path;
   std::map<std::string, std::string> query;
-  std::optional<std::string> bearer;  // of "Authorization: Bearer ..."
+  std::optional<std::string> bearer;           // of "Authorization: Bearer ..."
+  std::map<std::string, std::string> headers;  // names in lower case
   std::string body;
 };
 
@@ -78,6 +79,11 @@
   virtual int port() const = 0;
 };
 
+// The same for programs: null, with the remedy in the log, instead of an error.
+std::unique_ptr<HttpServer> ListenForHttp(const std::string& address,
+                                          HttpLimits limits,
+                                          HttpHandlers handlers);
+
 }  // namespace quetzal
 
 template <>
--- /dev/null
+++ b/quetzal/http_client/http_client.cc
@@ -0,0 +1,257 @@
+#include "quetzal/http_client/http_client.h"
+
+#include <curl/curl.h>
+#include <glib-unix.h>
+#include <glib.h>
+#include <glog/logging.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <unordered_set>
+#include <utility>
+
+namespace quetzal {
+namespace {
+
+// A connection whose peer acknowledges nothing for this long is given up; well
+// under the shortest bound that a silent connection must not break (3 s).
+constexpr unsigned kSilenceMs = 1'500;
+// To be told apart from a slow answer: three round trips between regions fit.
+constexpr long kConnectTimeoutMs = 1'000;
+
+struct Transfer {
+  CURL* easy = nullptr;
+  curl_slist* headers = nullptr;
+  std::string body;
+  HttpClient::Callback callback;
+  HttpAnswer answer;
+  gint64 started_us = 0;
+};
+
+size_t Append(char* data, size_t size, size_t count, void* transfer) {
+  static_cast<Transfer*>(transfer)->answer.body.append(data, size * count);
+  return size * count;
+}
+
+int SetSocketOptions(void* /*client*/, curl_socket_t descriptor,
+                     curlsocktype /*purpose*/) {
+  const unsigned silence_ms = kSilenceMs;
+  if (setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &silence_ms,
+                 sizeof(silence_ms)) != 0) {
+    LOG_FIRST_N(WARNING, 1)
+        << "TCP_USER_TIMEOUT can't be set: " << g_strerror(errno);
+  }
+  return CURL_SOCKOPT_OK;
+}
+
+HttpAnswer::Kind KindOfFailure(CURLcode code, CURL* easy) {
+  if (code == CURLE_COULDNT_CONNECT) return HttpAnswer::Kind::kRefused;
+  double connected_s = 0;
+  curl_easy_getinfo(easy, CURLINFO_PRETRANSFER_TIME, &connected_s);
+  if (code == CURLE_OPERATION_TIMEDOUT && connected_s == 0) {
+    return HttpAnswer::Kind::kNotSent;
+  }
+  return HttpAnswer::Kind::kNoAnswer;
+}
+
+class CurlClient : public HttpClient {
+ public:
+  explicit CurlClient(const HttpClientLimits& limits)
+      : multi_(curl_multi_init()) {
+    curl_multi_setopt(multi_, CURLMOPT_SOCKETFUNCTION, &OnSocketWanted);
+    curl_multi_setopt(multi_, CURLMOPT_SOCKETDATA, this);
+    curl_multi_setopt(multi_, CURLMOPT_TIMERFUNCTION, &OnTimerWanted);
+    curl_multi_setopt(multi_, CURLMOPT_TIMERDATA, this);
+    curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS,
+                      static_cast<long>(limits.most_idle_connections));
+    curl_multi_setopt(multi_, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
+  }
+  ~CurlClient() override {
+    for (Transfer* const transfer : transfers_) {
+      curl_multi_remove_handle(multi_, transfer->easy);
+      Free(transfer);
+    }
+    if (timer_ != 0) g_source_remove(timer_);
+    curl_multi_cleanup(multi_);
+    for (CURL* const easy : idle_) curl_easy_cleanup(easy);
+  }
+
+  void Send(const HttpClientCall& call, Callback callback) override {
+    auto* const transfer = new Transfer;
+    transfer->callback = std::move(callback);
+    transfer->body = call.body;
+    transfer->started_us = g_get_monotonic_time();
+    transfer->easy = TakeEasy();
+    Prepare(call, transfer);
+    transfers_.insert(transfer);
+    curl_multi_add_handle(multi_, transfer->easy);
+  }
+
+ private:
+  struct Watch {
+    CurlClient* client = nullptr;
+    curl_socket_t descriptor = -1;
+    guint source = 0;
+  };
+
+  CURL* TakeEasy() {
+    if (idle_.empty()) return curl_easy_init();
+    CURL* const easy = idle_.back();
+    idle_.pop_back();
+    return easy;
+  }
+
+  static void Prepare(const HttpClientCall& call, Transfer* transfer) {
+    CURL* const easy = transfer->easy;
+    for (const std::string& header : call.headers) {
+      transfer->headers = curl_slist_append(transfer->headers, header.c_str());
+    }
+    if (!call.body.empty()) {
+      transfer->headers = curl_slist_append(transfer->headers,
+                                            "Content-Type: application/json");
+      // Without it large bodies wait for a 100 that small servers don't send.
+      transfer->headers = curl_slist_append(transfer->headers, "Expect:");
+      curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE,
+                       static_cast<long>(transfer->body.size()));
+      curl_easy_setopt(easy, CURLOPT_POSTFIELDS, transfer->body.c_str());
+    } else if (call.method == "POST") {
+      curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, 0L);
+      curl_easy_setopt(easy, CURLOPT_POSTFIELDS, "");
+    }
+    curl_easy_setopt(easy, CURLOPT_URL, call.url.c_str());
+    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call.method.c_str());
+    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer->headers);
+    curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
+                     static_cast<long>(call.timeout.count()));
+    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
+                     std::min<long>(kConnectTimeoutMs,
+                                    static_cast<long>(call.timeout.count())));
+    curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &SetSocketOptions);
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &Append);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer);
+    curl_easy_setopt(easy, CURLOPT_PRIVATE, transfer);
+  }
+
+  static int OnSocketWanted(CURL* /*easy*/, curl_socket_t descriptor, int what,
+                            void* self, void* watch_data) {
+    auto* const client = static_cast<CurlClient*>(self);
+    auto* watch = static_cast<Watch*>(watch_data);
+    if (watch != nullptr && watch->source != 0) {
+      g_source_remove(watch->source);
+      watch->source = 0;
+    }
+    if (what == CURL_POLL_REMOVE) {
+      delete watch;
+      curl_multi_assign(client->multi_, descriptor, nullptr);
+      return 0;
+    }
+    if (watch == nullptr) {
+      watch = new Watch{.client = client, .descriptor = descriptor};
+      curl_multi_assign(client->multi_, descriptor, watch);
+    }
+    unsigned condition = G_IO_ERR | G_IO_HUP;
+    if (what != CURL_POLL_OUT) condition |= G_IO_IN;
+    if (what != CURL_POLL_IN) condition |= G_IO_OUT;
+    watch->source =
+        g_unix_fd_add(descriptor, static_cast<GIOCondition>(condition),
+                      &OnSocketReady, watch);
+    return 0;
+  }
+
+  static gboolean OnSocketReady(gint descriptor, GIOCondition condition,
+                                gpointer data) {
+    CurlClient* const client = static_cast<Watch*>(data)->client;
+    int events = 0;
+    if ((condition & G_IO_IN) != 0) events |= CURL_CSELECT_IN;
+    if ((condition & G_IO_OUT) != 0) events |= CURL_CSELECT_OUT;
+    if ((condition & (G_IO_ERR | G_IO_HUP)) != 0) events |= CURL_CSELECT_ERR;
+    client->Act(descriptor, events);
+    // libcurl removed or replaced this source if it wanted to.
+    return G_SOURCE_CONTINUE;
+  }
+
+  static int OnTimerWanted(CURLM* /*multi*/, long timeout_ms, void* self) {
+    auto* const client = static_cast<CurlClient*>(self);
+    if (client->timer_ != 0) g_source_remove(client->timer_);
+    client->timer_ = 0;
+    if (timeout_ms >= 0) {
+      client->timer_ =
+          g_timeout_add(static_cast<guint>(timeout_ms), &OnTimer, client);
+    }
+    return 0;
+  }
+
+  static gboolean OnTimer(gpointer self) {
+    auto* const client = static_cast<CurlClient*>(self);
+    client->timer_ = 0;
+    client->Act(CURL_SOCKET_TIMEOUT, 0);
+    return G_SOURCE_REMOVE;
+  }
+
+  void Act(curl_socket_t descriptor, int events) {
+    int running = 0;
+    curl_multi_socket_action(multi_, descriptor, events, &running);
+    FinishTransfers();
+  }
+
+  void FinishTransfers() {
+    int left = 0;
+    while (CURLMsg* const message = curl_multi_info_read(multi_, &left)) {
+      if (message->msg != CURLMSG_DONE) continue;
+      const CURLcode code = message->data.result;
+      Transfer* transfer = nullptr;
+      curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &transfer);
+      Finish(transfer, code);
+    }
+  }
+
+  void Finish(Transfer* transfer, CURLcode code) {
+    HttpAnswer& answer = transfer->answer;
+    answer.took =
+        Milliseconds((g_get_monotonic_time() - transfer->started_us) / 1'000);
+    if (code == CURLE_OK) {
+      long status = 0;
+      curl_easy_getinfo(transfer->easy, CURLINFO_RESPONSE_CODE, &status);
+      answer.kind = HttpAnswer::Kind::kAnswered;
+      answer.status = static_cast<int>(status);
+    } else {
+      answer.kind = KindOfFailure(code, transfer->easy);
+      answer.problem = curl_easy_strerror(code);
+    }
+    curl_multi_remove_handle(multi_, transfer->easy);
+    transfers_.erase(transfer);
+    transfer->callback(answer);
+    Free(transfer);
+  }
+
+  void Free(Transfer* transfer) {
+    curl_slist_free_all(transfer->headers);
+    curl_easy_reset(transfer->easy);
+    idle_.push_back(transfer->easy);
+    delete transfer;
+  }
+
+  CURLM* multi_;
+  guint timer_ = 0;
+  std::unordered_set<Transfer*> transfers_;
+  std::vector<CURL*> idle_;  // handles are costly to make
+};
+
+}  // namespace
+
+std::unique_ptr<HttpClient> HttpClient::Create(const HttpClientLimits& limits) {
+  static const CURLcode kInitialized = curl_global_init(CURL_GLOBAL_NOTHING);
+  if (kInitialized != CURLE_OK) {
+    LOG(ERROR) << "libcurl: " << curl_easy_strerror(kInitialized);
+  }
+  return std::make_unique<CurlClient>(limits);
+}
+
+}  // namespace quetzal
--- /dev/null
+++ b/quetzal/job/job.cc
@@ -0,0 +1,72 @@
+#include "quetzal/job/job.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace quetzal {
+namespace {
+
+constexpr int kMostTasks = 10'000;  // of a job, over all steps
+
+std::string PathOf(size_t step) {
+  return "steps[" + std::to_string(step) + "]";
+}
+
+void CheckStep(const StepSpec& step, size_t index, Problems* problems) {
+  const std::string path = PathOf(index);
+  if (step.count < 1) {
+    problems->push_back(
+        {path + ".count", std::to_string(step.count), "at least one task"});
+  }
+  const Resources& demand = step.demand;
+  if (demand.cpu_milli < 0 || demand.memory_mib < 0 ||
+      demand.accelerators < 0) {
+    problems->push_back({path, "a negative amount", "amounts from 0 up"});
+  }
+  for (const int before : step.after) {
+    if (before < 0 || static_cast<size_t>(before) >= index) {
+      problems->push_back({path + ".after", std::to_string(before),
+                           "numbers of earlier steps, from 0"});
+    }
+  }
+}
+
+}  // namespace
+
+bool IsFinal(JobState state) {
+  return state != JobState::kQueued && state != JobState::kRunning;
+}
+
+JobProgress FreshProgress(const JobSpec& spec) {
+  JobProgress progress;
+  for (const StepSpec& step : spec.steps) {
+    progress.steps.push_back(
+        {std::vector<TaskProgress>(static_cast<size_t>(step.count))});
+  }
+  return progress;
+}
+
+Problems Check(const JobSpec& spec) {
+  Problems problems;
+  if (spec.steps.empty()) {
+    problems.push_back({"steps", "none", "at least one step"});
+  }
+  int64_t tasks = 0;
+  for (size_t i = 0; i < spec.steps.size(); ++i) {
+    CheckStep(spec.steps[i], i, &problems);
+    tasks += spec.steps[i].count;
+  }
+  if (tasks > kMostTasks) {
+    problems.push_back({"steps", std::to_string(tasks) + " tasks",
+                        "at most " + std::to_string(kMostTasks)});
+  }
+  return problems;
+}
+
+bool IsUnsupportedKind(const JobSpec& spec) {
+  return spec.schedule.repetitions > 0 ||
+         std::any_of(spec.steps.begin(), spec.steps.end(),
+                     [](const StepSpec& step) { return step.long_running; });
+}
+
+}  // namespace quetzal
--- /dev/null
+++ b/quetzal/job/job_codec.cc
@@ -0,0 +1,197 @@
+#include <map>
+#include <nlohmann/json.hpp>
+
+#include "quetzal/job/job.h"
+
+namespace quetzal {
+namespace {
+
+using Json = nlohmann::json;
+
+// Of the stored forms, so that older ones can be told apart.
+constexpr int kSchema = 1;
+
+constexpr const char* kStateNames[] = {"queued", "running", "completed",
+                                       "failed", "cancelled"};
+
+std::optional<JobState> StateOf(const std::string& name) {
+  for (size_t i = 0; i < std::size(kStateNames); ++i) {
+    if (name == kStateNames[i]) return static_cast<JobState>(i);
+  }
+  return std::nullopt;
+}
+
+Json StepJson(const StepSpec& step) {
+  Json json = {{"count", step.count},
+               {"cpu_milli", step.demand.cpu_milli},
+               {"memory_mib", step.demand.memory_mib}};
+  if (step.demand.accelerators > 0) {
+    json["accelerators"] = step.demand.accelerators;
+  }
+  if (step.estimated_run_time.count() > 0) {
+    json["estimated_run_time_ms"] = step.estimated_run_time.count();
+  }
+  if (!step.after.empty()) json["after"] = step.after;
+  if (step.saves_progress) json["saves_progress"] = true;
+  if (step.gang) json["gang"] = true;
+  if (step.rack_local) json["rack_local"] = true;
+  if (!step.required_label.empty()) json["label"] = step.required_label;
+  if (!step.preferred_rack.empty()) json["rack"] = step.preferred_rack;
+  if (step.most_per_worker > 0) json["most_per_worker"] = step.most_per_worker;
+  if (step.speculative) json["speculative"] = true;
+  if (step.long_running) json["long_running"] = true;
+  if (!step.image.empty()) json["image"] = step.image;
+  if (step.latency_target.count() > 0) {
+    json["latency_target_ms"] = step.latency_target.count();
+  }
+  if (step.fills) json["fills"] = true;
+  if (step.most_unavailable > 0) {
+    json["most_unavailable"] = step.most_unavailable;
+  }
+  return json;
+}
+
+StepSpec StepFrom(const Json& json) {
+  StepSpec step;
+  step.count = json.at("count").get<int>();
+  step.demand.cpu_milli = json.at("cpu_milli").get<int64_t>();
+  step.demand.memory_mib = json.at("memory_mib").get<int64_t>();
+  step.demand.accelerators = json.value("accelerators", int64_t{0});
+  step.estimated_run_time =
+      Milliseconds(json.value("estimated_run_time_ms", int64_t{0}));
+  step.after = json.value("after", std::vector<int>());
+  step.saves_progress = json.value("saves_progress", false);
+  step.gang = json.value("gang", false);
+  step.rack_local = json.value("rack_local", false);
+  step.required_label = json.value("label", "");
+  step.preferred_rack = json.value("rack", "");
+  step.most_per_worker = json.value("most_per_worker", 0);
+  step.speculative = json.value("speculative", false);
+  step.long_running = json.value("long_running", false);
+  step.image = json.value("image", "");
+  step.latency_target =
+      Milliseconds(json.value("latency_target_ms", int64_t{0}));
+  step.fills = json.value("fills", false);
+  step.most_unavailable = json.value("most_unavailable", 0);
+  return step;
+}
+
+// A task without history takes one character, as most tasks have none.
+Json TaskJson(const TaskProgress& task) {
+  if (task == TaskProgress{}) return 0;
+  if (task.done) return 1;
+  return Json::array({task.failures, task.last_run, task.checkpoint});
+}
+
+TaskProgress TaskFrom(const Json& json) {
+  TaskProgress task;
+  if (json.is_number_integer()) {
+    task.done = json.get<int>() == 1;
+    return task;
+  }
+  task.failures = json.at(0).get<int>();
+  task.last_run = json.at(1).get<int64_t>();
+  task.checkpoint = json.at(2).get<std::string>();
+  return task;
+}
+
+Problems Malformed(const std::string& what, const std::string& why) {
+  return {{what, why, "a value that this program wrote"}};
+}
+
+}  // namespace
+
+std::string EncodeJob(const AcceptedJob& job) {
+  Json json = {{"schema", kSchema},
+               {"team", job.team.text()},
+               {"queue", job.queue.text()},
+               {"service", job.service.text()},
+               {"accepted_ms", static_cast<int64_t>(job.accepted)},
+               {"specification", job.spec.specification}};
+  for (const StepSpec& step : job.spec.steps) {
+    json["steps"].push_back(StepJson(step));
+  }
+  const Schedule& schedule = job.spec.schedule;
+  if (schedule.repetitions > 0) {
+    json["schedule"] = {{"repetitions", schedule.repetitions},
+                        {"first_ms", static_cast<int64_t>(schedule.first)},
+                        {"interval_ms", schedule.interval.count()}};
+  }
+  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+Checked<AcceptedJob> DecodeJob(const JobId& id, const std::string& text) {
+  try {
+    const Json json = Json::parse(text);
+    AcceptedJob job;
+    job.id = id;
+    job.team = TeamId(json.at("team").get<std::string>());
+    job.queue = QueueId(json.at("queue").get<std::string>());
+    job.service = ServiceId(json.at("service").get<std::string>());
+    job.accepted = WallTime(json.at("accepted_ms").get<int64_t>());
+    job.spec.specification = json.at("specification").get<std::string>();
+    for (const Json& step : json.at("steps")) {
+      job.spec.steps.push_back(StepFrom(step));
+    }
+    if (json.contains("schedule")) {
+      const Json& schedule = json["schedule"];
+      job.spec.schedule = {
+          schedule.at("repetitions").get<int64_t>(),
+          WallTime(schedule.at("first_ms").get<int64_t>()),
+          Milliseconds(schedule.at("interval_ms").get<int64_t>())};
+    }
+    Problems problems = Check(job.spec);
+    if (!problems.empty()) return problems;
+    return job;
+  } catch (const Json::exception& error) {
+    return Malformed("job " + id.text(), error.what());
+  }
+}
+
+std::string EncodeProgress(const JobProgress& progress) {
+  Json json = {{"schema", kSchema},
+               {"state", kStateNames[static_cast<size_t>(progress.state)]}};
+  // The tasks of a job that ended are asked for no more.
+  if (!IsFinal(progress.state)) {
+    Json& steps = json["steps"] = Json::array();
+    for (const StepProgress& step : progress.steps) {
+      Json tasks = Json::array();
+      for (const TaskProgress& task : step.tasks) {
+        tasks.push_back(TaskJson(task));
+      }
+      steps.push_back(std::move(tasks));
+    }
+  }
+  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+Checked<JobProgress> DecodeProgress(const JobSpec& spec,
+                                    const std::string& text) {
+  try {
+    const Json json = Json::parse(text);
+    JobProgress progress = FreshProgress(spec);
+    const auto state = StateOf(json.at("state").get<std::string>());
+    if (!state) return Malformed("progress", "unknown state");
+    progress.state = *state;
+    if (IsFinal(*state)) return progress;
+    const Json& steps = json.at("steps");
+    for (size_t i = 0; i < progress.steps.size(); ++i) {
+      for (size_t j = 0; j < progress.steps[i].tasks.size(); ++j) {
+        progress.steps[i].tasks[j] = TaskFrom(steps.at(i).at(j));
+      }
+    }
+    return progress;
+  } catch (const Json::exception& error) {
+    return Malformed("progress", error.what());
+  }
+}
+
+std::optional<JobState> DecodeState(const std::string& text) {
+  const Json json = Json::parse(text, nullptr, false);
+  if (!json.is_object()) return std::nullopt;
+  const auto found = json.find("state");
+  if (found == json.end() || !found->is_string()) return std::nullopt;
+  return StateOf(found->get<std::string>());
+}
+
+}  // namespace quetzal
--- /dev/null
+++ b/quetzal/job_book/job_book.cc
@@ -0,0 +1,74 @@
+#include "quetzal/job_book/job_book.h"
+
+namespace quetzal {
+
+bool JobBook::Learn(const StoreItem& item) {
+  const CellKey key = ParseCellKey(item.key);
+  const JobId id(key.name);
+  switch (key.kind) {
+    case CellKeyKind::kJob: {
+      const auto job = DecodeJob(id, item.value);
+      if (!job) return false;
+      Known& known = jobs_[id];
+      known.accepted = true;
+      known.queue = job.value().queue;
+      Recount(&known);
+      return true;
+    }
+    case CellKeyKind::kProgress: {
+      const std::optional<JobState> state = DecodeState(item.value);
+      if (!state) return false;
+      Known& known = jobs_[id];
+      known.progress = *state;
+      Recount(&known);
+      return true;
+    }
+    case CellKeyKind::kCancel: {
+      Known& known = jobs_[id];
+      known.cancelled = true;
+      Recount(&known);
+      return true;
+    }
+    case CellKeyKind::kSeat:
+    case CellKeyKind::kHelper:
+    case CellKeyKind::kOther:
+      return true;
+  }
+  return true;
+}
+
+void JobBook::Forget(const std::string& text) {
+  const CellKey key = ParseCellKey(text);
+  if (key.kind != CellKeyKind::kJob && key.kind != CellKeyKind::kProgress &&
+      key.kind != CellKeyKind::kCancel) {
+    return;
+  }
+  const auto found = jobs_.find(JobId(key.name));
+  if (found == jobs_.end()) return;
+  found->second.accepted = false;
+  Recount(&found->second);
+  jobs_.erase(found);
+}
+
+void JobBook::Recount(Known* known) {
+  const bool counts = known->accepted && !known->cancelled &&
+                      known->progress == JobState::kQueued;
+  if (counts == known->counts_as_pending) return;
+  known->counts_as_pending = counts;
+  pending_[known->queue] += counts ? 1 : -1;
+}
+
+std::optional<JobState> JobBook::StateOf(const JobId& id) const {
+  const auto found = jobs_.find(id);
+  if (found == jobs_.end() || !found->second.accepted) return std::nullopt;
+  const Known& known = found->second;
+  if (IsFinal(known.progress)) return known.progress;
+  return known.cancelled ? JobState::kCancelled : known.progress;
+}
+
+int64_t JobBook::PendingOf(const QueueId& queue) const {
+  const auto found = pending_.find(queue);
+  return found == pending_.end() ? 0 : found->second;
+}
+
+}  // namespace quetzal
--- a/quetzal/kv/kv.h
+++ b/quetzal/kv/kv.h
@@ -69,6 +69,11 @@
   bool deleted = false;
 };
 
+// Text as part of a URL.
+std::string EscapeForUrl(const std::string& text);
+// Path and query of a call in the platform's HTTP form.
+std::string TargetOf(const KvCall& call);
+
 }  // namespace quetzal
 
 #endif  // QUETZAL_KV_KV_H_
--- /dev/null
+++ b/quetzal/leadership/leadership.cc
@@ -0,0 +1,277 @@
+#include "quetzal/leadership/leadership.h"
+
+#include <charconv>
+#include <utility>
+
+namespace quetzal {
+namespace {
+
+// A standby's wait before it tries is this many answer times of the store, so
+// that the nearest ones win without a race.
+constexpr int kDelayFactor = 3;
+constexpr Milliseconds kCampaignRetry{250};
+// The store counts a lease from the renewal's arrival; ours from its sending,
+// less what clocks may differ.
+constexpr Milliseconds kLeaseMargin{100};
+
+int64_t NumberFrom(const std::string& text) {
+  int64_t number = 0;
+  std::from_chars(text.data(), text.data() + text.size(), number);
+  return number;
+}
+
+}  // namespace
+
+std::string TermKey() { return "term"; }
+
+Leadership::Leadership(Store* store, LeadershipSettings settings,
+                       LeadershipHandlers handlers, StoreFollower::Timer after,
+                       Clock clock, EventLog* log)
+    : store_(store),
+      settings_(std::move(settings)),
+      handlers_(std::move(handlers)),
+      after_(std::move(after)),
+      clock_(std::move(clock)),
+      log_(log) {}
+
+Leadership::~Leadership() { *alive_ = false; }
+
+template <typename Answer>
+std::function<void(const Answer&)> Leadership::Guard(
+    std::function<void(const Answer&)> callback) {
+  std::weak_ptr<bool> alive = alive_;
+  return [alive, callback = std::move(callback)](const Answer& answer) {
+    if (const auto held = alive.lock(); held && *held) callback(answer);
+  };
+}
+
+void Leadership::Later(Milliseconds delay, std::function<void()> step) {
+  std::weak_ptr<bool> alive = alive_;
+  after_(delay, [alive, step = std::move(step)] {
+    if (const auto held = alive.lock(); held && *held) step();
+  });
+}
+
+void Leadership::Start() { FollowSeat(); }
+
+void Leadership::FollowSeat() {
+  seat_ = std::make_unique<StoreFollower>(
+      store_, SeatKey(), FollowerTiming{},
+      FollowerHandlers{.on_put =
+                           [this](const StoreItem& item) {
+                             vacant_ = false;
+                             const bool is_own = item.value == settings_.self;
+                             if (role_ == Role::kLeads && !is_own) {
+                               Lose("another placer holds the seat");
+                             }
+                           },
+                       .on_removed =
+                           [this](const std::string&) {
+                             vacant_ = true;
+                             OnVacant();
+                           },
+                       .on_listed = [this] { OnVacant(); }},
+      after_);
+  vacant_ = true;
+  seat_->Start();
+}
+
+void Leadership::OnVacant() {
+  if (!vacant_ || role_ != Role::kStandby || !seat_->is_listed()) return;
+  role_ = Role::kCampaigns;
+  const Time asked = clock_();
+  // Only to learn how far the store is.
+  store_->Read(SeatKey(), Guard<ReadAnswer>([this, asked](const ReadAnswer&) {
+                 store_delay_ = clock_() - asked;
+                 Later(store_delay_ * kDelayFactor + settings_.handicap,
+                       [this] { Campaign(); });
+               }));
+}
+
+void Leadership::Campaign() {
+  if (role_ != Role::kCampaigns) return;
+  if (!vacant_) {
+    role_ = Role::kStandby;
+    return;
+  }
+  const Time sent = clock_();
+  store_->GrantLease(
+      settings_.seat_life,
+      Guard<LeaseAnswer>([this, sent](const LeaseAnswer& answer) {
+        OnCampaignLease(answer, sent);
+      }));
+}
+
+void Leadership::OnCampaignLease(const LeaseAnswer& answer, Time sent) {
+  if (answer.outcome != StoreOutcome::kDone) {
+    GiveUpCampaign("no lease");
+    return;
+  }
+  lease_ = answer.lease;
+  renewed_ = sent;
+  store_->Read(TermKey(), Guard<ReadAnswer>([this](const ReadAnswer& read) {
+                 OnTerm(read);
+               }));
+}
+
+void Leadership::OnTerm(const ReadAnswer& answer) {
+  if (answer.outcome == StoreOutcome::kMissing) {
+    TakeSeat(kAbsent, 0);
+  } else if (answer.outcome == StoreOutcome::kDone) {
+    TakeSeat(answer.items[0].revision, NumberFrom(answer.items[0].value) + 1);
+  } else {
+    GiveUpCampaign("the term can't be read");
+  }
+}
+
+void Leadership::TakeSeat(Revision term_revision, int64_t term) {
+  store_->Apply(
+      {.conditions = {{SeatKey(), kAbsent}, {TermKey(), term_revision}},
+       .puts = {{SeatKey(), settings_.self, lease_},
+                {TermKey(), std::to_string(term), kNoLease}}},
+      Guard<CommitAnswer>(
+          [this, term](const CommitAnswer& answer) { OnTaken(answer, term); }));
+}
+
+void Leadership::OnTaken(const CommitAnswer& answer, int64_t term) {
+  if (answer.outcome == StoreOutcome::kDone) {
+    term_revision_ = answer.revision;
+    BeginTerm(Fence(static_cast<uint64_t>(answer.revision)), term);
+  } else if (answer.outcome == StoreOutcome::kUnknown) {
+    CheckWhetherTaken(term);
+  } else {
+    GiveUpCampaign("another placer was first");
+  }
+}
+
+void Leadership::CheckWhetherTaken(int64_t term) {
+  store_->Read(SeatKey(),
+               Guard<ReadAnswer>([this, term](const ReadAnswer& answer) {
+                 const bool is_own = answer.outcome == StoreOutcome::kDone &&
+                                     answer.items[0].value == settings_.self &&
+                                     answer.items[0].lease == lease_;
+                 if (!is_own) {
+                   GiveUpCampaign("the write has no answer");
+                   return;
+                 }
+                 term_revision_ = answer.items[0].revision;
+                 BeginTerm(Fence(static_cast<uint64_t>(term_revision_)), term);
+               }));
+}
+
+void Leadership::GiveUpCampaign(const char* why) {
+  log_->Line("seat_not_taken", {{"why", why}});
+  if (lease_ != kNoLease) {
+    store_->EndLease(std::exchange(lease_, kNoLease), [](StoreOutcome) {});
+  }
+  if (role_ == Role::kResigned) return;
+  role_ = Role::kStandby;
+  Later(kCampaignRetry, [this] { OnVacant(); });
+}
+
+void Leadership::BeginTerm(Fence fence, int64_t term) {
+  const bool again = role_ == Role::kLeads;
+  if (role_ == Role::kResigned) {
+    store_->EndLease(lease_, [](StoreOutcome) {});
+    return;
+  }
+  role_ = Role::kLeads;
+  vacant_ = false;
+  fence_ = fence;
+  term_ = term;
+  log_->Line("seat_taken", {{"fence", static_cast<int64_t>(fence)},
+                            {"term", term},
+                            {"again", again ? "yes" : "no"}});
+  if (again) {
+    handlers_.on_fence_raised(fence);
+    return;
+  }
+  handlers_.on_lead(fence, term);
+  Later(settings_.renew_every, [this] { Renew(); });
+}
+
+void Leadership::Renew() {
+  if (role_ != Role::kLeads) return;
+  const Time sent = clock_();
+  store_->KeepLease(lease_,
+                    Guard<LeaseAnswer>([this, sent](const LeaseAnswer& answer) {
+                      OnRenewed(answer, sent);
+                    }));
+}
+
+void Leadership::OnRenewed(const LeaseAnswer& answer, Time sent) {
+  if (role_ != Role::kLeads) return;
+  if (answer.outcome == StoreOutcome::kMissing) {
+    TakeSeatAgain();
+    return;
+  }
+  if (answer.outcome == StoreOutcome::kDone) {
+    renewed_ = sent;
+  }
+  Later(settings_.renew_every, [this] { Renew(); });
+}
+
+void Leadership::TakeSeatAgain() {
+  log_->Line("seat_lapsed", {{"term", term_}});
+  const Time sent = clock_();
+  store_->GrantLease(
+      settings_.seat_life,
+      Guard<LeaseAnswer>([this, sent](const LeaseAnswer& lease) {
+        if (role_ != Role::kLeads) return;
+        if (lease.outcome != StoreOutcome::kDone) {
+          Later(settings_.renew_every, [this] { Renew(); });
+          return;
+        }
+        lease_ = lease.lease;
+        // The unchanged term shows that nobody else led meanwhile.
+        store_->Apply(
+            {.conditions = {{SeatKey(), kAbsent}, {TermKey(), term_revision_}},
+             .puts = {{SeatKey(), settings_.self, lease_},
+                      {TermKey(), std::to_string(term_), kNoLease}}},
+            Guard<CommitAnswer>([this, sent](const CommitAnswer& answer) {
+              if (role_ != Role::kLeads) return;
+              if (answer.outcome != StoreOutcome::kDone) {
+                Lose("the seat lapsed");
+                return;
+              }
+              renewed_ = sent;
+              term_revision_ = answer.revision;
+              BeginTerm(Fence(static_cast<uint64_t>(answer.revision)), term_);
+              Later(settings_.renew_every, [this] { Renew(); });
+            }));
+      }));
+}
+
+bool Leadership::IsSure(Time now) const {
+  return role_ == Role::kLeads &&
+         now - renewed_ < settings_.seat_life - kLeaseMargin;
+}
+
+void Leadership::Lose(const std::string& reason) {
+  if (role_ != Role::kLeads) return;
+  role_ = Role::kStandby;
+  log_->Line("seat_lost", {{"term", term_}, {"why", reason}});
+  if (lease_ != kNoLease) {
+    store_->EndLease(std::exchange(lease_, kNoLease), [](StoreOutcome) {});
+  }
+  handlers_.on_lost(reason);
+  Later(kCampaignRetry, [this] { OnVacant(); });
+}
+
+void Leadership::Resign(std::function<void()> done) {
+  const bool led = role_ == Role::kLeads;
+  role_ = Role::kResigned;
+  seat_.reset();
+  if (!led) {
+    done();
+    return;
+  }
+  log_->Line("seat_given_back", {{"term", term_}});
+  store_->Apply(
+      {.conditions = {{SeatKey(), Revision(static_cast<uint64_t>(fence_))}},
+       .removes = {SeatKey()}},
+      Guard<CommitAnswer>(
+          [done = std::move(done)](const CommitAnswer&) { done(); }));
+}
+
+}  // namespace quetzal
--- /dev/null
+++ b/quetzal/leadership/leadership.h
@@ -0,0 +1,109 @@
+// The leased seat of the cell's one active placer.
+//
+//   Leadership leadership(store, settings, handlers, timer, clock, &log);
+//   leadership.Start();
+//
+// Standbys watch the seat's key. When it goes, each waits for a time that is
+// shorter for machines nearer to the store and with more processor, and tries
+// to create it with a lease of its own. The revision of that write is the
+// fence of all that the placer does, and a condition of all that it stores.
+// The number of the term is kept beside the seat and outlasts it.
+#ifndef QUETZAL_LEADERSHIP_LEADERSHIP_H_
+#define QUETZAL_LEADERSHIP_LEADERSHIP_H_
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "quetzal/event_log/event_log.h"
+#include "quetzal/ids/ids.h"
+#include "quetzal/store/store.h"
+#include "quetzal/worker/worker.h"
+
+namespace quetzal {
+
+struct LeadershipSettings {
+  std::string self;  // differs for each start of a process
+  // Life of the seat's lease: bounds how long a dead placer is missed.
+  Milliseconds seat_life{1'500};
+  Milliseconds renew_every{350};
+  // Added before a try to take the seat; for machines less fit to lead.
+  Milliseconds handicap{0};
+};
+
+struct LeadershipHandlers {
+  std::function<void(Fence fence, int64_t term)> on_lead;
+  // The seat lapsed while nobody could take it and is held anew.
+  std::function<void(Fence fence)> on_fence_raised;
+  std::function<void(const std::string& reason)> on_lost;
+};
+
+class Leadership {
+ public:
+  using Clock = std::function<Time()>;
+
+  Leadership(Store* store, LeadershipSettings settings,
+             LeadershipHandlers handlers, StoreFollower::Timer after,
+             Clock clock, EventLog* log);
+  ~Leadership();
+  Leadership(const Leadership&) = delete;
+  Leadership& operator=(const Leadership&) = delete;
+
+  void Start();
+  // Ends the term: by a witness that another placer leads, or by a commit
+  // that found the seat changed.
+  void Lose(const std::string& reason);
+  // Gives the seat back, then calls `done`. No further term is begun.
+  void Resign(std::function<void()> done);
+
+  bool leads() const { return role_ == Role::kLeads; }
+  Fence fence() const { return fence_; }
+  // True while the store can't have given the seat to another placer.
+  bool IsSure(Time now) const;
+
+ private:
+  enum class Role { kStandby, kCampaigns, kLeads, kResigned };
+
+  void FollowSeat();
+  void OnVacant();
+  void Campaign();
+  void OnCampaignLease(const LeaseAnswer& answer, Time sent);
+  void OnTerm(const ReadAnswer& answer);
+  void TakeSeat(Revision term_revision, int64_t term);
+  void OnTaken(const CommitAnswer& answer, int64_t term);
+  void CheckWhetherTaken(int64_t term);
+  void BeginTerm(Fence fence, int64_t term);
+  void GiveUpCampaign(const char* why);
+  void Renew();
+  void OnRenewed(const LeaseAnswer& answer, Time sent);
+  void TakeSeatAgain();
+  // Wraps a callback so that it does nothing once this object is gone.
+  template <typename Answer>
+  std::function<void(const Answer&)> Guard(
+      std::function<void(const Answer&)> callback);
+  void Later(Milliseconds delay, std::function<void()> step);
+
+  Store* store_;
+  LeadershipSettings settings_;
+  LeadershipHandlers handlers_;
+  StoreFollower::Timer after_;
+  Clock clock_;
+  EventLog* log_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+  std::unique_ptr<StoreFollower> seat_;
+  Role role_ = Role::kStandby;
+  bool vacant_ = false;
+  LeaseId lease_ = kNoLease;
+  Fence fence_{0};
+  int64_t term_ = 0;
+  Revision term_revision_{0};
+  Time renewed_;  // when the newest renewal that counted was sent
+  Milliseconds store_delay_{0};  // of the newest answer
+};
+
+std::string TermKey();
+
+}  // namespace quetzal
+
+#endif  // QUETZAL_LEADERSHIP_LEADERSHIP_H_
--- a/quetzal/ledger/ledger.h
+++ b/quetzal/ledger/ledger.h
@@ -98,7 +98,6 @@
   Resources TotalCapacity() const { return total_; }
   Resources TotalCharged() const;
   const std::map<TeamId, Resources>& Usage() const { return usage_; }
-  size_t worker_count() const { return index_.size(); }
 
  private:
   struct Slot {
--- a/quetzal/placer/internal/gangs.cc
+++ b/quetzal/placer/internal/gangs.cc
@@ -28,7 +28,7 @@
   Gang& gang = gangs_[job];
   gang = Gang();
   gang.parts = members;
-  QueueGang(job, &gang, now);
+  QueueGang(&gang, now);
 }
 
 void Gangs::Adopt(const JobId& job, const std::vector<WorkId>& members,
@@ -51,13 +51,12 @@
   StopParts(gang, now);
 }
 
-void Gangs::QueueGang(const JobId& job, Gang* gang, Time now) {
+void Gangs::QueueGang(Gang* gang, Time now) {
   gang->phase = Phase::kWaiting;
   gang->had_started = false;
   gang->waiting_since = now;
   WorkItem* const first = state_->FindWork(gang->parts.front());
   if (first != nullptr) Enqueue(state_, first, false);
-  (void)job;
 }
 
 int64_t Gangs::PartCount(const JobId& job) const {
@@ -158,7 +157,7 @@
   if (AnyAttempt(gang)) return Change::kUnwinding;
   if (gang.had_started && !gang.can_rerun) return Change::kSpoiled;
   state_->Count("quetzal_retries_total", "gang_broken");
-  QueueGang(job, &gang, now);
+  QueueGang(&gang, now);
   return Change::kRestart;
 }
 
--- a/quetzal/placer/internal/gangs.h
+++ b/quetzal/placer/internal/gangs.h
@@ -68,7 +68,7 @@
     Time since;
   };
 
-  void QueueGang(const JobId& job, Gang* gang, Time now);
+  void QueueGang(Gang* gang, Time now);
   void StopParts(const Gang& gang, Time now);
   bool AnyAttempt(const Gang& gang) const;
   // Null if no gang waits.
--- a/quetzal/placer/internal/jobs.cc
+++ b/quetzal/placer/internal/jobs.cc
@@ -318,8 +318,7 @@
     return;
   }
   // A service is kept running; each of its lives is a run of its own.
-  const bool service = item->work.work_class() == wire::WORK_CLASS_SERVICE;
-  const bool runs_again = service || item->work.idempotent() || !may_have_run;
+  const bool runs_again = !RunsAtMostOnce(item->work) || !may_have_run;
   if (!runs_again) {
     MarkEnded(JobId(*item->job), job, item->task, true, now);
     DropWork(state_, item->id);
@@ -376,13 +375,7 @@
     return;
   }
   WorkItem* item = state_->FindWork(attempt->work_id);
-  if (item == nullptr) {
-    wire::Work work = job->stored->job().work();
-    work.set_work_id(attempt->work_id.text());
-    item = AddWork(state_, work, now);
-    item->job = task->first;
-    item->task = task->second;
-  }
+  if (item == nullptr) item = AddTask(task->first, *job, task->second, now);
   if (!item->attempt.empty() && item->attempt != attempt->id) {
     StopAttempt(state_, attempt, false, now);
     return;
@@ -392,13 +385,19 @@
   item->attempt = attempt->id;
 }
 
-void Jobs::QueueTask(const JobId& id, const Job& job, uint32_t task, Time now) {
+WorkItem* Jobs::AddTask(const JobId& id, const Job& job, uint32_t task,
+                        Time now) {
   wire::Work work = job.stored->job().work();
   work.set_work_id(TaskWorkId(id, task).text());
   WorkItem* const item = AddWork(state_, work, now);
   item->job = id;
   item->task = task;
-  if (work.work_class() == wire::WORK_CLASS_GANG) {
+  return item;
+}
+
+void Jobs::QueueTask(const JobId& id, const Job& job, uint32_t task, Time now) {
+  WorkItem* const item = AddTask(id, job, task, now);
+  if (item->work.work_class() == wire::WORK_CLASS_GANG) {
     item->not_before = Time::max();
     return;
   }
--- a/quetzal/placer/internal/jobs.h
+++ b/quetzal/placer/internal/jobs.h
@@ -90,6 +90,7 @@
                               const AttemptId& attempt);
   void FailJob(const JobId& id, Time now);
   void DropTasks(const JobId& id, const Job& job, Time now);
+  WorkItem* AddTask(const JobId& id, const Job& job, uint32_t task, Time now);
   void QueueTask(const JobId& id, const Job& job, uint32_t task, Time now);
   static bool RunsAtMostOnce(const wire::Work& work);
   // True once the platform knows that this task may have been started.
--- a/quetzal/platform/platform.cc
+++ b/quetzal/platform/platform.cc
@@ -12,13 +12,6 @@
 constexpr int kMostConnections = 16;
 constexpr Milliseconds kWatchSlack{2'000};
 
-std::string Escape(const std::string& text) {
-  gchar* const escaped = g_uri_escape_string(text.c_str(), nullptr, FALSE);
-  std::string result = escaped;
-  g_free(escaped);
-  return result;
-}
-
 // One HTTP exchange and what is done with its result.
 struct Exchange {
   using Done = std::function<void(int status, const nlohmann::json& body)>;
@@ -139,22 +132,6 @@
   return answer;
 }
 
-std::string TargetOf(const KvCall& call) {
-  const std::string name =
-      call.kind == KvCall::Kind::kList ? "prefix=" : "key=";
-  const std::string path =
-      call.kind == KvCall::Kind::kKeepAlive ? "/v1/keepalive?" : "/v1/kv?";
-  std::string target = path + name + Escape(call.key);
-  if (call.expected) {
-    target +=
-        "&expected=" + std::to_string(static_cast<uint64_t>(*call.expected));
-  }
-  if (call.lease.count() > 0) {
-    target += "&lease_ms=" + std::to_string(call.lease.count());
-  }
-  return target;
-}
-
 const char* MethodOf(KvCall::Kind kind) {
   switch (kind) {
     case KvCall::Kind::kPut:
@@ -193,7 +170,7 @@
   void Watch(const std::string& prefix, Revision after, Milliseconds wait,
              WatchHandler handler) override {
     const std::string target =
-        "/v1/watch?prefix=" + Escape(prefix) +
+        "/v1/watch?prefix=" + EscapeForUrl(prefix) +
         "&after=" + std::to_string(static_cast<uint64_t>(after)) +
         "&wait_ms=" + std::to_string(wait.count());
     Send(
--- a/quetzal/program/program.cc
+++ b/quetzal/program/program.cc
@@ -43,6 +43,27 @@
   return G_SOURCE_CONTINUE;
 }
 
+struct Reloading {
+  const ProgramFacts* facts;
+  std::string file;
+  Service* service;
+};
+
+gboolean OnHangUp(gpointer data) {
+  const auto& reloading = *static_cast<Reloading*>(data);
+  Problems problems;
+  const std::string text = ReadFile(reloading.file, &problems);
+  nlohmann::json json = nlohmann::json::object();
+  if (problems.empty()) json = ParseObject(text, "settings", &problems);
+  if (problems.empty()) reloading.facts->start(json, true, &problems);
+  if (problems.empty()) {
+    reloading.service->OnSettings(json);
+  } else {
+    LOG(ERROR) << "the new settings are not used: " << Describe(problems);
+  }
+  return G_SOURCE_CONTINUE;
+}
+
 // gRPC's threads may still be closing calls. They must not meet libraries whose
 // static data was destroyed, so the process ends without doing that.
 [[noreturn]] void EndProcess(int exit_code) {
@@ -52,7 +73,8 @@
   std::_Exit(exit_code);
 }
 
-int RunService(const ProgramFacts& facts, const nlohmann::json& json) {
+int RunService(const ProgramFacts& facts, const std::string& file,
+               const nlohmann::json& json) {
   Problems problems;
   TheLoop().loop = g_main_loop_new(nullptr, FALSE);
   std::unique_ptr<Service> service = facts.start(json, false, &problems);
@@ -62,6 +84,8 @@
   }
   g_unix_signal_add(SIGTERM, &OnSignal, service.get());
   g_unix_signal_add(SIGINT, &OnSignal, service.get());
+  Reloading reloading{&facts, file, service.get()};
+  g_unix_signal_add(SIGHUP, &OnHangUp, &reloading);
   g_main_loop_run(TheLoop().loop);
   service.reset();
   EndProcess(TheLoop().exit_code);
@@ -102,8 +126,13 @@
   bool only_check = false;
   try {
     TCLAP::CmdLine line(facts.purpose, ' ', kVersion);
-    TCLAP::ValueArg<std::string> settings("s", "settings", "JSON settings file",
-                                          true, "", "FILE", line);
+    const char* const named =
+        facts.settings_variable.empty()
+            ? nullptr
+            : std::getenv(facts.settings_variable.c_str());
+    TCLAP::ValueArg<std::string> settings(
+        "s", "settings", "JSON settings file", named == nullptr,
+        named == nullptr ? "" : named, "FILE", line);
     TCLAP::SwitchArg check("", "check-settings",
                            "only check the settings, then exit", line);
     line.setExceptionHandling(false);
@@ -132,7 +161,7 @@
     std::cout << "settings are valid\n";
     return kExitDone;
   }
-  return RunService(facts, json);
+  return RunService(facts, file, json);
 }
 
 }  // namespace quetzal
--- a/quetzal/program/program.h
+++ b/quetzal/program/program.h
@@ -3,7 +3,9 @@
 //
 //   int main(int argc, char** argv) {
 //     return quetzal::RunProgram(
-//         {.name = "quetzal-entry", .purpose = "...", .start = StartEntry},
+//         {.name = "quetzal-entry",
+//          .purpose = "...",
+//          .start = quetzal::StartWith<EntryService>(&ReadSettings)},
 //         argc, argv);
 //   }
 //
@@ -15,6 +17,7 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
+#include <utility>
 
 #include "quetzal/ids/ids.h"
 #include "quetzal/settings/settings.h"
@@ -42,17 +45,37 @@
   virtual ~Service() = default;
   // SIGTERM or SIGINT: finish what is under way, then `Quit`.
   virtual void BeginShutdown() = 0;
+  // SIGHUP: the settings file was written anew and is valid.
+  virtual void OnSettings(const nlohmann::json& /*json*/) {}
 };
 
 struct ProgramFacts {
   std::string name;
   std::string purpose;
+  // Environment variable that names the settings file when the command line
+  // doesn't; empty: the command line must.
+  std::string settings_variable;
   // Reads the settings; problems end the program before anything starts.
   std::function<std::unique_ptr<Service>(const nlohmann::json& json,
                                          bool only_check, Problems* problems)>
       start;
 };
 
+// `ProgramFacts::start` of a service that is made from the settings which
+// `read` returns and whose `Start()` tells whether it runs.
+template <typename StartedService, typename Settings>
+auto StartWith(Settings (*read)(const nlohmann::json& json,
+                                Problems* problems)) {
+  return [read](const nlohmann::json& json, bool only_check,
+                Problems* problems) -> std::unique_ptr<Service> {
+    Settings settings = read(json, problems);
+    if (only_check || !problems->empty()) return nullptr;
+    auto service = std::make_unique<StartedService>(std::move(settings));
+    if (!service->Start()) return nullptr;
+    return service;
+  };
+}
+
 // Parses the command line ("--settings FILE", "--check-settings", "--help",
 // "--version"), starts the service and runs the main loop.
 int RunProgram(const ProgramFacts& facts, int argc, char** argv);
--- a/quetzal/rpc/rpc.cc
+++ b/quetzal/rpc/rpc.cc
@@ -51,6 +51,34 @@
   }
 };
 
+struct HelperTraits {
+  using Out = wire::AdviceRequest;
+  using In = wire::AdviceReply;
+  using Stub = wire::Helper::Stub;
+  static std::unique_ptr<Stub> NewStub(
+      const std::shared_ptr<grpc::Channel>& channel) {
+    return wire::Helper::NewStub(channel);
+  }
+  static void Start(Stub* stub, grpc::ClientContext* context,
+                    grpc::ClientBidiReactor<Out, In>* reactor) {
+    stub->async()->Advise(context, reactor);
+  }
+};
+
+class HelperService : public wire::Helper::CallbackService {
+ public:
+  using State = ServerState<wire::AdviceReply, wire::AdviceRequest>;
+  explicit HelperService(std::shared_ptr<State> state)
+      : state_(std::move(state)) {}
+  grpc::ServerBidiReactor<wire::AdviceRequest, wire::AdviceReply>* Advise(
+      grpc::CallbackServerContext* /*context*/) override {
+    return Accept(state_);
+  }
+
+ private:
+  std::shared_ptr<State> state_;
+};
+
 class ContractService : public wire::Contract::CallbackService {
  public:
   using State = ServerState<wire::WorkerToPlacer, wire::PlacerToWorker>;
@@ -181,6 +209,24 @@
       address, std::move(handlers));
 }
 
+template <>
+std::unique_ptr<HelperLink> HelperLink::Open(
+    const std::string& address, LinkHandlers<wire::AdviceReply> handlers) {
+  return std::make_unique<rpc_internal::LinkImpl<rpc_internal::HelperTraits>>(
+      address, std::move(handlers));
+}
+
+template <>
+RpcResult<std::unique_ptr<HelperServer>> HelperServer::Listen(
+    const std::string& address, ServerHandlers<wire::AdviceRequest> handlers) {
+  using Impl = rpc_internal::ServerImpl<wire::AdviceReply, wire::AdviceRequest,
+                                        rpc_internal::HelperService>;
+  std::unique_ptr<HelperServer> server =
+      rpc_internal::ListenAs<Impl>(address, std::move(handlers));
+  if (!server) return make_error_code(RpcError::kAddressInUse);
+  return server;
+}
+
 template <>
 RpcResult<std::unique_ptr<ContractServer>> ContractServer::Listen(
     const std::string& address, ServerHandlers<wire::PlacerToWorker> handlers) {
--- a/quetzal/rpc/rpc.h
+++ b/quetzal/rpc/rpc.h
@@ -90,6 +90,8 @@
 using ContractServer = Server<wire::WorkerToPlacer, wire::PlacerToWorker>;
 using PlacerLink = Link<wire::EntryToPlacer, wire::PlacerToEntry>;
 using PlacerServer = Server<wire::PlacerToEntry, wire::EntryToPlacer>;
+using HelperLink = Link<wire::AdviceRequest, wire::AdviceReply>;
+using HelperServer = Server<wire::AdviceReply, wire::AdviceRequest>;
 
 }  // namespace quetzal
 
--- /dev/null
+++ b/quetzal/store/keys.cc
@@ -0,0 +1,52 @@
+#include <string_view>
+
+#include "quetzal/store/store.h"
+
+namespace quetzal {
+namespace {
+
+constexpr std::string_view kCell = "cell/";
+constexpr std::string_view kSeat = "cell/seat";
+constexpr std::string_view kJobs = "cell/jobs/";
+constexpr std::string_view kProgress = "cell/progress/";
+constexpr std::string_view kCancels = "cell/cancels/";
+// Not under "cell/": helpers come and go while nobody who follows jobs cares.
+constexpr std::string_view kHelpers = "helpers/";
+
+struct KindOfPrefix {
+  std::string_view prefix;
+  CellKeyKind kind;
+};
+constexpr KindOfPrefix kKinds[] = {{kJobs, CellKeyKind::kJob},
+                                   {kProgress, CellKeyKind::kProgress},
+                                   {kCancels, CellKeyKind::kCancel},
+                                   {kHelpers, CellKeyKind::kHelper}};
+
+std::string Join(std::string_view prefix, const std::string& name) {
+  return std::string(prefix) + name;
+}
+
+}  // namespace
+
+std::string CellPrefix() { return std::string(kCell); }
+std::string SeatKey() { return std::string(kSeat); }
+std::string JobPrefix() { return std::string(kJobs); }
+std::string JobKey(const JobId& id) { return Join(kJobs, id.text()); }
+std::string ProgressKey(const JobId& id) { return Join(kProgress, id.text()); }
+std::string CancelKey(const JobId& id) { return Join(kCancels, id.text()); }
+std::string HelperPrefix() { return std::string(kHelpers); }
+std::string HelperKey(const std::string& machine) {
+  return Join(kHelpers, machine);
+}
+
+CellKey ParseCellKey(const std::string& key) {
+  if (key == kSeat) return {CellKeyKind::kSeat, ""};
+  for (const KindOfPrefix& each : kKinds) {
+    if (key.starts_with(each.prefix)) {
+      return {each.kind, key.substr(each.prefix.size())};
+    }
+  }
+  return {CellKeyKind::kOther, key};
+}
+
+}  // namespace quetzal
--- a/standins/platform/main.cc
+++ b/standins/platform/main.cc
@@ -103,23 +103,19 @@
       : settings_(std::move(settings)) {}
 
   bool Start() {
-    auto server = HttpServer::Listen(
-        settings_.address, {.body_bytes = kBodyBytes},
-        {.on_request =
-             [this](HttpCall call, const HttpRequest& request) {
-               OnRequest(call, request);
-             },
-         .on_gone =
-             [this](HttpCall call) {
-               watchers_.remove_if([&](const Watcher& watcher) {
-                 return watcher.call == call;
-               });
-             }});
-    if (!server) {
-      LOG(ERROR) << settings_.address << ": " << server.error().message();
-      return false;
-    }
-    server_ = std::move(server.value());
+    server_ =
+        ListenForHttp(settings_.address, {.body_bytes = kBodyBytes},
+                      {.on_request =
+                           [this](HttpCall call, const HttpRequest& request) {
+                             OnRequest(call, request);
+                           },
+                       .on_gone =
+                           [this](HttpCall call) {
+                             watchers_.remove_if([&](const Watcher& watcher) {
+                               return watcher.call == call;
+                             });
+                           }});
+    if (!server_) return false;
     Every(Milliseconds(20), [this] { OnTick(); });
     LOG(INFO) << "platform stand-in on port " << server_->port();
     return true;
@@ -254,18 +250,14 @@
   std::string vms_;
 };
 
-std::unique_ptr<Service> StartPlatform(const nlohmann::json& json,
-                                       bool only_check, Problems* problems) {
+PlatformSettings ReadSettings(const nlohmann::json& json, Problems* problems) {
   ObjectReader reader(json, "settings", problems);
   PlatformSettings settings;
   settings.address = reader.Text("address");
   settings.vm_list_lag =
       Milliseconds(reader.Integer("vm_list_lag_ms", {.fallback = 0}));
   reader.Finish();
-  if (only_check || !problems->empty()) return nullptr;
-  auto service = std::make_unique<PlatformStandin>(settings);
-  if (!service->Start()) return nullptr;
-  return service;
+  return settings;
 }
 
 }  // namespace
@@ -275,6 +267,7 @@
   return quetzal::RunProgram(
       {.name = "standin-platform",
        .purpose = "Stand-in for the platform's key-value service and VM list",
-       .start = quetzal::standin::StartPlatform},
+       .start = quetzal::StartWith<quetzal::standin::PlatformStandin>(
+           &quetzal::standin::ReadSettings)},
       argc, argv);
 }
--- a/standins/worker/main.cc
+++ b/standins/worker/main.cc
@@ -114,18 +114,14 @@
       if (!task->Listen()) return false;
       workers_[worker.model.id.text()] = std::move(task);
     }
-    auto server = HttpServer::Listen(
-        settings_.http_address, {},
-        {.on_request =
-             [this](HttpCall call, const HttpRequest& request) {
-               server_->Reply(call, Serve(request));
-             },
-         .on_gone = [](HttpCall) {}});
-    if (!server) {
-      LOG(ERROR) << settings_.http_address << ": " << server.error().message();
-      return false;
-    }
-    server_ = std::move(server.value());
+    server_ =
+        ListenForHttp(settings_.http_address, {},
+                      {.on_request =
+                           [this](HttpCall call, const HttpRequest& request) {
+                             server_->Reply(call, Serve(request));
+                           },
+                       .on_gone = [](HttpCall) {}});
+    if (!server_) return false;
     Every(kTick, [this] {
       for (const auto& [name, worker] : workers_) worker->Tick();
     });
@@ -197,21 +193,14 @@
   return settings;
 }
 
-std::unique_ptr<Service> StartHost(const nlohmann::json& json, bool only_check,
-                                   Problems* problems) {
-  HostSettings settings = ReadSettings(json, problems);
-  if (only_check || !problems->empty()) return nullptr;
-  auto service = std::make_unique<WorkerHost>(std::move(settings));
-  if (!service->Start()) return nullptr;
-  return service;
-}
-
 }  // namespace
 }  // namespace quetzal::standin
 
 int main(int argc, char** argv) {
-  return quetzal::RunProgram({.name = "standin-worker",
-                              .purpose = "Stand-in for platform workers",
-                              .start = quetzal::standin::StartHost},
-                             argc, argv);
+  return quetzal::RunProgram(
+      {.name = "standin-worker",
+       .purpose = "Stand-in for platform workers",
+       .start = quetzal::StartWith<quetzal::standin::WorkerHost>(
+           &quetzal::standin::ReadSettings)},
+      argc, argv);
 }
--- a/tests/support/cluster.cc
+++ b/tests/support/cluster.cc
@@ -48,7 +48,17 @@
   return bound;
 }
 
-void Sleep() { std::this_thread::sleep_for(kLookEvery); }
+// True once `condition` holds, within so many seconds.
+template <typename Condition>
+bool WaitFor(int seconds, const Condition& condition) {
+  const auto until =
+      std::chrono::steady_clock::now() + std::chrono::seconds(seconds);
+  while (std::chrono::steady_clock::now() < until) {
+    if (condition()) return true;
+    std::this_thread::sleep_for(kLookEvery);
+  }
+  return false;
+}
 
 std::string DomainName(int index) {
   return std::string(1, static_cast<char>('a' + index));
@@ -88,11 +98,9 @@
   std::string pattern =
       (std::filesystem::temp_directory_path() / "quetzal-XXXXXX").string();
   folder_ = mkdtemp(pattern.data());
-  AddProcess("platform", "standins/platform/standin-platform", FreeAddress(),
-             {});
-  processes_["platform"].settings_file = folder_ + "/platform.json";
-  std::ofstream(folder_ + "/platform.json")
-      << nlohmann::json({{"address", HttpAddress("platform")}}).dump();
+  const std::string platform = FreeAddress();
+  AddProcess("platform", "standins/platform/standin-platform", platform,
+             {{"address", platform}});
   for (int i = 0; i < settings_.domains; ++i) AddDomain(DomainName(i));
 }
 
@@ -194,14 +202,10 @@
 }
 
 bool Cluster::WaitHttp(const std::string& name, int seconds) const {
-  const auto until =
-      std::chrono::steady_clock::now() + std::chrono::seconds(seconds);
-  while (std::chrono::steady_clock::now() < until) {
-    if (Get(name, "/healthz").answered()) return true;
-    Sleep();
-  }
-  std::cerr << name << " did not come up; see " << folder_ << "\n";
-  return false;
+  const bool up =
+      WaitFor(seconds, [&] { return Get(name, "/healthz").answered(); });
+  if (!up) std::cerr << name << " did not come up; see " << folder_ << "\n";
+  return up;
 }
 
 void Cluster::PublishVms() { Post("platform", "/v1/vms", {{"vms", vms_}}); }
@@ -232,17 +236,13 @@
 
 std::optional<int> Cluster::WaitExit(const std::string& name, int seconds) {
   Process& process = processes_.at(name);
-  const auto until =
-      std::chrono::steady_clock::now() + std::chrono::seconds(seconds);
-  while (std::chrono::steady_clock::now() < until) {
-    int status = 0;
-    if (waitpid(process.pid, &status, WNOHANG) == process.pid) {
-      process.pid = 0;
-      return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
-    }
-    Sleep();
-  }
-  return std::nullopt;
+  int status = 0;
+  const bool ended = WaitFor(seconds, [&] {
+    return waitpid(process.pid, &status, WNOHANG) == process.pid;
+  });
+  if (!ended) return std::nullopt;
+  process.pid = 0;
+  return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
 }
 
 bool Cluster::Restart(const std::string& name) {
@@ -250,10 +250,6 @@
   return Launch(name) && WaitHttp(name, kStartSeconds);
 }
 
-bool Cluster::IsRunning(const std::string& name) const {
-  return processes_.at(name).pid != 0;
-}
-
 pid_t Cluster::PidOf(const std::string& name) const {
   return processes_.at(name).pid;
 }
@@ -322,18 +318,16 @@
 
 bool Cluster::WaitActive(const std::string& domain, int seconds,
                          const std::string& other_than) const {
-  const auto until =
-      std::chrono::steady_clock::now() + std::chrono::seconds(seconds);
-  while (std::chrono::steady_clock::now() < until) {
+  const bool active = WaitFor(seconds, [&] {
     const std::string name = ActivePlacer(domain);
-    const bool ready = !name.empty() && name != other_than &&
-                       Get(name, "/v1/status").json.value("accounted", false);
-    if (ready) return true;
-    Sleep();
+    return !name.empty() && name != other_than &&
+           Get(name, "/v1/status").json.value("accounted", false);
+  });
+  if (!active) {
+    std::cerr << "domain " << domain << " has no active placer; see " << folder_
+              << "\n";
   }
-  std::cerr << "domain " << domain << " has no active placer; see " << folder_
-            << "\n";
-  return false;
+  return active;
 }
 
 std::vector<LogLine> Cluster::WorkerLog(const std::string& domain) const {
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -37,7 +37,6 @@
   int seat_lease_ms = 1'500;
   int freshness_ms = 10'000;
   int fallback_after_ms = 2'000;
-  bool quiet = true;  // logs go to files only
 };
 
 // One JSON line of a worker stand-in's log.
@@ -60,7 +59,6 @@
   std::optional<int> WaitExit(const std::string& name, int seconds);
   // Kills a process and starts it anew with the same settings.
   bool Restart(const std::string& name);
-  bool IsRunning(const std::string& name) const;
 
   // Writes records with quetzalctl and waits until in force.
   bool Apply(const nlohmann::json& records);
--- a/tests/support/world.cc
+++ b/tests/support/world.cc
@@ -26,7 +26,7 @@
     processes_[name]->name = name;
   }
   for (const std::string& name : names) StartProcess(name);
-  At(now_, [this] { Tick(); });
+  At(now(), [this] { Tick(); });
 }
 
 World::~World() = default;
@@ -41,8 +41,8 @@
   process->name = name;
   process->incarnation = incarnation;
   process->alive = true;
-  process->polled_at = now_ - kVmPollEvery;
-  process->hears_platform_since = now_;
+  process->polled_at = now() - kVmPollEvery;
+  process->hears_platform_since = now();
   const std::string unique = name + "@" + std::to_string(incarnation);
   if (IsRole(name, "worker")) {
     const std::string rack = "rack-" + name.substr(name.size() - 1);
@@ -55,13 +55,13 @@
             .usage_every = Milliseconds(2'000),
             .checks_contract = settings_.workers_check_contracts,
             .refuses_when_leaving = settings_.workers_refuse_when_leaving},
-        now_);
+        now());
     processes_[name] = std::move(process);
     return;
   }
   process->platform = std::make_unique<ProcessPlatform>(this, name);
   FollowHandlers handlers;
-  handlers.now = [this] { return now_; };
+  handlers.now = [this] { return now(); };
   handlers.after = [this, name, incarnation](Milliseconds delay,
                                              std::function<void()> function) {
     Deliver(name, incarnation, delay,
@@ -74,9 +74,9 @@
     placer.domain = FailureDomainId(DomainOf(name));
     process->placer = std::make_unique<PlacerCore>(placer, &process->records,
                                                    &process->metrics);
-    handlers.on_records = [this, raw] { raw->placer->OnRecordsChanged(now_); };
+    handlers.on_records = [this, raw] { raw->placer->OnRecordsChanged(now()); };
     handlers.on_other = [this, raw](const KvChange& change) {
-      raw->placer->OnAllotmentChange(change, now_);
+      raw->placer->OnAllotmentChange(change, now());
     };
     handlers.on_health = [](PlatformHealth) {};
   } else {
@@ -98,24 +98,15 @@
 }
 
 void World::At(Time when, std::function<void()> function) {
-  queue_.push({std::max(when, now_), next_order_++, std::move(function)});
+  queue_.At(when, std::move(function));
 }
 
-void World::Run(Milliseconds time) {
-  const Time until = now_ + time;
-  while (!queue_.empty() && queue_.top().at <= until) {
-    const Event event = queue_.top();
-    queue_.pop();
-    now_ = event.at;
-    event.function();
-  }
-  now_ = until;
-}
+void World::Run(Milliseconds time) { queue_.RunUntil(now() + time); }
 
 void World::Deliver(const std::string& process, uint64_t incarnation,
                     Milliseconds delay,
                     std::function<void(Process*)> function) {
-  At(now_ + delay,
+  At(now() + delay,
      [this, process, incarnation, function = std::move(function)] {
        Process* const target = Find(process);
        if (!target->alive || target->incarnation != incarnation) return;
@@ -129,7 +120,7 @@
 }
 
 void World::Tick() {
-  kv_.OnTick(now_);
+  kv_.OnTick(now());
   ServeWatchers();
   std::vector<Vm> vms;
   for (const auto& [name, process] : processes_) {
@@ -143,8 +134,8 @@
     if (!process->alive) vm.state = VmState::kGone;
     vms.push_back(vm);
   }
-  vm_history_.emplace_back(now_, std::move(vms));
-  const Time oldest = now_ - settings_.vm_list_lag - kTick * 4;
+  vm_history_.emplace_back(now(), std::move(vms));
+  const Time oldest = now() - settings_.vm_list_lag - kTick * 4;
   while (vm_history_.size() > 2 && vm_history_[1].first < oldest &&
          !vm_list_frozen_at_) {
     vm_history_.erase(vm_history_.begin());
@@ -152,11 +143,11 @@
   UpdateStreams();
   for (const auto& [name, process] : processes_) TickProcess(process.get());
   for (const std::string& name : Entries()) CheckInForce(Find(name));
-  At(now_ + kTick, [this] { Tick(); });
+  At(now() + kTick, [this] { Tick(); });
 }
 
 std::vector<Vm> World::ListedVms() const {
-  const Time seen = vm_list_frozen_at_.value_or(now_) - settings_.vm_list_lag;
+  const Time seen = vm_list_frozen_at_.value_or(now()) - settings_.vm_list_lag;
   const std::vector<Vm>* best = &vm_history_.front().second;
   for (const auto& [at, vms] : vm_history_) {
     if (at <= seen) best = &vms;
@@ -166,15 +157,15 @@
 
 void World::SetVmListStale(bool stale) {
   vm_list_frozen_at_.reset();
-  if (stale) vm_list_frozen_at_ = now_;
+  if (stale) vm_list_frozen_at_ = now();
 }
 
 void World::TickProcess(Process* process) {
   if (!process->alive || process->frozen) return;
-  if (process->worker) process->worker->OnTick(now_);
+  if (process->worker) process->worker->OnTick(now());
   if (process->placer) {
     PollVms(process);
-    process->placer->OnTick(now_);
+    process->placer->OnTick(now());
     if (process->placer->ShutdownDone()) {
       Flush(process);
       Kill(process->name);
@@ -182,7 +173,7 @@
     }
   }
   if (process->entry) {
-    process->entry->OnTick(now_);
+    process->entry->OnTick(now());
     Flush(process);
     const bool over =
         process->entry->pending() == 0 || !settings_.entries_end_when_idle;
@@ -196,8 +187,8 @@
 }
 
 void World::PollVms(Process* process) {
-  if (now_ - process->polled_at < kVmPollEvery) return;
-  process->polled_at = now_;
+  if (now() - process->polled_at < kVmPollEvery) return;
+  process->polled_at = now();
   if (platform_down_ || !Reachable(process->name, "platform") ||
       !Reachable("platform", process->name)) {
     return;
@@ -212,7 +203,7 @@
                       .leaving = vm.state == VmState::kLeaving,
                       .gone = vm.state == VmState::kGone});
   }
-  process->placer->OnWorkers(listed, now_);
+  process->placer->OnWorkers(listed, now());
 }
 
 // ---- faults ----
@@ -234,7 +225,7 @@
   for (const auto& [attempt, started] : process->running) {
     standin::WorkerEvent ended = started;
     ended.kind = standin::WorkerEvent::Kind::kEnded;
-    ended.at = now_;
+    ended.at = now();
     ended.reason = "vm died";
     events_.push_back(ended);
   }
@@ -252,7 +243,7 @@
   for (Departure& departure : departures_) {
     const bool over =
         departure.worker == name && departure.until == Time::max();
-    if (over) departure.until = now_;
+    if (over) departure.until = now();
   }
   StartProcess(name);
 }
@@ -281,8 +272,8 @@
 void World::Leave(const std::string& name) {
   Process* const process = Find(name);
   if (!process->alive || !process->worker) return;
-  if (left_at_.emplace(name, now_).second) {
-    departures_.push_back({.worker = name, .from = now_});
+  if (left_at_.emplace(name, now()).second) {
+    departures_.push_back({.worker = name, .from = now()});
   }
   process->worker->Leave();
   Flush(process);
@@ -306,7 +297,7 @@
   const Process* const process = Find(name);
   if (!process->alive) return;
   Deliver(name, process->incarnation, Milliseconds(0),
-          [this](Process* placer) { placer->placer->BeginShutdown(now_); });
+          [this](Process* placer) { placer->placer->BeginShutdown(now()); });
 }
 
 // ---- what happened ----
@@ -345,7 +336,7 @@
   for (const std::string& name : Placers()) {
     const Process* const process = Find(name);
     if (!process->alive || DomainOf(name) != domain) continue;
-    const PlacerStatus status = process->placer->Status(now_);
+    const PlacerStatus status = process->placer->Status(now());
     if (!status.active || (!active.empty() && status.epoch < epoch)) continue;
     active = name;
     epoch = status.epoch;
@@ -362,15 +353,7 @@
 }
 
 PlacerStatus World::StatusOf(const std::string& placer) const {
-  return Find(placer)->placer->Status(now_);
-}
-
-size_t World::PendingAt(const std::string& entry) const {
-  return Find(entry)->entry->pending();
-}
-
-const Metrics* World::MetricsOf(const std::string& process) const {
-  return &Find(process)->metrics;
+  return Find(placer)->placer->Status(now());
 }
 
 }  // namespace quetzal::testing
--- a/tests/support/world.h
+++ b/tests/support/world.h
@@ -17,7 +17,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <queue>
 #include <random>
 #include <set>
 #include <string>
@@ -29,6 +28,7 @@
 #include "quetzal/platform/platform.h"
 #include "standins/platform/kv_model.h"
 #include "standins/worker/worker_model.h"
+#include "tests/support/event_queue.h"
 
 namespace quetzal::testing {
 
@@ -121,7 +121,7 @@
   World(const World&) = delete;
   World& operator=(const World&) = delete;
 
-  Time now() const { return now_; }
+  Time now() const { return queue_.now(); }
   void Run(Milliseconds time);
   void At(Time when, std::function<void()> function);
 
@@ -184,8 +184,6 @@
   bool IsAlive(const std::string& process) const;
   uint64_t RecordRevisionAt(const std::string& entry) const;
   PlacerStatus StatusOf(const std::string& placer) const;
-  size_t PendingAt(const std::string& entry) const;
-  const Metrics* MetricsOf(const std::string& process) const;
   std::mt19937_64& random() { return random_; }
 
  private:
@@ -196,14 +194,6 @@
     uint64_t generation = 0;
     std::optional<Time> unreachable_since;
   };
-  struct Event {
-    Time at;
-    uint64_t order;
-    std::function<void()> function;
-    bool operator<(const Event& other) const {
-      return at != other.at ? at > other.at : order > other.order;
-    }
-  };
   struct Watcher {
     std::string process;
     uint64_t incarnation;
@@ -250,9 +240,7 @@
 
   WorldSettings settings_;
   std::mt19937_64 random_;
-  Time now_{Milliseconds(1'000'000)};
-  uint64_t next_order_ = 0;
-  std::priority_queue<Event> queue_;
+  EventQueue queue_{Time(Milliseconds(1'000'000))};
   std::map<std::string, std::unique_ptr<Process>> processes_;
   std::map<std::pair<std::string, std::string>, Stream> streams_;
   std::set<std::pair<std::string, std::string>> cuts_;
--- a/tests/support/world_callers.cc
+++ b/tests/support/world_callers.cc
@@ -9,7 +9,7 @@
 
 void World::LogRecord(const std::string& path,
                       std::optional<std::string> value) {
-  record_log_.push_back({.at = now_,
+  record_log_.push_back({.at = now(),
                          .path = path,
                          .value = std::move(value),
                          .revision = kv_.revision()});
@@ -20,13 +20,13 @@
     rule_({.from = "operator", .to = "platform", .kind = "apply"});
   }
   if (platform_down_) {
-    At(now_ + kPlatformTimeout, [this, path, value] { Apply(path, value); });
+    At(now() + kPlatformTimeout, [this, path, value] { Apply(path, value); });
     return;
   }
   kv_.Apply({.kind = KvCall::Kind::kPut,
              .key = std::string(kRecordPrefix) + path,
              .value = value},
-            now_);
+            now());
   LogRecord(path, value);
   ServeWatchers();
 }
@@ -36,12 +36,12 @@
     rule_({.from = "operator", .to = "platform", .kind = "withdraw"});
   }
   if (platform_down_) {
-    At(now_ + kPlatformTimeout, [this, path] { Withdraw(path); });
+    At(now() + kPlatformTimeout, [this, path] { Withdraw(path); });
     return;
   }
   kv_.Apply(
       {.kind = KvCall::Kind::kDelete, .key = std::string(kRecordPrefix) + path},
-      now_);
+      now());
   LogRecord(path, std::nullopt);
   ServeWatchers();
 }
@@ -51,7 +51,7 @@
   log->number = next_call_++;
   log->spec = spec;
   log->entry = entry;
-  log->sent = now_;
+  log->sent = now();
   log->payload = "run_ms=" + std::to_string(spec.run_ms) +
                  " fail=" + (spec.fails ? "1" : "0") + " n=" +
                  (spec.request_key.empty() ? std::to_string(log->number)
@@ -82,7 +82,7 @@
             request.work.set_payload(raw->payload);
             *request.work.mutable_size() = ToWire(raw->spec.size);
             request.deadline = raw->spec.deadline;
-            target->entry->OnRequest(request, now_);
+            target->entry->OnRequest(request, now());
           });
   return raw;
 }
@@ -112,7 +112,7 @@
             work->set_work_class(raw->kind);
             work->set_payload(raw->payload);
             *work->mutable_size() = ToWire(spec.size);
-            target->entry->OnJob(job, now_);
+            target->entry->OnJob(job, now());
           });
   return raw;
 }
@@ -128,7 +128,7 @@
                                           .key = "key-red",
                                           .job = JobId(id),
                                           .cancel = true},
-                                         now_);
+                                         now());
           });
 }
 
@@ -145,7 +145,7 @@
               [this, call, id = job->id](Process* target) {
                 target->entry->OnJobQuestion(
                     {.call = CallId{call}, .key = "key-red", .job = JobId(id)},
-                    now_);
+                    now());
               });
       break;
     }
@@ -180,13 +180,13 @@
   for (const auto& call : calls_) {
     if (call->number != number) continue;
     call->replies.push_back(effect);
-    call->replied = now_;
+    call->replied = now();
   }
 }
 
 void World::NoteCutOff(const std::string& entry) {
   for (const auto& call : calls_) {
-    const bool accepted = now_ - call->sent > settings_.latency * 2;
+    const bool accepted = now() - call->sent > settings_.latency * 2;
     const bool unanswered = call->replies.empty() && !call->connection_lost;
     if (call->entry == entry && accepted && unanswered) {
       cut_off_.push_back(call->number);
--- a/tests/support/world_platform.cc
+++ b/tests/support/world_platform.cc
@@ -64,7 +64,7 @@
               });
       return;
     }
-    const KvAnswer answer = kv_.Apply(call, now_);
+    const KvAnswer answer = kv_.Apply(call, now());
     ServeWatchers();
     if (IsWrite(call) && drop_answers_ > 0) {
       --drop_answers_;
@@ -76,8 +76,8 @@
               answer_with(target, answer, PlatformHealth::kAnswers);
             });
   };
-  At(now_ + delay, serve);
-  if (fate == MessageFate::kRepeat) At(now_ + delay + kReorderDelay, serve);
+  At(now() + delay, serve);
+  if (fate == MessageFate::kRepeat) At(now() + delay + kReorderDelay, serve);
 }
 
 void World::WatchPlatform(Process* process, const std::string& prefix,
@@ -106,7 +106,7 @@
                        .incarnation = incarnation,
                        .prefix = prefix,
                        .after = after,
-                       .until = now_ + wait,
+                       .until = now() + wait,
                        .handler = once});
   ServeWatchers();
 }
@@ -124,7 +124,7 @@
       health = PlatformHealth::kDown;
     } else if (!changes) {
       answer.kind = WatchAnswer::Kind::kCompacted;
-    } else if (changes->empty() && now_ < watcher.until) {
+    } else if (changes->empty() && now() < watcher.until) {
       kept.push_back(std::move(watcher));
       continue;
     } else {
