--- a/tests/support/world_streams.cc
+++ b/tests/support/world_streams.cc
@@ -88,7 +88,8 @@
 void World::UpdateStreams() {
   for (const std::string& placer : Placers()) {
     const Process* const process = Find(placer);
-    const bool wanted = process->alive && process->placer->Status(now_).in_term;
+    const bool wanted =
+        process->alive && process->placer->Status(now()).in_term;
     for (const std::string& worker : Workers()) {
       if (DomainOf(worker) == DomainOf(placer)) {
         UpdateStream(placer, worker, wanted);
@@ -120,8 +121,8 @@
     stream.unreachable_since.reset();
     return;
   }
-  if (!stream.unreachable_since) stream.unreachable_since = now_;
-  if (now_ - *stream.unreachable_since >= kStreamTimeout) {
+  if (!stream.unreachable_since) stream.unreachable_since = now();
+  if (now() - *stream.unreachable_since >= kStreamTimeout) {
     StreamChanged(from, to, false);
   }
 }
@@ -136,7 +137,7 @@
   if (IsRole(from, "placer")) {
     Deliver(from, client->incarnation, Milliseconds(0),
             [this, to, up](Process* placer) {
-              placer->placer->OnWorkerLink(WorkerId(to), up, now_);
+              placer->placer->OnWorkerLink(WorkerId(to), up, now());
             });
     if (up) return;
     Deliver(to, server->incarnation, Milliseconds(0),
@@ -147,12 +148,12 @@
   }
   Deliver(from, client->incarnation, Milliseconds(0),
           [this, to, up](Process* entry) {
-            entry->entry->OnPlacerLink(PlacerId(to), up, now_);
+            entry->entry->OnPlacerLink(PlacerId(to), up, now());
           });
   const EntryId entry(from + "@" + std::to_string(client->incarnation));
   Deliver(to, server->incarnation, Milliseconds(0),
           [this, entry, up](Process* placer) {
-            placer->placer->OnEntryLink(entry, up, now_);
+            placer->placer->OnEntryLink(entry, up, now());
           });
 }
 
@@ -196,13 +197,13 @@
   const bool hears = process->alive && !process->frozen && !platform_down_ &&
                      Reachable("platform", process->name) &&
                      Reachable(process->name, "platform");
-  if (!hears) process->hears_platform_since = now_;
+  if (!hears) process->hears_platform_since = now();
   const auto revision = static_cast<uint64_t>(process->records.revision());
   for (const RecordLog& log : record_log_) {
     if (log.revision <= revision) continue;
     const Time due =
         std::max(log.at, process->hears_platform_since) + kInForceBound;
-    if (due > now_) break;
+    if (due > now()) break;
     late_in_force_.push_back(process->name + " lacks " + log.path);
     break;
   }
@@ -223,7 +224,7 @@
       const uint64_t peer = streams_[{name, worker}].generation;
       SendOnStream(name, worker, name, worker, KindOf(out->message),
                    [this, peer, message = out->message](Process* target) {
-                     target->worker->OnMessage(peer, message, now_);
+                     target->worker->OnMessage(peer, message, now());
                    });
     } else if (const auto* const reply = std::get_if<ToEntry>(&effect)) {
       const std::string& id = reply->entry.text();
@@ -231,12 +232,12 @@
       SendOnStream(name, entry, entry, name, KindOf(reply->message),
                    [this, name, message = reply->message](Process* target) {
                      target->entry->OnPlacerMessage(PlacerId(name), message,
-                                                    now_);
+                                                    now());
                    });
     } else {
       CallPlatform(process, std::get<KvCall>(effect),
                    [this, process](const KvAnswer& answer) {
-                     process->placer->OnKvAnswer(answer, now_);
+                     process->placer->OnKvAnswer(answer, now());
                    });
     }
   }
@@ -255,7 +256,7 @@
     SendOnStream(name, out->placer.text(), name, out->placer.text(),
                  KindOf(out->message),
                  [this, entry, message = out->message](Process* target) {
-                   target->placer->OnEntryMessage(entry, message, now_);
+                   target->placer->OnEntryMessage(entry, message, now());
                  });
   }
 }
@@ -279,7 +280,7 @@
       SendOnStream(process->name, placer, placer, process->name,
                    KindOf(output.message),
                    [this, worker, message = output.message](Process* target) {
-                     target->placer->OnWorkerMessage(worker, message, now_);
+                     target->placer->OnWorkerMessage(worker, message, now());
                    });
       break;
     }
