--- a/programs/cell_placer/term.cc
+++ b/programs/cell_placer/term.cc
@@ -344,17 +344,19 @@
     return;
   }
   ++writes_in_flight_;
-  Later(kRetry, [this, writes] {
-    --writes_in_flight_;
-    SendWrites(writes);
-  });
+  Later(kRetry, [this, writes] { EndFailedWrite(writes); });
+}
+
+void Term::EndFailedWrite(const std::vector<ProgressWrite>& writes) {
+  --writes_in_flight_;
+  for (const ProgressWrite& write : writes) cell_.OnNotStored(write.job);
+  FlushWrites();
 }
 
 // Learns the revisions that a write without an answer may have changed.
 void Term::ReadBack(const std::vector<ProgressWrite>& writes, size_t next) {
   if (next == writes.size()) {
-    --writes_in_flight_;
-    SendWrites(writes);
+    EndFailedWrite(writes);
     return;
   }
   parts_.store->Read(
--- a/programs/cell_placer/term.h
+++ b/programs/cell_placer/term.h
@@ -68,6 +68,7 @@
   void SendWrites(const std::vector<ProgressWrite>& writes);
   void OnWritten(const std::vector<ProgressWrite>& writes,
                  const CommitAnswer& answer);
+  void EndFailedWrite(const std::vector<ProgressWrite>& writes);
   void ReadBack(const std::vector<ProgressWrite>& writes, size_t next);
   void RemoveExpired();
   // Runs `step` later if the term still lives.
--- a/quetzal/cell/cell.cc
+++ b/quetzal/cell/cell.cc
@@ -10,6 +10,15 @@
 
 namespace quetzal {
 
+namespace {
+
+void QueueWrite(cell::State* state, cell::Job* job) {
+  if (std::exchange(job->dirty, true)) return;
+  state->dirty.push_back(job->accepted.id);
+}
+
+}  // namespace
+
 struct Cell::Parts {
   cell::State state;
 };
@@ -48,6 +57,7 @@
 void Cell::OnJob(const AcceptedJob& job, Revision created,
                  const std::optional<JobProgress>& progress, Time now) {
   cell::AddJob(&parts_->state, job, created, progress, now);
+  cell::AttachOrphans(&parts_->state, job.id, now);
 }
 
 void Cell::OnCancel(const JobId& id, Time now) {
@@ -99,9 +109,18 @@
   cell::Job* const job = parts_->state.FindJob(id);
   if (job == nullptr) return;
   job->stored_version = std::max(job->stored_version, version);
+  job->storing = false;
+  if (job->version > job->stored_version) QueueWrite(&parts_->state, job);
   cell::AcknowledgeStored(&parts_->state, now);
 }
 
+void Cell::OnNotStored(const JobId& id) {
+  cell::Job* const job = parts_->state.FindJob(id);
+  if (job == nullptr) return;
+  job->storing = false;
+  QueueWrite(&parts_->state, job);
+}
+
 void Cell::Decide(Time now) {
   cell::State& state = parts_->state;
   cell::TendWorkers(&state, now);
@@ -125,6 +144,7 @@
     cell::Job* const job = state.FindJob(id);
     if (job == nullptr) continue;
     job->dirty = false;
+    job->storing = true;
     writes.push_back({id, job->version, EncodeProgress(ProgressOf(*job))});
   }
   return writes;
@@ -140,7 +160,7 @@
     cell::Job* const job = state.FindJob(id);
     if (job != nullptr) {
       if (now - job->finished_at < state.settings.keep_finished) break;
-      if (job->active_runs > 0 || job->dirty) break;
+      if (job->active_runs > 0 || job->dirty || job->storing) break;
     }
     state.finished.pop_front();
     state.jobs.erase(id);
--- a/quetzal/cell/internal/fleet.cc
+++ b/quetzal/cell/internal/fleet.cc
@@ -15,6 +15,8 @@
 // Between tries to reach a worker that didn't answer.
 constexpr Milliseconds kHoldRetry{200};
 constexpr Milliseconds kStopRetry{300};
+// News of an accepted job takes a watch's round trip, or a new listing.
+constexpr Milliseconds kOrphanPatience{2'000};
 // A worker whose entry is gone may be back within about two seconds of the
 // store's return; its leases are extended so long, and no longer.
 constexpr Milliseconds kUnlistedGrace{2'500};
@@ -126,7 +128,10 @@
       wanted = step.gang_run == row.run;
     }
   }
-  if (!wanted) {
+  if (job == nullptr) {
+    // A former placer may have started it from news that is still on the way.
+    run.orphan_since = now;
+  } else if (!wanted) {
     run.state = RunState::kStopping;
     run.stop_again = now;
   }
@@ -135,7 +140,9 @@
                                    {"step", row.task.step},
                                    {"task", row.task.index},
                                    {"run", row.run},
-                                   {"kept", wanted ? "yes" : "no"}});
+                                   {"kept", wanted           ? "yes"
+                                            : job == nullptr ? "job unknown"
+                                                             : "no"}});
   AddRun(state, worker, std::move(run));
   if (wanted) {
     if (job->state == JobState::kQueued) {
@@ -282,6 +289,20 @@
 
 }  // namespace
 
+void AttachOrphans(State* state, const JobId& id, Time now) {
+  if (state->orphans == 0) return;
+  for (auto& [worker_id, worker] : state->workers) {
+    if (worker.orphans == 0) continue;
+    for (const auto& [name, number] : NamesOfRuns(worker)) {
+      const Run& run = worker.runs.at(name);
+      if (!run.orphan_since || name.job != id) continue;
+      const RunningTask row{name, number, run.checkpoint};
+      RemoveRun(state, &worker, name);
+      Adopt(state, &worker, row, now);
+    }
+  }
+}
+
 WorkerClock ClockOf(const Worker& worker, Time now) {
   return WorkerClock(static_cast<int64_t>(worker.clock) +
                      (now - worker.clock_at).count());
@@ -289,7 +310,7 @@
 
 bool TakesWork(const Worker& worker, Time now) {
   return worker.listed && worker.reached && !worker.silent &&
-         !worker.entry.draining && worker.avoid_until <= now &&
+         !worker.entry.draining && worker.orphans == 0 && worker.avoid_until <= now &&
          now - worker.confirmed < kConfirmedWithin;
 }
 
@@ -365,6 +386,8 @@
   }
   worker->silent = false;
   worker->known_gone = false;
+  // What a former placer started there may be leased from now on in full.
+  if (!worker->reached) worker->lease_basis = std::max(worker->lease_basis, now);
   worker->confirmed = sent;
   worker->clock = answer.clock;
   worker->clock_at = now;
@@ -493,6 +516,10 @@
       SendHold(state, &worker, now);
     }
     for (auto& [name, run] : worker.runs) {
+      if (run.orphan_since && run.state == RunState::kRunning &&
+          now - *run.orphan_since > kOrphanPatience) {
+        OweStop(&run, now);
+      }
       const bool owed = run.state == RunState::kStopping &&
                         !run.stop_in_flight && !run.stop_clock &&
                         now >= run.stop_again;
--- a/quetzal/cell/internal/fleet.h
+++ b/quetzal/cell/internal/fleet.h
@@ -15,6 +15,8 @@
                 const OrderAnswer& answer, Time now);
 void ApplyStop(State* state, Worker* worker, const StopOrder& order,
                const OrderAnswer& answer, Time now);
+// Runs that were found before their job was known become the job's.
+void AttachOrphans(State* state, const JobId& id, Time now);
 // Ends whose jobs' progress is stored are acknowledged with the next hold.
 void AcknowledgeStored(State* state, Time now);
 // Holds that are due, stops that are owed, leases that have lapsed.
--- a/quetzal/cell/internal/state.cc
+++ b/quetzal/cell/internal/state.cc
@@ -38,6 +38,10 @@
     ++job.active_runs;
     if (step.spec->gang) ++step.gang_members;
   }
+  if (run.orphan_since) {
+    ++worker->orphans;
+    ++state->orphans;
+  }
   const TaskName name = run.task;
   worker->runs.emplace(name, std::move(run));
 }
@@ -47,6 +51,10 @@
   if (found == worker->runs.end()) return;
   const Run& run = found->second;
   worker->used -= run.charge;
+  if (run.orphan_since) {
+    --worker->orphans;
+    --state->orphans;
+  }
   if (run.job != nullptr) {
     Job& job = *run.job;
     Step& step = job.steps[static_cast<size_t>(task.step)];
--- a/quetzal/cell/internal/state.h
+++ b/quetzal/cell/internal/state.h
@@ -45,6 +45,8 @@
   Time stop_again;
   std::optional<WorkerClock> stop_clock;  // of the answer to the stop
   std::string checkpoint;
+  // Found on a worker while its job isn't known (yet).
+  std::optional<Time> orphan_since;
 };
 
 // An end that the worker listed and that isn't acknowledged yet.
@@ -72,6 +74,7 @@
   Time confirmed;    // when its newest answered hold was sent
   Time lease_basis;  // when the newest order that may extend leases was sent
   Resources used;
+  int orphans = 0;  // runs of unknown size: the worker counts as full
   int64_t fill_milli = 0;  // processors wanted by tasks that only fill
   std::map<TaskName, Run> runs;
   Time avoid_until;         // it refused or failed what it was given
@@ -123,8 +126,8 @@
   int active_runs = 0;
   uint64_t version = 1;
   uint64_t stored_version = 0;
-  uint64_t writing_version = 0;
-  bool dirty = false;
+  bool dirty = false;    // waits for its turn to be stored
+  bool storing = false;  // a write is under way; a second could overtake it
   bool may_run_unseen = false;  // accepted before this term
 };
 
@@ -145,6 +148,7 @@
   std::unordered_set<Job*> waiting;  // jobs with a ready step that lacks runs
   std::deque<JobId> dirty;
   std::deque<JobId> finished;  // in the order of their ends
+  int orphans = 0;  // on all workers
   std::unordered_map<TeamId, Resources> team_use;
   std::vector<CellAction> actions;
   std::vector<AdviserId> advisers;
--- a/quetzal/cell/internal/work.cc
+++ b/quetzal/cell/internal/work.cc
@@ -70,7 +70,7 @@
 
 void Touch(State* state, Job* job) {
   ++job->version;
-  if (job->dirty) return;
+  if (job->dirty || job->storing) return;
   job->dirty = true;
   state->dirty.push_back(job->accepted.id);
 }
--- a/quetzal/program/program.cc
+++ b/quetzal/program/program.cc
@@ -148,6 +148,7 @@
   }
   google::InitGoogleLogging(argv[0]);
   FLAGS_logtostderr = true;
+  google::InstallFailureSignalHandler();
   Problems problems;
   const std::string text = ReadFile(file, &problems);
   nlohmann::json json = nlohmann::json::object();
--- /dev/null
+++ b/quetzal/store/testing/memory_store.cc
@@ -0,0 +1,172 @@
+#include "quetzal/store/testing/memory_store.h"
+
+#include <utility>
+
+namespace quetzal::testing {
+
+void MemoryStore::Read(const std::string& key,
+                       std::function<void(const ReadAnswer&)> done) {
+  ReadAnswer answer{.outcome = StoreOutcome::kRefused};
+  if (!down_) {
+    answer.store_revision = Revision(revision_);
+    const StoreItem* const item = Find(key);
+    answer.outcome = item == nullptr ? StoreOutcome::kMissing
+                                     : StoreOutcome::kDone;
+    if (item != nullptr) answer.items.push_back(*item);
+  }
+  defer_([answer, done = std::move(done)] { done(answer); });
+}
+
+void MemoryStore::Range(const std::string& prefix, const std::string& after,
+                        std::function<void(const ReadAnswer&)> done) {
+  ReadAnswer answer{.outcome = StoreOutcome::kRefused};
+  if (!down_) {
+    answer.outcome = StoreOutcome::kDone;
+    answer.store_revision = Revision(revision_);
+    for (const auto& [key, item] : items_) {
+      if (key.starts_with(prefix) && key > after) answer.items.push_back(item);
+    }
+  }
+  defer_([answer, done = std::move(done)] { done(answer); });
+}
+
+void MemoryStore::Watch(const std::string& prefix, Revision after,
+                        Milliseconds /*wait*/,
+                        std::function<void(const WatchAnswer&)> done) {
+  watchers_.push_back({prefix, after, std::move(done)});
+  AnswerWatchers();
+}
+
+WatchAnswer MemoryStore::EventsFor(const Watcher& watcher) const {
+  WatchAnswer answer{.outcome = StoreOutcome::kDone,
+                     .store_revision = Revision(revision_)};
+  if (down_) {
+    answer.outcome = StoreOutcome::kRefused;
+  } else if (static_cast<uint64_t>(watcher.after) < compacted_) {
+    answer.outcome = StoreOutcome::kCompacted;
+  }
+  for (const StoreEvent& event : history_) {
+    if (event.item.revision > watcher.after &&
+        event.item.key.starts_with(watcher.prefix)) {
+      answer.events.push_back(event);
+    }
+  }
+  return answer;
+}
+
+void MemoryStore::AnswerWatchers() {
+  for (auto each = watchers_.begin(); each != watchers_.end();) {
+    WatchAnswer answer = EventsFor(*each);
+    if (answer.outcome == StoreOutcome::kDone && answer.events.empty()) {
+      ++each;
+      continue;
+    }
+    defer_([answer, done = std::move(each->done)] { done(answer); });
+    each = watchers_.erase(each);
+  }
+}
+
+CommitAnswer MemoryStore::Carry(const Commit& commit) {
+  CommitAnswer answer;
+  for (const StoreCondition& condition : commit.conditions) {
+    const StoreItem* const item = Find(condition.key);
+    const Revision now = item == nullptr ? kAbsent : item->revision;
+    if (now != condition.revision) answer.outcome = StoreOutcome::kConflict;
+    answer.current.push_back(
+        item == nullptr ? StoreItem{.key = condition.key} : *item);
+  }
+  if (answer.outcome == StoreOutcome::kConflict) return answer;
+  answer.current.clear();
+  answer.outcome = StoreOutcome::kDone;
+  answer.revision = Revision(++revision_);
+  ++commits_;
+  for (const StorePut& put : commit.puts) {
+    StoreItem& item = items_[put.key];
+    if (item.created == kAbsent) item.created = answer.revision;
+    item.key = put.key;
+    item.value = put.value;
+    item.lease = put.lease;
+    item.revision = answer.revision;
+    Record({item, false});
+  }
+  for (const std::string& key : commit.removes) {
+    if (items_.erase(key) == 0) continue;
+    Record({{.key = key, .revision = answer.revision}, true});
+  }
+  return answer;
+}
+
+void MemoryStore::Record(const StoreEvent& event) { history_.push_back(event); }
+
+void MemoryStore::Apply(const Commit& commit,
+                        std::function<void(const CommitAnswer&)> done) {
+  CommitAnswer answer{.outcome = StoreOutcome::kRefused};
+  if (!down_) {
+    if (failures_.empty()) {
+      answer = Carry(commit);
+    } else {
+      const Failure failure = failures_.front();
+      failures_.pop_front();
+      if (failure.but_do_it) Carry(commit);
+      answer.outcome = failure.outcome;
+    }
+  }
+  defer_([answer, done = std::move(done)] { done(answer); });
+  AnswerWatchers();
+}
+
+void MemoryStore::GrantLease(Milliseconds life,
+                             std::function<void(const LeaseAnswer&)> done) {
+  LeaseAnswer answer{.outcome = StoreOutcome::kRefused};
+  if (!down_) {
+    answer = {StoreOutcome::kDone, LeaseId(next_lease_), life};
+    leases_[next_lease_++] = life;
+  }
+  defer_([answer, done = std::move(done)] { done(answer); });
+}
+
+void MemoryStore::KeepLease(LeaseId lease,
+                            std::function<void(const LeaseAnswer&)> done) {
+  LeaseAnswer answer{.outcome = StoreOutcome::kRefused};
+  if (!down_) {
+    const auto found = leases_.find(static_cast<uint64_t>(lease));
+    answer.outcome = found == leases_.end() ? StoreOutcome::kMissing
+                                            : StoreOutcome::kDone;
+  }
+  defer_([answer, done = std::move(done)] { done(answer); });
+}
+
+void MemoryStore::EndLease(LeaseId lease,
+                           std::function<void(StoreOutcome)> done) {
+  const StoreOutcome outcome =
+      down_ ? StoreOutcome::kRefused : StoreOutcome::kDone;
+  if (!down_) Lapse(lease);
+  defer_([outcome, done = std::move(done)] { done(outcome); });
+}
+
+void MemoryStore::Compact() {
+  history_.clear();
+  compacted_ = ++revision_;
+  AnswerWatchers();
+}
+
+void MemoryStore::Lapse(LeaseId lease) {
+  leases_.erase(static_cast<uint64_t>(lease));
+  ++revision_;
+  for (auto each = items_.begin(); each != items_.end();) {
+    if (each->second.lease != lease) {
+      ++each;
+      continue;
+    }
+    Record({{.key = each->first, .revision = Revision(revision_)}, true});
+    each = items_.erase(each);
+  }
+  AnswerWatchers();
+}
+
+const StoreItem* MemoryStore::Find(const std::string& key) const {
+  const auto found = items_.find(key);
+  return found == items_.end() ? nullptr : &found->second;
+}
+
+}  // namespace quetzal::testing
