--- a/programs/cell_placer/main.cc
+++ b/programs/cell_placer/main.cc
@@ -46,7 +46,13 @@
         http_client_(HttpClient::Create({.most_idle_connections = 1'024})),
         store_(platform::MakeStoreClient(settings_.store_address,
                                          http_client_.get())),
-        workers_(platform::MakeWorkerClient(http_client_.get(), {})) {}
+        workers_(platform::MakeWorkerClient(http_client_.get(), {})),
+        advice_(
+            store_.get(), &After,
+            [this](const std::vector<AdviserId>& advisers) {
+              if (term_) term_->SetAdvisers(advisers);
+            },
+            &log_) {}
 
   bool Start() {
     log_.Line("start", {{"store", settings_.store_address}});
@@ -95,11 +101,13 @@
     TermParts parts{
         .store = store_.get(),
         .workers = workers_.get(),
+        .advice = &advice_,
         .log = &log_,
         .metrics = &metrics_,
         .may_order = [this](const Cell& cell) { return MayOrder(cell); },
         .on_deposed =
             [this](const std::string& reason) { leadership_->Lose(reason); }};
+    advice_.Start();
     term_ = std::make_unique<Term>(parts, settings_.cell, fence,
                                    term * kRunsInTerm);
     term_->Start();
@@ -132,6 +140,7 @@
   std::unique_ptr<HttpClient> http_client_;
   std::unique_ptr<Store> store_;
   std::unique_ptr<WorkerPort> workers_;
+  AdvicePool advice_;  // its links outlast terms
   std::unique_ptr<HttpServer> metrics_server_;
   std::unique_ptr<Leadership> leadership_;
   std::unique_ptr<Term> term_;
--- a/programs/cell_placer/term.cc
+++ b/programs/cell_placer/term.cc
@@ -1,5 +1,8 @@
 #include "programs/cell_placer/term.h"
 
+#include <glib.h>
+
+#include <algorithm>
 #include <utility>
 
 #include "platform/adapter.h"
@@ -15,6 +18,7 @@
 // the store costs. Jobs wait for it, workers' entries hardly matter sooner.
 constexpr Milliseconds kJobsPause{20};
 constexpr Milliseconds kWorkerListPause{150};
+constexpr Milliseconds kOldestArrival{60'000};
 constexpr Milliseconds kRetry{100};
 constexpr Milliseconds kRemoveEvery{2'000};
 // One condition for the seat; a condition and a put for each job.
@@ -23,20 +27,23 @@
 constexpr int kMostCommitsInFlight = 6;
 constexpr size_t kExpiredInCommit = 8;  // three keys each, and the seat
 
+// When a job that an earlier term may have known was accepted, on this
+// process's clock. Times of day may differ or jump, so it is bounded.
+Time ArrivalOf(const AcceptedJob& job) {
+  const int64_t age_ms =
+      g_get_real_time() / 1'000 - static_cast<int64_t>(job.accepted);
+  const auto age = std::clamp(Milliseconds(age_ms), Milliseconds(0),
+                              kOldestArrival);
+  return Now() - age;
+}
+
 }  // namespace
 
 Term::Term(TermParts parts, CellSettings settings, Fence fence,
            int64_t run_floor)
     : parts_(std::move(parts)),
       cell_(settings, fence, run_floor, Now(), parts_.log, parts_.metrics),
-      fence_(fence),
-      advice_(
-          parts_.store, &After,
-          [this](const std::vector<AdviserId>& advisers) {
-            cell_.OnAdvisers(advisers);
-            Wake();
-          },
-          parts_.log) {}
+      fence_(fence) {}
 
 Term::~Term() { *alive_ = false; }
 
@@ -57,7 +64,7 @@
 }
 
 void Term::Start() {
-  advice_.Start();
+  SetAdvisers(parts_.advice->advisers());
   FollowConfiguration();
   FollowWorkers();
   FollowCell();
@@ -65,6 +72,11 @@
   Later(kRemoveEvery, [this] { RemoveExpired(); });
 }
 
+void Term::SetAdvisers(const std::vector<AdviserId>& advisers) {
+  cell_.OnAdvisers(advisers);
+  Wake();
+}
+
 void Term::RaiseFence(Fence fence) {
   fence_ = fence;
   cell_.OnFenceRaised(fence);
@@ -152,7 +164,7 @@
       if (jobs_->is_listed()) {
         cell_.OnCancel(id, Now());
       } else {
-        listed_jobs_[id].lease = LeaseId{1};  // marks it as cancelled
+        listed_cancels_.insert(id);
       }
       break;
     case CellKeyKind::kSeat:
@@ -189,18 +201,14 @@
           {{"job", id.text()}, {"problems", Describe(decoded.error())}});
     }
   }
-  cell_.OnJob(job.value(), item.created, progress, Now());
+  cell_.OnJob(job.value(), item.created, progress, ArrivalOf(job.value()));
 }
 
 void Term::OnCellListed() {
-  for (const auto& [id, item] : listed_jobs_) {
-    if (item.value.empty()) continue;  // cancelled, but not accepted
-    LearnJob(id, item);
-  }
-  for (const auto& [id, item] : listed_jobs_) {
-    if (item.lease != kNoLease) cell_.OnCancel(id, Now());
-  }
+  for (const auto& [id, item] : listed_jobs_) LearnJob(id, item);
+  for (const JobId& id : listed_cancels_) cell_.OnCancel(id, Now());
   listed_jobs_.clear();
+  listed_cancels_.clear();
   listed_progress_.clear();
   cell_.OnRecovered(Now());
   Wake();
@@ -282,7 +290,7 @@
 void Term::Ask(const AskAction& action) {
   const AdviserId adviser = action.adviser;
   const AdviceQuestion question = action.question;
-  advice_.Ask(adviser, question, action.timeout,
+  parts_.advice->Ask(adviser, question, action.timeout,
               Guard<AdviceAnswer>(
                   [this, adviser, question](const AdviceAnswer& answer) {
                     cell_.OnAdvice(adviser, question, answer, Now());
--- a/programs/cell_placer/term.h
+++ b/programs/cell_placer/term.h
@@ -13,6 +13,8 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
+#include <vector>
 
 #include "quetzal/advice_pool/advice_pool.h"
 #include "quetzal/catalog/catalog.h"
@@ -25,6 +27,7 @@
 struct TermParts {
   Store* store = nullptr;
   WorkerPort* workers = nullptr;
+  AdvicePool* advice = nullptr;
   EventLog* log = nullptr;
   Metrics* metrics = nullptr;
   // False while another placer might lead: nothing is ordered then.
@@ -41,6 +44,7 @@
   Term& operator=(const Term&) = delete;
 
   void Start();
+  void SetAdvisers(const std::vector<AdviserId>& advisers);
   void RaiseFence(Fence fence);
   // Decides soon; many causes within a moment are one decision.
   void Wake();
@@ -81,7 +85,6 @@
   Cell cell_;
   Fence fence_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
-  AdvicePool advice_;
   std::unique_ptr<StoreFollower> configuration_;
   std::unique_ptr<StoreFollower> workers_;
   std::unique_ptr<StoreFollower> jobs_;
@@ -89,6 +92,7 @@
   // Until the first listing ends: jobs whose progress may still come.
   std::unordered_map<JobId, StoreItem> listed_jobs_;
   std::unordered_map<JobId, std::string> listed_progress_;
+  std::unordered_set<JobId> listed_cancels_;
   std::unordered_map<JobId, Revision> progress_revisions_;
   bool wake_pending_ = false;
   int writes_in_flight_ = 0;
--- a/quetzal/advice_pool/advice_pool.cc
+++ b/quetzal/advice_pool/advice_pool.cc
@@ -34,6 +34,7 @@
 AdvicePool::~AdvicePool() { *alive_ = false; }
 
 void AdvicePool::Start() {
+  if (follower_) return;
   follower_ = std::make_unique<StoreFollower>(
       store_, HelperPrefix(), FollowerTiming{},
       FollowerHandlers{.on_put =
@@ -69,7 +70,7 @@
   if (found->second.up) return;
   FailOpen(&found->second);
   helpers_.erase(found);
-  Publish();
+  on_advisers_(advisers());
 }
 
 void AdvicePool::SetUp(const std::string& machine, bool up) {
@@ -77,7 +78,7 @@
   helper.up = up;
   log_->Line(up ? "helper_reached" : "helper_lost", {{"machine", machine}});
   if (!up) FailOpen(&helper);
-  Publish();
+  on_advisers_(advisers());
 }
 
 void AdvicePool::FailOpen(Helper* helper) {
@@ -85,12 +86,12 @@
   for (const auto& [id, done] : open) done({});
 }
 
-void AdvicePool::Publish() {
+std::vector<AdviserId> AdvicePool::advisers() const {
   std::vector<AdviserId> advisers;
   for (const auto& [machine, helper] : helpers_) {
     if (helper.up) advisers.emplace_back(machine);
   }
-  on_advisers_(advisers);
+  return advisers;
 }
 
 void AdvicePool::Ask(const AdviserId& adviser, const AdviceQuestion& question,
--- a/quetzal/advice_pool/advice_pool.h
+++ b/quetzal/advice_pool/advice_pool.h
@@ -65,7 +65,10 @@
              EventLog* log);
   ~AdvicePool();
 
+  // No effect if it was started before.
   void Start();
+  // Those that can be asked now.
+  std::vector<AdviserId> advisers() const;
   void Ask(const AdviserId& adviser, const AdviceQuestion& question,
            Milliseconds timeout, Done done);
 
@@ -82,7 +85,6 @@
   void SetUp(const std::string& machine, bool up);
   void OnReply(const std::string& machine, const wire::AdviceReply& reply);
   static void FailOpen(Helper* helper);
-  void Publish();
 
   Store* store_;
   StoreFollower::Timer after_;
--- a/quetzal/cell/cell.cc
+++ b/quetzal/cell/cell.cc
@@ -125,7 +125,7 @@
   cell::State& state = parts_->state;
   cell::TendWorkers(&state, now);
   if (!state.recovered) return;
-  for (const cell::WaitingStep& step : cell::InOrder(state)) {
+  for (const cell::WaitingStep& step : cell::InOrder(state, now)) {
     cell::PlaceStep(&state, step, now);
     cell::AskForStep(&state, step, now);
   }
--- a/quetzal/cell/internal/asking.cc
+++ b/quetzal/cell/internal/asking.cc
@@ -19,6 +19,9 @@
 constexpr double kLongCallMs = 40;
 // The part of the advisers that long calls may occupy.
 constexpr double kLongCallShare = 0.7;
+// A question on its way to a far adviser may wait there for the one before.
+constexpr Milliseconds kMostQueued{60};
+constexpr int kMostOpen = 8;  // of one adviser; the platform takes 32
 constexpr Milliseconds kAnswerMargin{1'500};
 constexpr Milliseconds kAskAgainAfterFailure{100};
 // Permits this close to their end are renewed with the next question.
@@ -74,21 +77,27 @@
   return named;
 }
 
-const AdviserId* FreeAdviser(State* state, double call_ms, Time now) {
+// The adviser that will be free first, if that is soon enough: what is asked
+// later can be asked for what is most urgent then.
+const AdviserId* FreeAdviser(const State& state, double call_ms, Time now) {
   const bool is_long = call_ms > kLongCallMs;
-  const size_t count = state->advisers.size();
+  const size_t count = state.advisers.size();
   const auto usable = static_cast<size_t>(
       std::max(1.0, std::floor(kLongCallShare * static_cast<double>(count))));
   const AdviserId* best = nullptr;
-  for (size_t i = 0; i < count; ++i) {
-    // Long calls take advisers from the front, short ones from the back.
-    const size_t at = is_long ? i : count - 1 - i;
-    if (is_long && at >= usable) break;
-    const AdviserId& adviser = state->advisers[at];
-    const auto busy = state->adviser_busy_until.find(adviser);
-    if (busy != state->adviser_busy_until.end() && busy->second > now) continue;
+  Time best_free = now + kMostQueued;
+  // Long calls keep to the first advisers, so that short ones never wait
+  // behind them at the others.
+  for (size_t at = 0; at < (is_long ? usable : count); ++at) {
+    const AdviserId& adviser = state.advisers[at];
+    const auto open = state.adviser_open.find(adviser);
+    if (open != state.adviser_open.end() && open->second >= kMostOpen) continue;
+    const auto found = state.adviser_free_at.find(adviser);
+    const Time free =
+        found == state.adviser_free_at.end() ? now : std::max(now, found->second);
+    if (free >= best_free) continue;
+    best_free = free;
     best = &adviser;
-    break;
   }
   return best;
 }
@@ -115,11 +124,13 @@
   const double call_ms =
       terms.call_ms +
       terms.worker_ms * static_cast<double>(question.workers.size());
-  const AdviserId* const adviser = FreeAdviser(state, call_ms, now);
+  const AdviserId* const adviser = FreeAdviser(*state, call_ms, now);
   if (adviser == nullptr) return;
   const auto duration = Milliseconds(static_cast<int64_t>(std::ceil(call_ms)));
   const Milliseconds timeout = duration * 2 + kAnswerMargin;
-  state->adviser_busy_until[*adviser] = now + timeout;
+  Time& free_at = state->adviser_free_at[*adviser];
+  free_at = std::max(now, free_at) + duration;
+  ++state->adviser_open[*adviser];
   step.question_in_flight = true;
   state->metrics->Count("quetzal_advice_asked_total",
                         {{"queue", job.terms.name.text()}});
@@ -129,7 +140,7 @@
 void ApplyAdvice(State* state, const AdviserId& adviser,
                  const AdviceQuestion& question, const AdviceAnswer& answer,
                  Time now) {
-  state->adviser_busy_until[adviser] = now;
+  --state->adviser_open[adviser];
   Job* const job = state->FindJob(question.job);
   if (job == nullptr) return;
   Step& step = job->steps[static_cast<size_t>(question.step)];
--- a/quetzal/cell/internal/fleet.cc
+++ b/quetzal/cell/internal/fleet.cc
@@ -52,6 +52,13 @@
   return names;
 }
 
+void ForgetUnseen(State* state, Worker* worker) {
+  for (const UnseenEnd& end : worker->unseen) {
+    if (end.orphan) --state->orphans;
+  }
+  worker->unseen.clear();
+}
+
 // Nothing runs there any more.
 void EndAllRuns(State* state, Worker* worker, const char* why, Time now) {
   if (!worker->runs.empty()) {
@@ -63,14 +70,14 @@
   for (const auto& [name, number] : NamesOfRuns(*worker)) {
     EndRun(state, worker, name, number, EndKind::kLapsed, "", now);
   }
-  worker->unseen.clear();
+  ForgetUnseen(state, worker);
   worker->known_gone = true;
 }
 
-void ForgetIncarnation(Worker* worker) {
+void ForgetIncarnation(State* state, Worker* worker) {
   worker->last_seen = 0;
   worker->last_processed = 0;
-  worker->unseen.clear();
+  ForgetUnseen(state, worker);
   worker->clock = WorkerClock{0};
   worker->reached = false;
 }
@@ -292,6 +299,14 @@
 void AttachOrphans(State* state, const JobId& id, Time now) {
   if (state->orphans == 0) return;
   for (auto& [worker_id, worker] : state->workers) {
+    for (UnseenEnd& unseen : worker.unseen) {
+      if (!unseen.orphan || unseen.job != id) continue;
+      const EndedTask ended = *std::exchange(unseen.orphan, std::nullopt);
+      --state->orphans;
+      EndRun(state, &worker, ended.task, ended.run, ended.how,
+             ended.checkpoint, now);
+      unseen.version = state->FindJob(id)->version;
+    }
     if (worker.orphans == 0) continue;
     for (const auto& [name, number] : NamesOfRuns(worker)) {
       const Run& run = worker.runs.at(name);
@@ -331,7 +346,7 @@
       worker.incarnation != Incarnation{0} &&
       entry.incarnation != worker.incarnation) {
     EndAllRuns(state, &worker, "started again", now);
-    ForgetIncarnation(&worker);
+    ForgetIncarnation(state, &worker);
     worker.incarnation = entry.incarnation;
   }
   worker.entry = entry;
@@ -359,7 +374,7 @@
   if (answer.outcome == OrderOutcome::kRefused) {
     // Nothing listens there: its process, and all that it ran, are gone.
     if (worker->reached) EndAllRuns(state, worker, "nothing listens", now);
-    ForgetIncarnation(worker);
+    ForgetIncarnation(state, worker);
     worker->known_gone = true;
     return;
   }
@@ -377,7 +392,7 @@
   if (answer.incarnation != worker->incarnation) {
     if (worker->incarnation != Incarnation{0}) {
       EndAllRuns(state, worker, "started again", now);
-      ForgetIncarnation(worker);
+      ForgetIncarnation(state, worker);
     }
     worker->incarnation = answer.incarnation;
   }
@@ -490,6 +505,8 @@
       const UnseenEnd& end = worker.unseen.front();
       const Job* const job = state->FindJob(end.job);
       if (job != nullptr && job->stored_version < end.version) break;
+      if (end.orphan && now - end.since < kOrphanPatience) break;
+      if (end.orphan) --state->orphans;
       worker.last_seen = std::max(worker.last_seen, end.number);
       worker.unseen.pop_front();
     }
--- a/quetzal/cell/internal/placing.cc
+++ b/quetzal/cell/internal/placing.cc
@@ -238,7 +238,7 @@
       std::min<int64_t>(fits, std::numeric_limits<int>::max()));
 }
 
-std::vector<WaitingStep> InOrder(const State& state) {
+std::vector<WaitingStep> InOrder(const State& state, Time now) {
   struct Entry {
     WaitingStep step;
     Standing standing;
--- a/quetzal/cell/internal/placing.h
+++ b/quetzal/cell/internal/placing.h
@@ -13,7 +13,7 @@
 };
 
 // In the order in which they are offered room.
-std::vector<WaitingStep> InOrder(const State& state);
+std::vector<WaitingStep> InOrder(const State& state, Time now);
 // Starts as many of the step's tasks as fit; all or none of a gang.
 void PlaceStep(State* state, const WaitingStep& waiting, Time now);
 // How many tasks of the step fit on the worker by its room alone.
--- a/quetzal/cell/internal/state.h
+++ b/quetzal/cell/internal/state.h
@@ -54,6 +54,9 @@
   int64_t number = 0;
   JobId job;
   uint64_t version = 0;  // of the job's progress that must be stored first
+  // Of a job that isn't known (yet): the end to apply once it is.
+  std::optional<EndedTask> orphan;
+  Time since;
 };
 
 struct Worker {
@@ -101,6 +104,7 @@
   int done = 0;
   bool ready = false;
   Time ready_since;
+  Milliseconds chain{0};  // longest work from this step's start to the job's end
   bool question_in_flight = false;
   Time next_question;
   std::unordered_map<WorkerId, PermitState> permits;
@@ -122,6 +126,7 @@
   // The queue's terms as last configured.
   Queue terms;
   Time known_since;
+  Milliseconds objective{0};  // from `known_since`
   Time finished_at;
   int active_runs = 0;
   uint64_t version = 1;
@@ -148,11 +153,13 @@
   std::unordered_set<Job*> waiting;  // jobs with a ready step that lacks runs
   std::deque<JobId> dirty;
   std::deque<JobId> finished;  // in the order of their ends
-  int orphans = 0;  // on all workers
+  int orphans = 0;  // runs and ends of unknown jobs, on all workers
   std::unordered_map<TeamId, Resources> team_use;
   std::vector<CellAction> actions;
   std::vector<AdviserId> advisers;
-  std::unordered_map<AdviserId, Time> adviser_busy_until;
+  // When each will have served all that it was asked, by the calls' terms.
+  std::unordered_map<AdviserId, Time> adviser_free_at;
+  std::unordered_map<AdviserId, int> adviser_open;  // questions not answered
   std::unordered_map<QueueId, double> allowed_share;  // learned from advice
 
   Job* FindJob(const JobId& id);
--- a/quetzal/cell/internal/work.cc
+++ b/quetzal/cell/internal/work.cc
@@ -41,6 +41,23 @@
                     {"after_ms", (now - job->known_since).count()}});
 }
 
+// Of each step, the longest work from its start to the end of the job, by the
+// caller's estimates. Returns that of the whole job.
+Milliseconds ComputeChains(Job* job) {
+  Milliseconds longest{0};
+  // Steps come after earlier ones only, so the last has no successor.
+  for (size_t i = job->steps.size(); i-- > 0;) {
+    Step& step = job->steps[i];
+    step.chain += step.spec->estimated_run_time;
+    longest = std::max(longest, step.chain);
+    for (const int before : step.spec->after) {
+      Step& earlier = job->steps[static_cast<size_t>(before)];
+      earlier.chain = std::max(earlier.chain, step.chain);
+    }
+  }
+  return longest;
+}
+
 void MarkDone(Step* step, Task* task) {
   if (task->progress.done) return;
   task->progress.done = true;
@@ -127,6 +144,7 @@
     step.tasks.resize(static_cast<size_t>(spec.count));
     job->steps.push_back(std::move(step));
   }
+  job->objective = job->terms.ObjectiveOf(ComputeChains(job));
   state->jobs[accepted.id] = std::move(owned);
   if (progress) {
     job->state = progress->state;
@@ -178,6 +196,9 @@
     return;
   }
   Task& task = step.tasks[static_cast<size_t>(name.index)];
+  // A worker tells an end again until it is acknowledged, to a new placer too.
+  if (run <= task.progress.ended_run) return;
+  task.progress.ended_run = run;
   task.progress.last_run = std::max(task.progress.last_run, run);
   if (!checkpoint.empty() && !task.progress.done) {
     task.progress.checkpoint = checkpoint;
--- /dev/null
+++ b/quetzal/http_client/http_client_test.cc
@@ -0,0 +1,131 @@
+#include "quetzal/http_client/http_client.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <glib.h>
+
+#include <optional>
+
+#include "quetzal/http/http.h"
+
+namespace quetzal {
+namespace {
+
+constexpr gint64 kPatienceUs = 10'000'000;
+
+bool RunUntil(const std::function<bool()>& condition) {
+  const gint64 until = g_get_monotonic_time() + kPatienceUs;
+  while (!condition() && g_get_monotonic_time() < until) {
+    g_main_context_iteration(nullptr, FALSE);
+  }
+  return condition();
+}
+
+class HttpClientTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(HttpClientTest);
+  CPPUNIT_TEST(TellsMethodBodyAndHeaders);
+  CPPUNIT_TEST(ManyCallsAtATimeAreAnsweredEachOnce);
+  CPPUNIT_TEST(NothingListening);
+  CPPUNIT_TEST(NoAnswerInTime);
+  CPPUNIT_TEST(EndsWithCallsOpen);
+  CPPUNIT_TEST(SendsFromWithinAnAnswer);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    server_ = ListenForHttp(
+        "127.0.0.1:0", {},
+        {.on_request =
+             [this](HttpCall call, const HttpRequest& request) {
+               if (request.path == "/silent") return;
+               const auto named = request.headers.find("x-name");
+               server_->Reply(
+                   call, {.body = request.method + " " + request.body + " " +
+                                  (named == request.headers.end()
+                                       ? ""
+                                       : named->second),
+                          .close = request.path == "/close"});
+             },
+         .on_gone = [](HttpCall) {}});
+    client_ = HttpClient::Create({});
+  }
+
+  void TellsMethodBodyAndHeaders() {
+    CPPUNIT_ASSERT_EQUAL(std::string("GET  n"), BodyOf("GET", ""));
+    CPPUNIT_ASSERT_EQUAL(std::string("POST {} n"), BodyOf("POST", "{}"));
+    CPPUNIT_ASSERT_EQUAL(std::string("POST  n"), BodyOf("POST", ""));
+    CPPUNIT_ASSERT_EQUAL(std::string("DELETE  n"), BodyOf("DELETE", ""));
+    CPPUNIT_ASSERT_EQUAL(std::string("GET  n"), BodyOf("GET", ""));
+  }
+
+  void ManyCallsAtATimeAreAnsweredEachOnce() {
+    constexpr int kCalls = 300;
+    int answered = 0;
+    for (int i = 0; i < kCalls; ++i) {
+      client_->Send({.url = Url(i % 3 == 0 ? "/close" : "/")},
+                    [&](const HttpAnswer& answer) {
+                      if (answer.ok()) ++answered;
+                    });
+    }
+    CPPUNIT_ASSERT(RunUntil([&] { return answered == kCalls; }));
+  }
+
+  void NothingListening() {
+    const std::string url = Url("/");
+    server_.reset();
+    const HttpAnswer answer = Answer({.url = url});
+    CPPUNIT_ASSERT(answer.kind == HttpAnswer::Kind::kRefused);
+  }
+
+  void NoAnswerInTime() {
+    const HttpAnswer answer =
+        Answer({.url = Url("/silent"), .timeout = Milliseconds(100)});
+    CPPUNIT_ASSERT(answer.kind == HttpAnswer::Kind::kNoAnswer);
+  }
+
+  void EndsWithCallsOpen() {
+    client_->Send({.url = Url("/silent")}, [](const HttpAnswer&) {
+      CPPUNIT_FAIL("an answer after the client's end");
+    });
+    g_main_context_iteration(nullptr, FALSE);
+    client_.reset();
+  }
+
+  void SendsFromWithinAnAnswer() {
+    int answered = 0;
+    std::function<void(const HttpAnswer&)> next = [&](const HttpAnswer&) {
+      if (++answered < 50) {
+        client_->Send({.method = answered % 2 == 0 ? "DELETE" : "GET",
+                       .url = Url("/")},
+                      next);
+      }
+    };
+    client_->Send({.url = Url("/")}, next);
+    CPPUNIT_ASSERT(RunUntil([&] { return answered == 50; }));
+  }
+
+ private:
+  std::string Url(const std::string& path) const {
+    return "http://127.0.0.1:" + std::to_string(server_->port()) + path;
+  }
+  HttpAnswer Answer(const HttpClientCall& call) {
+    std::optional<HttpAnswer> result;
+    client_->Send(call, [&](const HttpAnswer& answer) { result = answer; });
+    CPPUNIT_ASSERT(RunUntil([&] { return result.has_value(); }));
+    return *result;
+  }
+  std::string BodyOf(const std::string& method, const std::string& body) {
+    return Answer({.method = method,
+                   .url = Url("/"),
+                   .headers = {"X-Name: n"},
+                   .body = body})
+        .body;
+  }
+
+  std::unique_ptr<HttpServer> server_;
+  std::unique_ptr<HttpClient> client_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HttpClientTest);
+
+}  // namespace
+}  // namespace quetzal
--- a/quetzal/waiting_order/waiting_order.h
+++ b/quetzal/waiting_order/waiting_order.h
@@ -15,10 +15,19 @@
 
 namespace quetzal {
 
+enum class Prospect {
+  kInTime,  // can still end within its objective
+  kLate,    // can still end while its result is worth something
+  kStale,   // must end, for it was accepted; nobody waits for it any more
+};
+
+// By the time left until the objective, and the work still to do.
+Prospect ProspectOf(Milliseconds age, Milliseconds work_left,
+                    Milliseconds objective);
+
 struct Standing {
+  Prospect prospect = Prospect::kInTime;
   int priority = 0;  // 0 comes first
-  // Work that can still end within its objective goes before work that can't.
-  bool hopeless = false;
   // Largest part of the cell's room that the team holds, over its weight, in
   // coarse steps so that equals are served by age.
   int team_share_step = 0;
