--- a/programs/cell_placer/term.cc
+++ b/programs/cell_placer/term.cc
@@ -98,6 +98,7 @@
                 parts_.log->Line("configuration_in_force",
                                  {{"version", catalog.value()->version()}});
                 cell_.OnCatalog(catalog.value());
+                RecoverIfReady();
                 Wake();
               },
           .on_removed = [](const std::string&) {}},
@@ -127,7 +128,8 @@
               [this, prefix](const std::string& key) {
                 cell_.OnWorkerEntryRemoved(WorkerId(key.substr(prefix.size())),
                                            Now());
-              }},
+              },
+          .on_listed = [this] { cell_.OnWorkersListed(); }},
       &After);
   workers_->Start();
 }
@@ -214,6 +216,14 @@
   Wake();
 }
 
+// Jobs can't be judged before their queues' terms are known.
+void Term::RecoverIfReady() {
+  if (!jobs_ || !jobs_->is_listed() || !catalogs_.current()) return;
+  if (std::exchange(recovered_, true)) return;
+  cell_.OnRecovered(Now());
+  Wake();
+}
+
 void Term::Wake() {
   if (std::exchange(wake_pending_, true)) return;
   Later(kDecideWithin, [this] {
--- a/quetzal/cell/cell.cc
+++ b/quetzal/cell/cell.cc
@@ -42,7 +42,7 @@
   state.catalog = std::move(catalog);
   for (auto& [id, job] : state.jobs) {
     const Queue* const queue = state.catalog->FindQueue(job->accepted.queue);
-    if (queue != nullptr) job->terms = *queue;
+    if (queue != nullptr) cell::SetTerms(job.get(), *queue);
   }
 }
 
@@ -54,6 +54,8 @@
   cell::ForgetEntry(&parts_->state, id, now);
 }
 
+void Cell::OnWorkersListed() { parts_->state.workers_listed = true; }
+
 void Cell::OnJob(const AcceptedJob& job, Revision created,
                  const std::optional<JobProgress>& progress, Time now) {
   cell::AddJob(&parts_->state, job, created, progress, now);
--- a/quetzal/cell/cell.h
+++ b/quetzal/cell/cell.h
@@ -99,6 +99,8 @@
   void OnCatalog(std::shared_ptr<const Catalog> catalog);
   void OnWorkerEntry(const WorkerEntry& entry, Time now);
   void OnWorkerEntryRemoved(const WorkerId& id, Time now);
+  // All entries that the platform's list held when the term began were told.
+  void OnWorkersListed();
 
   // `created` is the revision of the job's acceptance; `progress` is what an
   // earlier term stored.
--- a/quetzal/cell/internal/fleet.cc
+++ b/quetzal/cell/internal/fleet.cc
@@ -273,7 +273,7 @@
 
 void CheckLapses(State* state, Time now) {
   const Milliseconds lease = LongestLease(*state);
-  bool all_accounted = state->recovered;
+  bool all_accounted = state->recovered && state->workers_listed;
   for (auto& [id, worker] : state->workers) {
     if (worker.reached || worker.known_gone) {
       if (!worker.runs.empty() && now - worker.lease_basis > lease) {
--- a/quetzal/cell/internal/state.h
+++ b/quetzal/cell/internal/state.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -114,7 +115,7 @@
   int gang_members = 0;
   bool gang_broken = false;
   bool gang_done = false;
-  int gang_failures = 0;
+  std::set<int64_t> gang_failed_runs;
   std::string gang_checkpoint;  // of any member; all carry the same
 };
 
@@ -126,6 +127,7 @@
   // The queue's terms as last configured.
   Queue terms;
   Time known_since;
+  Milliseconds chain{0};      // longest work, by the caller's estimates
   Milliseconds objective{0};  // from `known_since`
   Time finished_at;
   int active_runs = 0;
@@ -144,6 +146,7 @@
   EventLog* log = nullptr;
   Metrics* metrics = nullptr;
   bool recovered = false;
+  bool workers_listed = false;
   bool accounted = false;  // every worker was reached or its leases lapsed
   Time majority_since;
   bool had_majority = false;
--- a/quetzal/cell/internal/work.cc
+++ b/quetzal/cell/internal/work.cc
@@ -74,17 +74,21 @@
     for (Task& task : step.tasks) MarkDone(&step, &task);
     return;
   }
-  if (step.gang_done || run != step.gang_run || step.gang_broken) return;
+  if (step.gang_done) return;
+  // Members that only ended with it may be told of before the one that failed.
+  if (how == EndKind::kFailed) step.gang_failed_runs.insert(run);
+  if (run != step.gang_run || step.gang_broken) return;
   step.gang_broken = true;
-  if (how == EndKind::kFailed) {
-    ++step.gang_failures;
-    for (Task& task : step.tasks) task.progress.failures = step.gang_failures;
-  }
   StopRuns(state, job, index, now);
 }
 
 }  // namespace
 
+void SetTerms(Job* job, const Queue& terms) {
+  job->terms = terms;
+  job->objective = terms.ObjectiveOf(job->chain);
+}
+
 void Touch(State* state, Job* job) {
   ++job->version;
   if (job->dirty || job->storing) return;
@@ -144,7 +148,8 @@
     step.tasks.resize(static_cast<size_t>(spec.count));
     job->steps.push_back(std::move(step));
   }
-  job->objective = job->terms.ObjectiveOf(ComputeChains(job));
+  job->chain = ComputeChains(job);
+  SetTerms(job, Queue(job->terms));
   state->jobs[accepted.id] = std::move(owned);
   if (progress) {
     job->state = progress->state;
@@ -155,8 +160,8 @@
         if (step.tasks[j].progress.done) ++step.done;
         const std::string& checkpoint = step.tasks[j].progress.checkpoint;
         if (!checkpoint.empty()) step.gang_checkpoint = checkpoint;
-        step.gang_failures =
-            std::max(step.gang_failures, step.tasks[j].progress.failures);
+        const auto& failed_runs = step.tasks[j].progress.failed_runs;
+        step.gang_failed_runs.insert(failed_runs.begin(), failed_runs.end());
       }
       step.gang_done =
           step.spec->gang && step.done == static_cast<int>(step.tasks.size());
@@ -196,30 +201,35 @@
     return;
   }
   Task& task = step.tasks[static_cast<size_t>(name.index)];
-  // A worker tells an end again until it is acknowledged, to a new placer too.
-  if (run <= task.progress.ended_run) return;
-  task.progress.ended_run = run;
+  const bool is_newest = run >= task.progress.last_run;
   task.progress.last_run = std::max(task.progress.last_run, run);
-  if (!checkpoint.empty() && !task.progress.done) {
+  if (!checkpoint.empty() && !task.progress.done && is_newest) {
     task.progress.checkpoint = checkpoint;
     step.gang_checkpoint = checkpoint;
   }
+  // Workers tell an end again until it is acknowledged, and a new placer may
+  // hear of a later run first.
+  auto& failed_runs = task.progress.failed_runs;
+  if (how == EndKind::kFailed && !task.progress.done &&
+      std::find(failed_runs.begin(), failed_runs.end(), run) ==
+          failed_runs.end()) {
+    failed_runs.push_back(run);
+  }
   Touch(state, job);
   if (IsFinal(job->state)) return;
   if (step.spec->gang) {
     ApplyGangEnd(state, job, name.step, run, how, now);
   } else if (how == EndKind::kDone) {
     MarkDone(&step, &task);
-  } else if (how == EndKind::kFailed && !task.progress.done) {
-    ++task.progress.failures;
   }
   if (AreAllDone(*job)) {
     Finish(state, job, JobState::kCompleted, now);
     return;
   }
-  const int failures =
-      step.spec->gang ? step.gang_failures : task.progress.failures;
-  if (!task.progress.done && failures >= job->terms.most_attempts) {
+  const size_t failures = step.spec->gang ? step.gang_failed_runs.size()
+                                          : task.progress.failed_runs.size();
+  if (!task.progress.done &&
+      failures >= static_cast<size_t>(job->terms.most_attempts)) {
     Finish(state, job, JobState::kFailed, now);
     return;
   }
--- a/quetzal/cell/internal/work.h
+++ b/quetzal/cell/internal/work.h
@@ -6,6 +6,8 @@
 
 namespace quetzal::cell {
 
+// The queue's terms as configured now, and what follows from them.
+void SetTerms(Job* job, const Queue& terms);
 // Marks the job's progress as in need of being stored.
 void Touch(State* state, Job* job);
 void AddJob(State* state, const AcceptedJob& accepted, Revision created,
--- a/quetzal/job/job.h
+++ b/quetzal/job/job.h
@@ -76,9 +76,9 @@
 
 struct TaskProgress {
   bool done = false;
-  int failures = 0;  // ends by its own or its worker's fault
+  // Runs that ended by its own or its worker's fault.
+  std::vector<int64_t> failed_runs;
   int64_t last_run = 0;
-  int64_t ended_run = 0;  // the newest whose end is part of this progress
   std::string checkpoint;  // empty: none
 
   friend bool operator==(const TaskProgress&, const TaskProgress&) = default;
--- a/quetzal/job/job_codec.cc
+++ b/quetzal/job/job_codec.cc
@@ -80,7 +80,7 @@
 Json TaskJson(const TaskProgress& task) {
   if (task == TaskProgress{}) return 0;
   if (task.done) return 1;
-  return Json::array({task.failures, task.last_run, task.ended_run, task.checkpoint});
+  return Json::array({task.failed_runs, task.last_run, task.checkpoint});
 }
 
 TaskProgress TaskFrom(const Json& json) {
@@ -89,10 +89,9 @@
     task.done = json.get<int>() == 1;
     return task;
   }
-  task.failures = json.at(0).get<int>();
+  task.failed_runs = json.at(0).get<std::vector<int64_t>>();
   task.last_run = json.at(1).get<int64_t>();
-  task.ended_run = json.at(2).get<int64_t>();
-  task.checkpoint = json.at(3).get<std::string>();
+  task.checkpoint = json.at(2).get<std::string>();
   return task;
 }
 
