--- a/programs/cell_placer/term.cc
+++ b/programs/cell_placer/term.cc
@@ -21,8 +21,11 @@
 constexpr Milliseconds kOldestArrival{60'000};
 constexpr Milliseconds kRetry{100};
 constexpr Milliseconds kRemoveEvery{2'000};
-// One condition for the seat; a condition and a put for each job.
-constexpr size_t kJobsInCommit = (kMostCommitEntries - 1) / 2;
+// One condition for the seat; for each job a condition, a put and, when it
+// ended, a removal.
+constexpr size_t kJobsInCommit = (kMostCommitEntries - 1) / 3;
+// Between two commits, as each costs and many tasks end within it.
+constexpr Milliseconds kCommitGap{20};
 // Enough for the round trip to a far store at the rate of ends.
 constexpr int kMostCommitsInFlight = 6;
 constexpr size_t kExpiredInCommit = 8;  // three keys each, and the seat
@@ -185,6 +188,11 @@
 }
 
 void Term::LearnJob(const JobId& id, const StoreItem& item) {
+  if (DecodeState(item.value)) {
+    // Ended, in this term or an earlier one.
+    cell_.OnEndedJob(id, Now());
+    return;
+  }
   const auto job = DecodeJob(id, item.value);
   if (!job) {
     parts_.log->Line("job_unreadable",
@@ -309,6 +317,17 @@
 }
 
 void Term::FlushWrites() {
+  if (flush_pending_ || !cell_.has_writes()) return;
+  const Time now = Now();
+  if (now < next_flush_) {
+    flush_pending_ = true;
+    Later(next_flush_ - now, [this] {
+      flush_pending_ = false;
+      FlushWrites();
+    });
+    return;
+  }
+  next_flush_ = now + kCommitGap;
   while (cell_.has_writes() && writes_in_flight_ < kMostCommitsInFlight) {
     SendWrites(cell_.TakeWrites(kJobsInCommit));
   }
@@ -319,13 +338,7 @@
   Commit commit;
   commit.conditions.push_back(
       {SeatKey(), Revision(static_cast<uint64_t>(fence_))});
-  for (const ProgressWrite& write : writes) {
-    const std::string key = ProgressKey(write.job);
-    const auto known = progress_revisions_.find(write.job);
-    commit.conditions.push_back(
-        {key, known == progress_revisions_.end() ? kAbsent : known->second});
-    commit.puts.push_back({.key = key, .value = write.value});
-  }
+  for (const ProgressWrite& write : writes) AddToCommit(write, &commit);
   ++writes_in_flight_;
   const Time sent = Now();
   parts_.store->Apply(
@@ -337,12 +350,30 @@
       }));
 }
 
+void Term::AddToCommit(const ProgressWrite& write, Commit* commit) const {
+  const std::string key = ProgressKey(write.job);
+  const auto known = progress_revisions_.find(write.job);
+  const Revision revision =
+      known == progress_revisions_.end() ? kAbsent : known->second;
+  commit->conditions.push_back({key, revision});
+  if (!write.final) {
+    commit->puts.push_back({.key = key, .value = write.value});
+    return;
+  }
+  commit->puts.push_back({.key = JobKey(write.job), .value = write.value});
+  if (revision != kAbsent) commit->removes.push_back(key);
+}
+
 void Term::OnWritten(const std::vector<ProgressWrite>& writes,
                      const CommitAnswer& answer) {
   --writes_in_flight_;
   if (answer.outcome == StoreOutcome::kDone) {
     for (const ProgressWrite& write : writes) {
-      progress_revisions_[write.job] = answer.revision;
+      if (write.final) {
+        progress_revisions_.erase(write.job);
+      } else {
+        progress_revisions_[write.job] = answer.revision;
+      }
       cell_.OnStored(write.job, write.version, Now());
     }
     Wake();
--- a/programs/cell_placer/term.h
+++ b/programs/cell_placer/term.h
@@ -71,6 +71,7 @@
   void Ask(const AskAction& action);
   void FlushWrites();
   void SendWrites(const std::vector<ProgressWrite>& writes);
+  void AddToCommit(const ProgressWrite& write, Commit* commit) const;
   void OnWritten(const std::vector<ProgressWrite>& writes,
                  const CommitAnswer& answer);
   void EndFailedWrite(const std::vector<ProgressWrite>& writes);
@@ -97,6 +98,8 @@
   std::unordered_map<JobId, Revision> progress_revisions_;
   bool recovered_ = false;
   bool wake_pending_ = false;
+  bool flush_pending_ = false;
+  Time next_flush_;
   int writes_in_flight_ = 0;
 };
 
--- a/programs/job_entry/main.cc
+++ b/programs/job_entry/main.cc
@@ -23,7 +23,7 @@
 constexpr Milliseconds kExitMargin{500};
 // Between two watches of all jobs: what it adds to a caller's wait is small
 // beside the interval at which states are asked for, and each call costs.
-constexpr Milliseconds kJobsPause{60};
+constexpr Milliseconds kJobsPause{90};
 constexpr int kOk = 200;
 constexpr int kUnavailable = 503;
 constexpr int kNotFound = 404;
--- a/quetzal/cell/cell.cc
+++ b/quetzal/cell/cell.cc
@@ -60,11 +60,22 @@
                  const std::optional<JobProgress>& progress, Time now) {
   cell::AddJob(&parts_->state, job, created, progress, now);
   cell::AttachOrphans(&parts_->state, job.id, now);
+  if (parts_->state.cancelled_unknown.erase(job.id) > 0) OnCancel(job.id, now);
+}
+
+void Cell::OnEndedJob(const JobId& id, Time now) {
+  cell::State& state = parts_->state;
+  if (state.jobs.contains(id)) return;
+  state.finished_before.emplace_back(id, now);
 }
 
 void Cell::OnCancel(const JobId& id, Time now) {
   cell::Job* const job = parts_->state.FindJob(id);
-  if (job != nullptr) cell::CancelJob(&parts_->state, job, now);
+  if (job != nullptr) {
+    cell::CancelJob(&parts_->state, job, now);
+  } else {
+    parts_->state.cancelled_unknown.insert(id);
+  }
 }
 
 void Cell::OnRecovered(Time now) {
@@ -147,7 +158,12 @@
     if (job == nullptr) continue;
     job->dirty = false;
     job->storing = true;
-    writes.push_back({id, job->version, EncodeProgress(ProgressOf(*job))});
+    writes.push_back({.job = id,
+                      .version = job->version,
+                      .final = IsFinal(job->state),
+                      .value = IsFinal(job->state)
+                                   ? EncodeEnded(job->accepted.queue, job->state)
+                                   : EncodeProgress(ProgressOf(*job))});
   }
   return writes;
 }
@@ -157,6 +173,12 @@
 std::vector<JobId> Cell::TakeExpired(size_t most, Time now) {
   cell::State& state = parts_->state;
   std::vector<JobId> expired;
+  while (!state.finished_before.empty() && expired.size() < most) {
+    const auto& [id, seen] = state.finished_before.front();
+    if (now - seen < state.settings.keep_finished) break;
+    expired.push_back(id);
+    state.finished_before.pop_front();
+  }
   while (!state.finished.empty() && expired.size() < most) {
     const JobId id = state.finished.front();
     cell::Job* const job = state.FindJob(id);
@@ -165,6 +187,7 @@
       if (job->active_runs > 0 || job->dirty || job->storing) break;
     }
     state.finished.pop_front();
+    state.cancelled_unknown.erase(id);
     state.jobs.erase(id);
     expired.push_back(id);
   }
--- a/quetzal/cell/cell.h
+++ b/quetzal/cell/cell.h
@@ -84,6 +84,9 @@
 struct ProgressWrite {
   JobId job;
   uint64_t version = 0;
+  // The job ended: `value` replaces what was stored at its acceptance, and no
+  // progress is kept. Otherwise `value` is its progress.
+  bool final = false;
   std::string value;
 };
 
@@ -106,6 +109,8 @@
   // earlier term stored.
   void OnJob(const AcceptedJob& job, Revision created,
              const std::optional<JobProgress>& progress, Time now);
+  // A job that the store holds as ended; remembered until it expires.
+  void OnEndedJob(const JobId& id, Time now);
   void OnCancel(const JobId& id, Time now);
   // All jobs that the store held when the term began were told.
   void OnRecovered(Time now);
--- a/quetzal/cell/internal/placing.cc
+++ b/quetzal/cell/internal/placing.cc
@@ -248,9 +248,14 @@
     if (job->may_run_unseen && !state.accounted) continue;
     for (size_t i = 0; i < job->steps.size(); ++i) {
       if (!HasWaitingTasks(job->steps[i])) continue;
-      entries.push_back(
-          {{job, static_cast<int>(i)},
-           {.priority = job->terms.priority, .since = job->known_since}});
+      const Milliseconds age = now - job->known_since;
+      const Milliseconds left = job->steps[i].chain;
+      entries.push_back({{job, static_cast<int>(i)},
+                         {.prospect = ProspectOf(age, left, job->objective),
+                          .beyond_share = job->beyond_share,
+                          .priority = job->terms.priority,
+                          .slack = job->objective - age - left,
+                          .since = job->known_since}});
     }
   }
   std::sort(entries.begin(), entries.end(), [](const Entry& a, const Entry& b) {
--- a/quetzal/cell/internal/state.h
+++ b/quetzal/cell/internal/state.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "quetzal/cell/cell.h"
+#include "quetzal/waiting_order/waiting_order.h"
 
 namespace quetzal::cell {
 
@@ -130,6 +131,7 @@
   Milliseconds chain{0};      // longest work, by the caller's estimates
   Milliseconds objective{0};  // from `known_since`
   Time finished_at;
+  bool beyond_share = false;  // its team sent more than its weight allows
   int active_runs = 0;
   uint64_t version = 1;
   uint64_t stored_version = 0;
@@ -153,11 +155,16 @@
   std::shared_ptr<const Catalog> catalog;
   std::unordered_map<WorkerId, Worker> workers;
   std::unordered_map<JobId, std::unique_ptr<Job>> jobs;
+  // Cancelled before their acceptance was seen, as keys come in any order.
+  std::unordered_set<JobId> cancelled_unknown;
   std::unordered_set<Job*> waiting;  // jobs with a ready step that lacks runs
   std::deque<JobId> dirty;
+  // Ended in earlier terms, with when this one learned of them.
+  std::deque<std::pair<JobId, Time>> finished_before;
   std::deque<JobId> finished;  // in the order of their ends
   int orphans = 0;  // runs and ends of unknown jobs, on all workers
   std::unordered_map<TeamId, Resources> team_use;
+  std::unordered_map<TeamId, ArrivalAllowance> team_allowance;
   std::vector<CellAction> actions;
   std::vector<AdviserId> advisers;
   // When each will have served all that it was asked, by the calls' terms.
--- a/quetzal/cell/internal/work.cc
+++ b/quetzal/cell/internal/work.cc
@@ -148,6 +148,12 @@
     step.tasks.resize(static_cast<size_t>(spec.count));
     job->steps.push_back(std::move(step));
   }
+  if (state->recovered && state->catalog) {
+    const Team* const team = state->catalog->FindTeam(accepted.team);
+    job->beyond_share =
+        team != nullptr &&
+        !state->team_allowance[accepted.team].Take(team->weight, now);
+  }
   job->chain = ComputeChains(job);
   SetTerms(job, Queue(job->terms));
   state->jobs[accepted.id] = std::move(owned);
--- a/quetzal/job/job.h
+++ b/quetzal/job/job.h
@@ -106,8 +106,13 @@
 // `spec` tells the shape; a text of another shape is a problem.
 Checked<JobProgress> DecodeProgress(const JobSpec& spec,
                                     const std::string& text);
-// Only the state of an encoded progress, for those who answer callers.
+// What is left of a job that ended: small, as thousands of them are read at a
+// takeover, and enough to answer for its state and to know its id again.
+std::string EncodeEnded(const QueueId& queue, JobState state);
+// Of an encoded progress or ended job; nothing for a job that was accepted.
 std::optional<JobState> DecodeState(const std::string& text);
+// Only the queue of an accepted or ended job.
+std::optional<QueueId> DecodeQueue(const std::string& text);
 
 }  // namespace quetzal
 
--- a/quetzal/job/job_codec.cc
+++ b/quetzal/job/job_codec.cc
@@ -186,6 +186,21 @@
   }
 }
 
+std::string EncodeEnded(const QueueId& queue, JobState state) {
+  return Json{{"schema", kSchema},
+              {"queue", queue.text()},
+              {"state", kStateNames[static_cast<size_t>(state)]}}
+      .dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+std::optional<QueueId> DecodeQueue(const std::string& text) {
+  const Json json = Json::parse(text, nullptr, false);
+  if (!json.is_object()) return std::nullopt;
+  const auto found = json.find("queue");
+  if (found == json.end() || !found->is_string()) return std::nullopt;
+  return QueueId(found->get<std::string>());
+}
+
 std::optional<JobState> DecodeState(const std::string& text) {
   const Json json = Json::parse(text, nullptr, false);
   if (!json.is_object()) return std::nullopt;
--- a/quetzal/job_book/job_book.cc
+++ b/quetzal/job_book/job_book.cc
@@ -7,11 +7,13 @@
   const JobId id(key.name);
   switch (key.kind) {
     case CellKeyKind::kJob: {
-      const auto job = DecodeJob(id, item.value);
-      if (!job) return false;
+      const std::optional<QueueId> queue = DecodeQueue(item.value);
+      if (!queue) return false;
+      const std::optional<JobState> ended = DecodeState(item.value);
       Known& known = jobs_[id];
       known.accepted = true;
-      known.queue = job.value().queue;
+      known.queue = *queue;
+      if (ended) known.progress = *ended;
       Recount(&known);
       return true;
     }
@@ -19,6 +21,7 @@
       const std::optional<JobState> state = DecodeState(item.value);
       if (!state) return false;
       Known& known = jobs_[id];
+      if (IsFinal(known.progress)) return true;
       known.progress = *state;
       Recount(&known);
       return true;
@@ -39,10 +42,8 @@
 
 void JobBook::Forget(const std::string& text) {
   const CellKey key = ParseCellKey(text);
-  if (key.kind != CellKeyKind::kJob && key.kind != CellKeyKind::kProgress &&
-      key.kind != CellKeyKind::kCancel) {
-    return;
-  }
+  // Progress goes when a job ends; only the job's own key stands for it.
+  if (key.kind != CellKeyKind::kJob) return;
   const auto found = jobs_.find(JobId(key.name));
   if (found == jobs_.end()) return;
   found->second.accepted = false;
--- a/quetzal/job_book/job_book_test.cc
+++ b/quetzal/job_book/job_book_test.cc
@@ -28,6 +28,7 @@
   CPPUNIT_TEST(KnowsAJobOnceItIsAccepted);
   CPPUNIT_TEST(CountsWhatHasNotBegun);
   CPPUNIT_TEST(ACancelledJobThatEndedBeforeStaysCompleted);
+  CPPUNIT_TEST(AnEndedJobIsKnownByItsOwnKey);
   CPPUNIT_TEST(AValueOfAnotherWriterChangesNothing);
   CPPUNIT_TEST_SUITE_END();
 
@@ -66,6 +67,19 @@
     CPPUNIT_ASSERT(book.StateOf(JobId("b")) == JobState::kCancelled);
   }
 
+  void AnEndedJobIsKnownByItsOwnKey() {
+    JobBook book;
+    book.Learn(Acceptance("a"));
+    book.Learn(Progress("a", JobState::kRunning));
+    book.Learn({.key = JobKey(JobId("a")),
+                .value = EncodeEnded(QueueId("quotes"), JobState::kFailed)});
+    book.Forget(ProgressKey(JobId("a")));
+    CPPUNIT_ASSERT(book.StateOf(JobId("a")) == JobState::kFailed);
+    // Older news of another key may come later.
+    book.Learn(Progress("a", JobState::kRunning));
+    CPPUNIT_ASSERT(book.StateOf(JobId("a")) == JobState::kFailed);
+  }
+
   void AValueOfAnotherWriterChangesNothing() {
     JobBook book;
     CPPUNIT_ASSERT(!book.Learn({.key = JobKey(JobId("a")), .value = "?"}));
--- a/quetzal/waiting_order/waiting_order.cc
+++ b/quetzal/waiting_order/waiting_order.cc
@@ -1,17 +1,18 @@
 #include "quetzal/waiting_order/waiting_order.h"
 
+#include <algorithm>
+#include <chrono>
 #include <tuple>
+#include <utility>
 
 namespace quetzal {
 namespace {
 
-// Of a share that would be exactly fair; finer steps reorder work of equal
-// teams all the time.
-constexpr double kStepOfFairShare = 0.5;
-
 // Results are worth something until three times the objective: the users'
 // page on credit.
 constexpr int kLateFactor = 3;
+// Of a team's weight: ordinary arrivals come in clumps.
+constexpr double kBurstSeconds = 1.5;
 
 }  // namespace
 
@@ -22,13 +23,30 @@
   return end <= objective * kLateFactor ? Prospect::kLate : Prospect::kStale;
 }
 
-int ShareStep(double weighted_share) {
-  return static_cast<int>(weighted_share / kStepOfFairShare);
+bool GoesBefore(const Standing& a, const Standing& b) {
+  const bool a_stale = a.prospect == Prospect::kStale;
+  const bool b_stale = b.prospect == Prospect::kStale;
+  if (a_stale != b_stale) return b_stale;
+  if (a.beyond_share != b.beyond_share) return b.beyond_share;
+  if (a.prospect != b.prospect) return a.prospect < b.prospect;
+  if (a.prospect == Prospect::kInTime) {
+    return std::tie(a.slack, a.since) < std::tie(b.slack, b.since);
+  }
+  return std::tie(a.priority, a.since) < std::tie(b.priority, b.since);
 }
 
-bool GoesBefore(const Standing& a, const Standing& b) {
-  return std::tie(a.prospect, a.priority, a.team_share_step, a.since) <
-         std::tie(b.prospect, b.priority, b.team_share_step, b.since);
+bool ArrivalAllowance::Take(double weight, Time now) {
+  const double most = weight * kBurstSeconds;
+  if (!std::exchange(started_, true)) {
+    tokens_ = most;
+  } else if (now > filled_) {
+    const std::chrono::duration<double> passed = now - filled_;
+    tokens_ = std::min(most, tokens_ + weight * passed.count());
+  }
+  filled_ = std::max(filled_, now);
+  if (tokens_ < 1) return false;
+  tokens_ -= 1;
+  return true;
 }
 
 }  // namespace quetzal
--- a/quetzal/waiting_order/waiting_order.h
+++ b/quetzal/waiting_order/waiting_order.h
@@ -6,8 +6,10 @@
 //
 // The load that it answers: more work than room for seconds at a time, of
 // queues whose work differs in urgency and length, and teams that send many
-// times their usual. Higher priorities go first; within one, teams that hold
-// less for their weight, then work that waited longer.
+// times their usual. Work that can still be in time goes before work that
+// can't; of the first the one with the least slack left, so that short urgent
+// work goes ahead of long work that can wait, but not for ever; of the others
+// the one with the higher priority.
 #ifndef QUETZAL_WAITING_ORDER_WAITING_ORDER_H_
 #define QUETZAL_WAITING_ORDER_WAITING_ORDER_H_
 
@@ -27,17 +29,30 @@
 
 struct Standing {
   Prospect prospect = Prospect::kInTime;
+  // Its team sent more than its weight allows when it came.
+  bool beyond_share = false;
   int priority = 0;  // 0 comes first
-  // Largest part of the cell's room that the team holds, over its weight, in
-  // coarse steps so that equals are served by age.
-  int team_share_step = 0;
+  // Of the objective, after all work that is still to do.
+  Milliseconds slack{0};
   Time since;
 };
 
-// Coarsens a weighted share for `Standing::team_share_step`.
-int ShareStep(double weighted_share);
 bool GoesBefore(const Standing& a, const Standing& b);
 
+// How many jobs a team may send: its weight in jobs a second, with a burst.
+// What it sends beyond goes after the work of teams within theirs, so that a
+// team at many times its usual harms no other.
+class ArrivalAllowance {
+ public:
+  // True if the job that came at `now` is within the allowance.
+  bool Take(double weight, Time now);
+
+ private:
+  bool started_ = false;
+  double tokens_ = 0;
+  Time filled_;
+};
+
 }  // namespace quetzal
 
 #endif  // QUETZAL_WAITING_ORDER_WAITING_ORDER_H_
