--- a/quetzal/cell/internal/fleet.cc
+++ b/quetzal/cell/internal/fleet.cc
@@ -103,9 +103,16 @@
   ObserveEnd(state, worker, ended.how, now);
   EndRun(state, worker, ended.task, ended.run, ended.how, ended.checkpoint,
          now);
+  UnseenEnd unseen{
+      .number = ended.number, .job = ended.task.job, .since = now};
   const Job* const job = state->FindJob(ended.task.job);
-  worker->unseen.push_back(
-      {ended.number, ended.task.job, job == nullptr ? 0 : job->version});
+  if (job != nullptr) {
+    unseen.version = job->version;
+  } else {
+    unseen.orphan = ended;
+    ++state->orphans;
+  }
+  worker->unseen.push_back(std::move(unseen));
 }
 
 // A run that this term didn't order: of a former term, or nobody's.
