--- a/programs/cell_placer/term.cc
+++ b/programs/cell_placer/term.cc
@@ -35,8 +35,8 @@
 Time ArrivalOf(const AcceptedJob& job) {
   const int64_t age_ms =
       g_get_real_time() / 1'000 - static_cast<int64_t>(job.accepted);
-  const auto age = std::clamp(Milliseconds(age_ms), Milliseconds(0),
-                              kOldestArrival);
+  const auto age =
+      std::clamp(Milliseconds(age_ms), Milliseconds(0), kOldestArrival);
   return Now() - age;
 }
 
@@ -309,11 +309,11 @@
   const AdviserId adviser = action.adviser;
   const AdviceQuestion question = action.question;
   parts_.advice->Ask(adviser, question, action.timeout,
-              Guard<AdviceAnswer>(
-                  [this, adviser, question](const AdviceAnswer& answer) {
-                    cell_.OnAdvice(adviser, question, answer, Now());
-                    Wake();
-                  }));
+                     Guard<AdviceAnswer>(
+                         [this, adviser, question](const AdviceAnswer& answer) {
+                           cell_.OnAdvice(adviser, question, answer, Now());
+                           Wake();
+                         }));
 }
 
 void Term::FlushWrites() {
@@ -337,7 +337,7 @@
   if (writes.empty()) return;
   Commit commit;
   commit.conditions.push_back(
-      {SeatKey(), Revision(static_cast<uint64_t>(fence_))});
+      {SeatKey(), Revision{static_cast<uint64_t>(fence_)}});
   for (const ProgressWrite& write : writes) AddToCommit(write, &commit);
   ++writes_in_flight_;
   const Time sent = Now();
@@ -429,7 +429,7 @@
   if (!expired.empty()) {
     Commit commit;
     commit.conditions.push_back(
-        {SeatKey(), Revision(static_cast<uint64_t>(fence_))});
+        {SeatKey(), Revision{static_cast<uint64_t>(fence_)}});
     for (const JobId& id : expired) {
       commit.removes.push_back(JobKey(id));
       commit.removes.push_back(ProgressKey(id));
--- a/programs/job_entry/job_api.cc
+++ b/programs/job_entry/job_api.cc
@@ -155,7 +155,7 @@
   job.team = call->team;
   job.queue = call->queue->name;
   job.service = call->queue->service;
-  job.accepted = WallTime(g_get_real_time() / kMicrosecondsInMillisecond);
+  job.accepted = WallTime{g_get_real_time() / kMicrosecondsInMillisecond};
   job.spec = std::move(spec.value());
   intake_->Submit(job, call->deadline, [this, call](IntakeOutcome outcome) {
     switch (outcome) {
--- a/quetzal/advice_pool/advice_pool_test.cc
+++ b/quetzal/advice_pool/advice_pool_test.cc
@@ -63,8 +63,7 @@
     CPPUNIT_ASSERT(RunUntil([&] { return answer.has_value(); }));
     CPPUNIT_ASSERT(answer->kind == AdviceAnswer::Kind::kAnswered);
     CPPUNIT_ASSERT_EQUAL(size_t{2}, answer->permits.size());
-    CPPUNIT_ASSERT_EQUAL(std::string("w-3"),
-                         answer->permits[1].worker.text());
+    CPPUNIT_ASSERT_EQUAL(std::string("w-3"), answer->permits[1].worker.text());
   }
 
   void APoolMayEndWhileQuestionsAreOpen() {
--- a/quetzal/cell/cell.cc
+++ b/quetzal/cell/cell.cc
@@ -158,12 +158,13 @@
     if (job == nullptr) continue;
     job->dirty = false;
     job->storing = true;
-    writes.push_back({.job = id,
-                      .version = job->version,
-                      .final = IsFinal(job->state),
-                      .value = IsFinal(job->state)
-                                   ? EncodeEnded(job->accepted.queue, job->state)
-                                   : EncodeProgress(ProgressOf(*job))});
+    writes.push_back(
+        {.job = id,
+         .version = job->version,
+         .final = IsFinal(job->state),
+         .value = IsFinal(job->state)
+                      ? EncodeEnded(job->accepted.queue, job->state)
+                      : EncodeProgress(ProgressOf(*job))});
   }
   return writes;
 }
--- a/quetzal/cell/cell_test.cc
+++ b/quetzal/cell/cell_test.cc
@@ -129,13 +129,12 @@
     FakeWorker& worker = workers_.at(action.worker.id);
     HoldAnswer answer;
     if (!worker.silent) {
-      worker.last_seen =
-          std::max(worker.last_seen, action.request.last_seen);
+      worker.last_seen = std::max(worker.last_seen, action.request.last_seen);
       std::erase_if(worker.ended, [&](const EndedTask& ended) {
         return ended.number <= worker.last_seen;
       });
       answer = {.outcome = OrderOutcome::kDone,
-                .clock = WorkerClock(worker.clock_ms),
+                .clock = WorkerClock{worker.clock_ms},
                 .incarnation = worker.entry.incarnation,
                 .ended = worker.ended};
       for (const auto& [task, run] : worker.running) {
@@ -156,7 +155,7 @@
       if (!used.FitsIn(worker.entry.capacity)) over_capacity_ = true;
     }
     if (!worker.silent) {
-      answer = {start_outcome_, WorkerClock(worker.clock_ms)};
+      answer = {start_outcome_, WorkerClock{worker.clock_ms}};
     }
     cell_->OnStart(action.worker.id, action.order, answer, now_);
   }
@@ -169,7 +168,7 @@
       if (worker.running.contains(action.order.task)) {
         worker.End(action.order.task, EndKind::kStopped);
       }
-      answer = {OrderOutcome::kDone, WorkerClock(worker.clock_ms)};
+      answer = {OrderOutcome::kDone, WorkerClock{worker.clock_ms}};
     }
     cell_->OnStop(action.worker.id, action.order, answer, now_);
   }
@@ -539,8 +538,9 @@
   }
 
   void OnlyAllowedWorkersAreUsed() {
-    Fleet fleet(4, AdviceTerms{.call_ms = 10, .worker_ms = 1,
-                               .validity = Milliseconds(2'500)});
+    Fleet fleet(
+        4, AdviceTerms{
+               .call_ms = 10, .worker_ms = 1, .validity = Milliseconds(2'500)});
     fleet.forbidden_ = {WorkerId("w-0"), WorkerId("w-2")};
     fleet.Recover();
     fleet.cell()->OnJob(Fleet::AJob("a", {Fleet::AStep(8)}), Revision{1},
--- a/quetzal/cell/internal/asking.cc
+++ b/quetzal/cell/internal/asking.cc
@@ -93,8 +93,9 @@
     const auto open = state.adviser_open.find(adviser);
     if (open != state.adviser_open.end() && open->second >= kMostOpen) continue;
     const auto found = state.adviser_free_at.find(adviser);
-    const Time free =
-        found == state.adviser_free_at.end() ? now : std::max(now, found->second);
+    const Time free = found == state.adviser_free_at.end()
+                          ? now
+                          : std::max(now, found->second);
     if (free >= best_free) continue;
     best_free = free;
     best = &adviser;
--- a/quetzal/cell/internal/fleet.cc
+++ b/quetzal/cell/internal/fleet.cc
@@ -103,8 +103,7 @@
   ObserveEnd(state, worker, ended.how, now);
   EndRun(state, worker, ended.task, ended.run, ended.how, ended.checkpoint,
          now);
-  UnseenEnd unseen{
-      .number = ended.number, .job = ended.task.job, .since = now};
+  UnseenEnd unseen{.number = ended.number, .job = ended.task.job, .since = now};
   const Job* const job = state->FindJob(ended.task.job);
   if (job != nullptr) {
     unseen.version = job->version;
@@ -210,8 +209,8 @@
   HoldRequest request{.fence = state->fence, .last_seen = worker->last_seen};
   if (extends) {
     request.lease_until =
-        WorkerClock(static_cast<int64_t>(ClockOf(*worker, now)) +
-                    state->settings.most_lease.count());
+        WorkerClock{static_cast<int64_t>(ClockOf(*worker, now)) +
+                    state->settings.most_lease.count()};
     worker->lease_basis = now;
     // Ends that wait to be stored would answer it at once.
     if (worker->unseen.empty()) request.wait = state->settings.hold_wait;
@@ -310,8 +309,8 @@
       if (!unseen.orphan || unseen.job != id) continue;
       const EndedTask ended = *std::exchange(unseen.orphan, std::nullopt);
       --state->orphans;
-      EndRun(state, &worker, ended.task, ended.run, ended.how,
-             ended.checkpoint, now);
+      EndRun(state, &worker, ended.task, ended.run, ended.how, ended.checkpoint,
+             now);
       unseen.version = state->FindJob(id)->version;
     }
     if (worker.orphans == 0) continue;
@@ -326,14 +325,14 @@
 }
 
 WorkerClock ClockOf(const Worker& worker, Time now) {
-  return WorkerClock(static_cast<int64_t>(worker.clock) +
-                     (now - worker.clock_at).count());
+  return WorkerClock{static_cast<int64_t>(worker.clock) +
+                     (now - worker.clock_at).count()};
 }
 
 bool TakesWork(const Worker& worker, Time now) {
   return worker.listed && worker.reached && !worker.silent &&
-         !worker.entry.draining && worker.orphans == 0 && worker.avoid_until <= now &&
-         now - worker.confirmed < kConfirmedWithin;
+         !worker.entry.draining && worker.orphans == 0 &&
+         worker.avoid_until <= now && now - worker.confirmed < kConfirmedWithin;
 }
 
 void LearnEntry(State* state, const WorkerEntry& entry, Time now) {
@@ -374,8 +373,9 @@
   worker->hold_in_flight = false;
   worker->next_hold = now + kHoldRetry;
   if (answer.outcome == OrderOutcome::kFenced) {
-    if (request.fence == state->fence)
+    if (request.fence == state->fence) {
       Resign(state, "a worker knows a higher fence");
+    }
     return;
   }
   if (answer.outcome == OrderOutcome::kRefused) {
@@ -409,7 +409,9 @@
   worker->silent = false;
   worker->known_gone = false;
   // What a former placer started there may be leased from now on in full.
-  if (!worker->reached) worker->lease_basis = std::max(worker->lease_basis, now);
+  if (!worker->reached) {
+    worker->lease_basis = std::max(worker->lease_basis, now);
+  }
   worker->confirmed = sent;
   worker->clock = answer.clock;
   worker->clock_at = now;
--- a/quetzal/cell/internal/placing.cc
+++ b/quetzal/cell/internal/placing.cc
@@ -90,8 +90,8 @@
       .run = run_number,
       .specification = job->accepted.spec.specification,
       .fence = state->fence,
-      .lease_until = WorkerClock(static_cast<int64_t>(ClockOf(*worker, now)) +
-                                 state->settings.most_lease.count()),
+      .lease_until = WorkerClock{static_cast<int64_t>(ClockOf(*worker, now)) +
+                                 state->settings.most_lease.count()},
       .checkpoint = checkpoint};
   const auto permit = step.permits.find(worker->entry.id);
   if (permit != step.permits.end()) order.ticket = permit->second.ticket;
--- a/quetzal/cell/internal/state.h
+++ b/quetzal/cell/internal/state.h
@@ -79,7 +79,7 @@
   Time confirmed;    // when its newest answered hold was sent
   Time lease_basis;  // when the newest order that may extend leases was sent
   Resources used;
-  int orphans = 0;  // runs of unknown size: the worker counts as full
+  int orphans = 0;         // runs of unknown size: the worker counts as full
   int64_t fill_milli = 0;  // processors wanted by tasks that only fill
   std::map<TaskName, Run> runs;
   Time avoid_until;         // it refused or failed what it was given
@@ -106,7 +106,8 @@
   int done = 0;
   bool ready = false;
   Time ready_since;
-  Milliseconds chain{0};  // longest work from this step's start to the job's end
+  Milliseconds chain{
+      0};  // longest work from this step's start to the job's end
   bool question_in_flight = false;
   Time next_question;
   std::unordered_map<WorkerId, PermitState> permits;
@@ -162,14 +163,14 @@
   // Ended in earlier terms, with when this one learned of them.
   std::deque<std::pair<JobId, Time>> finished_before;
   std::deque<JobId> finished;  // in the order of their ends
-  int orphans = 0;  // runs and ends of unknown jobs, on all workers
+  int orphans = 0;             // runs and ends of unknown jobs, on all workers
   std::unordered_map<TeamId, Resources> team_use;
   std::unordered_map<TeamId, ArrivalAllowance> team_allowance;
   std::vector<CellAction> actions;
   std::vector<AdviserId> advisers;
   // When each will have served all that it was asked, by the calls' terms.
   std::unordered_map<AdviserId, Time> adviser_free_at;
-  std::unordered_map<AdviserId, int> adviser_open;  // questions not answered
+  std::unordered_map<AdviserId, int> adviser_open;    // questions not answered
   std::unordered_map<QueueId, double> allowed_share;  // learned from advice
 
   Job* FindJob(const JobId& id);
--- a/quetzal/http_client/http_client.cc
+++ b/quetzal/http_client/http_client.cc
@@ -16,11 +16,18 @@
 namespace quetzal {
 namespace {
 
+// libcurl's variadic options take this type.
+using CurlNumber = long;  // NOLINT(google-runtime-int)
+
 // A connection whose peer acknowledges nothing for this long is given up; well
 // under the shortest bound that a silent connection must not break (3 s).
 constexpr unsigned kSilenceMs = 1'500;
 // To be told apart from a slow answer: three round trips between regions fit.
-constexpr long kConnectTimeoutMs = 1'000;
+constexpr CurlNumber kConnectTimeoutMs = 1'000;
+
+CurlNumber TimeoutMs(const HttpClientCall& call) {
+  return static_cast<CurlNumber>(call.timeout.count());
+}
 
 struct Transfer {
   CURL* easy = nullptr;
@@ -66,7 +73,7 @@
     curl_multi_setopt(multi_, CURLMOPT_TIMERFUNCTION, &OnTimerWanted);
     curl_multi_setopt(multi_, CURLMOPT_TIMERDATA, this);
     curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS,
-                      static_cast<long>(limits.most_idle_connections));
+                      static_cast<CurlNumber>(limits.most_idle_connections));
     curl_multi_setopt(multi_, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
   }
   ~CurlClient() override {
@@ -115,7 +122,7 @@
       // Without it large bodies wait for a 100 that small servers don't send.
       transfer->headers = curl_slist_append(transfer->headers, "Expect:");
       curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE,
-                       static_cast<long>(transfer->body.size()));
+                       static_cast<CurlNumber>(transfer->body.size()));
       curl_easy_setopt(easy, CURLOPT_POSTFIELDS, transfer->body.c_str());
     } else if (call.method == "POST") {
       curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, 0L);
@@ -127,11 +134,9 @@
     curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
-    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
-                     static_cast<long>(call.timeout.count()));
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, TimeoutMs(call));
     curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
-                     std::min<long>(kConnectTimeoutMs,
-                                    static_cast<long>(call.timeout.count())));
+                     std::min(kConnectTimeoutMs, TimeoutMs(call)));
     curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
     curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &SetSocketOptions);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &Append);
@@ -177,7 +182,8 @@
     return G_SOURCE_CONTINUE;
   }
 
-  static int OnTimerWanted(CURLM* /*multi*/, long timeout_ms, void* self) {
+  static int OnTimerWanted(CURLM* /*multi*/, CurlNumber timeout_ms,
+                           void* self) {
     auto* const client = static_cast<CurlClient*>(self);
     if (client->timer_ != 0) g_source_remove(client->timer_);
     client->timer_ = 0;
@@ -217,7 +223,7 @@
     answer.took =
         Milliseconds((g_get_monotonic_time() - transfer->started_us) / 1'000);
     if (code == CURLE_OK) {
-      long status = 0;
+      CurlNumber status = 0;
       curl_easy_getinfo(transfer->easy, CURLINFO_RESPONSE_CODE, &status);
       answer.kind = HttpAnswer::Kind::kAnswered;
       answer.status = static_cast<int>(status);
@@ -247,9 +253,9 @@
 }  // namespace
 
 std::unique_ptr<HttpClient> HttpClient::Create(const HttpClientLimits& limits) {
-  static const CURLcode kInitialized = curl_global_init(CURL_GLOBAL_NOTHING);
-  if (kInitialized != CURLE_OK) {
-    LOG(ERROR) << "libcurl: " << curl_easy_strerror(kInitialized);
+  static const CURLcode initialized = curl_global_init(CURL_GLOBAL_NOTHING);
+  if (initialized != CURLE_OK) {
+    LOG(ERROR) << "libcurl: " << curl_easy_strerror(initialized);
   }
   return std::make_unique<CurlClient>(limits);
 }
--- a/quetzal/http_client/http_client_test.cc
+++ b/quetzal/http_client/http_client_test.cc
@@ -39,11 +39,11 @@
                if (request.path == "/silent") return;
                const auto named = request.headers.find("x-name");
                server_->Reply(
-                   call, {.body = request.method + " " + request.body + " " +
-                                  (named == request.headers.end()
-                                       ? ""
-                                       : named->second),
-                          .close = request.path == "/close"});
+                   call,
+                   {.body =
+                        request.method + " " + request.body + " " +
+                        (named == request.headers.end() ? "" : named->second),
+                    .close = request.path == "/close"});
              },
          .on_gone = [](HttpCall) {}});
     client_ = HttpClient::Create({});
@@ -94,9 +94,9 @@
     int answered = 0;
     std::function<void(const HttpAnswer&)> next = [&](const HttpAnswer&) {
       if (++answered < 50) {
-        client_->Send({.method = answered % 2 == 0 ? "DELETE" : "GET",
-                       .url = Url("/")},
-                      next);
+        client_->Send(
+            {.method = answered % 2 == 0 ? "DELETE" : "GET", .url = Url("/")},
+            next);
       }
     };
     client_->Send({.url = Url("/")}, next);
--- a/quetzal/job/job_codec.cc
+++ b/quetzal/job/job_codec.cc
@@ -128,7 +128,7 @@
     job.team = TeamId(json.at("team").get<std::string>());
     job.queue = QueueId(json.at("queue").get<std::string>());
     job.service = ServiceId(json.at("service").get<std::string>());
-    job.accepted = WallTime(json.at("accepted_ms").get<int64_t>());
+    job.accepted = WallTime{json.at("accepted_ms").get<int64_t>()};
     job.spec.specification = json.at("specification").get<std::string>();
     for (const Json& step : json.at("steps")) {
       job.spec.steps.push_back(StepFrom(step));
@@ -137,7 +137,7 @@
       const Json& schedule = json["schedule"];
       job.spec.schedule = {
           schedule.at("repetitions").get<int64_t>(),
-          WallTime(schedule.at("first_ms").get<int64_t>()),
+          WallTime{schedule.at("first_ms").get<int64_t>()},
           Milliseconds(schedule.at("interval_ms").get<int64_t>())};
     }
     Problems problems = Check(job.spec);
--- a/quetzal/leadership/leadership.cc
+++ b/quetzal/leadership/leadership.cc
@@ -10,6 +10,7 @@
 // that the nearest ones win without a race.
 constexpr int kDelayFactor = 3;
 constexpr Milliseconds kCampaignRetry{250};
+constexpr Milliseconds kRestAfterLoss{1'000};
 // The store counts a lease from the renewal's arrival; ours from its sending,
 // less what clocks may differ.
 constexpr Milliseconds kLeaseMargin{100};
@@ -78,6 +79,7 @@
 
 void Leadership::OnVacant() {
   if (!vacant_ || role_ != Role::kStandby || !seat_->is_listed()) return;
+  if (clock_() < rests_until_) return;
   role_ = Role::kCampaigns;
   const Time asked = clock_();
   // Only to learn how far the store is.
@@ -136,7 +138,7 @@
 void Leadership::OnTaken(const CommitAnswer& answer, int64_t term) {
   if (answer.outcome == StoreOutcome::kDone) {
     term_revision_ = answer.revision;
-    BeginTerm(Fence(static_cast<uint64_t>(answer.revision)), term);
+    BeginTerm(Fence{static_cast<uint64_t>(answer.revision)}, term);
   } else if (answer.outcome == StoreOutcome::kUnknown) {
     CheckWhetherTaken(term);
   } else {
@@ -155,7 +157,7 @@
                    return;
                  }
                  term_revision_ = answer.items[0].revision;
-                 BeginTerm(Fence(static_cast<uint64_t>(term_revision_)), term);
+                 BeginTerm(Fence{static_cast<uint64_t>(term_revision_)}, term);
                }));
 }
 
@@ -236,7 +238,7 @@
               }
               renewed_ = sent;
               term_revision_ = answer.revision;
-              BeginTerm(Fence(static_cast<uint64_t>(answer.revision)), term_);
+              BeginTerm(Fence{static_cast<uint64_t>(answer.revision)}, term_);
               Later(settings_.renew_every, [this] { Renew(); });
             }));
       }));
@@ -255,7 +257,9 @@
     store_->EndLease(std::exchange(lease_, kNoLease), [](StoreOutcome) {});
   }
   handlers_.on_lost(reason);
-  Later(kCampaignRetry, [this] { OnVacant(); });
+  // What took its seat from it may still ail it.
+  rests_until_ = clock_() + kRestAfterLoss;
+  Later(kRestAfterLoss, [this] { OnVacant(); });
 }
 
 void Leadership::Resign(std::function<void()> done) {
@@ -268,7 +272,7 @@
   }
   log_->Line("seat_given_back", {{"term", term_}});
   store_->Apply(
-      {.conditions = {{SeatKey(), Revision(static_cast<uint64_t>(fence_))}},
+      {.conditions = {{SeatKey(), Revision{static_cast<uint64_t>(fence_)}}},
        .removes = {SeatKey()}},
       Guard<CommitAnswer>(
           [done = std::move(done)](const CommitAnswer&) { done(); }));
--- a/quetzal/leadership/leadership.h
+++ b/quetzal/leadership/leadership.h
@@ -98,6 +98,7 @@
   Fence fence_{0};
   int64_t term_ = 0;
   Revision term_revision_{0};
+  Time rests_until_;
   Time renewed_;  // when the newest renewal that counted was sent
   Milliseconds store_delay_{0};  // of the newest answer
 };
--- /dev/null
+++ b/quetzal/leadership/leadership_test.cc
@@ -0,0 +1,150 @@
+#include "quetzal/leadership/leadership.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <vector>
+
+#include "quetzal/store/testing/memory_store.h"
+#include "quetzal/store/testing/virtual_clock.h"
+
+namespace quetzal {
+namespace {
+
+struct Candidate {
+  Candidate(const std::string& name, testing::VirtualClock* clock,
+            testing::MemoryStore* store, EventLog* log)
+      : leadership(
+            store, LeadershipSettings{.self = name},
+            LeadershipHandlers{
+                .on_lead =
+                    [this](Fence fence, int64_t term) {
+                      fences.push_back(fence);
+                      terms.push_back(term);
+                    },
+                .on_fence_raised =
+                    [this](Fence fence) { raised.push_back(fence); },
+                .on_lost = [this](const std::string&) { ++lost; }},
+            clock->Timer(), [clock] { return clock->now(); }, log) {}
+
+  std::vector<Fence> fences;
+  std::vector<int64_t> terms;
+  std::vector<Fence> raised;
+  int lost = 0;
+  Leadership leadership;
+};
+
+class LeadershipTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(LeadershipTest);
+  CPPUNIT_TEST(OneOfManyLeads);
+  CPPUNIT_TEST(AnotherTakesOverWithAHigherFenceAndTheNextTerm);
+  CPPUNIT_TEST(ASeatGivenBackIsTakenAtOnce);
+  CPPUNIT_TEST(AnUnansweredTakingIsReadBack);
+  CPPUNIT_TEST(ASeatThatLapsedInAnOutageIsHeldAnew);
+  CPPUNIT_TEST(ALeaderThatAnotherReplacedIsNotSure);
+  CPPUNIT_TEST(ALeaderWithoutTheStoreIsSureOnlyForItsLease);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void OneOfManyLeads() {
+    Candidate a("a", &clock_, &store_, &log_);
+    Candidate b("b", &clock_, &store_, &log_);
+    a.leadership.Start();
+    b.leadership.Start();
+    clock_.Pass(Milliseconds(3'000));
+    CPPUNIT_ASSERT(a.leadership.leads() != b.leadership.leads());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, a.fences.size() + b.fences.size());
+  }
+
+  void AnotherTakesOverWithAHigherFenceAndTheNextTerm() {
+    Candidate a("a", &clock_, &store_, &log_);
+    a.leadership.Start();
+    clock_.Pass(Milliseconds(1'000));
+    Candidate b("b", &clock_, &store_, &log_);
+    b.leadership.Start();
+    clock_.Pass(Milliseconds(1'000));
+    CPPUNIT_ASSERT(!b.leadership.leads());
+    a.leadership.Lose("test");
+    clock_.Pass(Milliseconds(200));
+    CPPUNIT_ASSERT(b.leadership.leads());
+    CPPUNIT_ASSERT(b.fences.at(0) > a.fences.at(0));
+    CPPUNIT_ASSERT_EQUAL(a.terms.at(0) + 1, b.terms.at(0));
+  }
+
+  void ASeatGivenBackIsTakenAtOnce() {
+    Candidate a("a", &clock_, &store_, &log_);
+    a.leadership.Start();
+    clock_.Pass(Milliseconds(1'000));
+    Candidate b("b", &clock_, &store_, &log_);
+    b.leadership.Start();
+    clock_.Pass(Milliseconds(1'000));
+    bool done = false;
+    a.leadership.Resign([&] { done = true; });
+    clock_.Pass(Milliseconds(100));
+    CPPUNIT_ASSERT(done);
+    CPPUNIT_ASSERT(!a.leadership.leads());
+    CPPUNIT_ASSERT(b.leadership.leads());
+  }
+
+  void AnUnansweredTakingIsReadBack() {
+    store_.FailNextCommit(StoreOutcome::kUnknown, true);
+    Candidate a("a", &clock_, &store_, &log_);
+    a.leadership.Start();
+    clock_.Pass(Milliseconds(1'000));
+    CPPUNIT_ASSERT(a.leadership.leads());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, a.fences.size());
+  }
+
+  void ASeatThatLapsedInAnOutageIsHeldAnew() {
+    Candidate a("a", &clock_, &store_, &log_);
+    a.leadership.Start();
+    clock_.Pass(Milliseconds(1'000));
+    const LeaseId lease = store_.Find(SeatKey())->lease;
+    store_.SetDown(true);
+    clock_.Pass(Milliseconds(3'000));
+    CPPUNIT_ASSERT(a.leadership.leads());
+    store_.Lapse(lease);
+    store_.SetDown(false);
+    clock_.Pass(Milliseconds(2'000));
+    CPPUNIT_ASSERT(a.leadership.leads());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, a.raised.size());
+    CPPUNIT_ASSERT(a.raised[0] > a.fences[0]);
+    CPPUNIT_ASSERT_EQUAL(0, a.lost);
+    CPPUNIT_ASSERT(a.leadership.IsSure(clock_.now()));
+  }
+
+  void ALeaderThatAnotherReplacedIsNotSure() {
+    Candidate a("a", &clock_, &store_, &log_);
+    a.leadership.Start();
+    clock_.Pass(Milliseconds(1'000));
+    store_.Lapse(store_.Find(SeatKey())->lease);
+    // Another placer's term, which was over soon.
+    const Revision term = store_.Find(TermKey())->revision;
+    store_.Apply({.conditions = {{TermKey(), term}},
+                  .puts = {{.key = TermKey(), .value = "5"},
+                           {.key = SeatKey(), .value = "b"}}},
+                 [](const CommitAnswer&) {});
+    clock_.Pass(Milliseconds(2'000));
+    CPPUNIT_ASSERT(!a.leadership.leads());
+    CPPUNIT_ASSERT_EQUAL(1, a.lost);
+  }
+
+  void ALeaderWithoutTheStoreIsSureOnlyForItsLease() {
+    Candidate a("a", &clock_, &store_, &log_);
+    a.leadership.Start();
+    clock_.Pass(Milliseconds(1'000));
+    CPPUNIT_ASSERT(a.leadership.IsSure(clock_.now()));
+    store_.SetDown(true);
+    clock_.Pass(LeadershipSettings{}.seat_life);
+    CPPUNIT_ASSERT(!a.leadership.IsSure(clock_.now()));
+  }
+
+ private:
+  testing::VirtualClock clock_;
+  testing::MemoryStore store_{clock_.Soon()};
+  EventLog log_{"test", {.lines_per_second = 0}};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LeadershipTest);
+
+}  // namespace
+}  // namespace quetzal
--- /dev/null
+++ b/quetzal/store/follower_test.cc
@@ -0,0 +1,100 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <map>
+
+#include "quetzal/store/store.h"
+#include "quetzal/store/testing/memory_store.h"
+#include "quetzal/store/testing/virtual_clock.h"
+
+namespace quetzal {
+namespace {
+
+class FollowerTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(FollowerTest);
+  CPPUNIT_TEST(TellsWhatIsThereAndWhatChanges);
+  CPPUNIT_TEST(ListsAnewAfterTheHistoryIsGone);
+  CPPUNIT_TEST(GoesOnAfterAnOutage);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void TellsWhatIsThereAndWhatChanges() {
+    Put("a/1", "x");
+    Start();
+    clock_.Pass(Milliseconds(100));
+    CPPUNIT_ASSERT(listed_);
+    CPPUNIT_ASSERT_EQUAL(std::string("x"), seen_["a/1"]);
+    Put("a/2", "y");
+    Put("b/1", "z");
+    clock_.Pass(Milliseconds(100));
+    CPPUNIT_ASSERT_EQUAL(std::string("y"), seen_["a/2"]);
+    CPPUNIT_ASSERT(!seen_.contains("b/1"));
+    Remove("a/1");
+    clock_.Pass(Milliseconds(100));
+    CPPUNIT_ASSERT(!seen_.contains("a/1"));
+  }
+
+  void ListsAnewAfterTheHistoryIsGone() {
+    Put("a/1", "x");
+    Put("a/2", "x");
+    Start();
+    clock_.Pass(Milliseconds(100));
+    // Nothing is heard while it changes, and then the history is dropped.
+    store_.SetDown(true);
+    clock_.Pass(Milliseconds(500));
+    store_.SetDown(false);
+    Put("a/1", "y");
+    Remove("a/2");
+    store_.Compact();
+    clock_.Pass(Milliseconds(1'000));
+    CPPUNIT_ASSERT_EQUAL(std::string("y"), seen_["a/1"]);
+    CPPUNIT_ASSERT(!seen_.contains("a/2"));
+  }
+
+  void GoesOnAfterAnOutage() {
+    Start();
+    clock_.Pass(Milliseconds(100));
+    CPPUNIT_ASSERT(reached_);
+    store_.SetDown(true);
+    Put("a/0", "lost");
+    clock_.Pass(Milliseconds(2'000));
+    CPPUNIT_ASSERT(!reached_);
+    store_.SetDown(false);
+    Put("a/1", "x");
+    clock_.Pass(Milliseconds(1'000));
+    CPPUNIT_ASSERT(reached_);
+    CPPUNIT_ASSERT_EQUAL(std::string("x"), seen_["a/1"]);
+  }
+
+ private:
+  void Start() {
+    follower_ = std::make_unique<StoreFollower>(
+        &store_, "a/", FollowerTiming{},
+        FollowerHandlers{
+            .on_put =
+                [this](const StoreItem& item) { seen_[item.key] = item.value; },
+            .on_removed = [this](const std::string& key) { seen_.erase(key); },
+            .on_listed = [this] { listed_ = true; },
+            .on_reached = [this](bool reached) { reached_ = reached; }},
+        clock_.Timer());
+    follower_->Start();
+  }
+  void Put(const std::string& key, const std::string& value) {
+    store_.Apply({.puts = {{.key = key, .value = value}}},
+                 [](const CommitAnswer&) {});
+  }
+  void Remove(const std::string& key) {
+    store_.Apply({.removes = {key}}, [](const CommitAnswer&) {});
+  }
+
+  testing::VirtualClock clock_;
+  testing::MemoryStore store_{clock_.Soon()};
+  std::unique_ptr<StoreFollower> follower_;
+  std::map<std::string, std::string> seen_;
+  bool listed_ = false;
+  bool reached_ = false;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FollowerTest);
+
+}  // namespace
+}  // namespace quetzal
--- a/quetzal/store/testing/memory_store.cc
+++ b/quetzal/store/testing/memory_store.cc
@@ -8,10 +8,10 @@
                        std::function<void(const ReadAnswer&)> done) {
   ReadAnswer answer{.outcome = StoreOutcome::kRefused};
   if (!down_) {
-    answer.store_revision = Revision(revision_);
+    answer.store_revision = Revision{revision_};
     const StoreItem* const item = Find(key);
-    answer.outcome = item == nullptr ? StoreOutcome::kMissing
-                                     : StoreOutcome::kDone;
+    answer.outcome =
+        item == nullptr ? StoreOutcome::kMissing : StoreOutcome::kDone;
     if (item != nullptr) answer.items.push_back(*item);
   }
   defer_([answer, done = std::move(done)] { done(answer); });
@@ -22,7 +22,7 @@
   ReadAnswer answer{.outcome = StoreOutcome::kRefused};
   if (!down_) {
     answer.outcome = StoreOutcome::kDone;
-    answer.store_revision = Revision(revision_);
+    answer.store_revision = Revision{revision_};
     for (const auto& [key, item] : items_) {
       if (key.starts_with(prefix) && key > after) answer.items.push_back(item);
     }
@@ -39,7 +39,7 @@
 
 WatchAnswer MemoryStore::EventsFor(const Watcher& watcher) const {
   WatchAnswer answer{.outcome = StoreOutcome::kDone,
-                     .store_revision = Revision(revision_)};
+                     .store_revision = Revision{revision_}};
   if (down_) {
     answer.outcome = StoreOutcome::kRefused;
   } else if (static_cast<uint64_t>(watcher.after) < compacted_) {
@@ -72,13 +72,13 @@
     const StoreItem* const item = Find(condition.key);
     const Revision now = item == nullptr ? kAbsent : item->revision;
     if (now != condition.revision) answer.outcome = StoreOutcome::kConflict;
-    answer.current.push_back(
-        item == nullptr ? StoreItem{.key = condition.key} : *item);
+    answer.current.push_back(item == nullptr ? StoreItem{.key = condition.key}
+                                             : *item);
   }
   if (answer.outcome == StoreOutcome::kConflict) return answer;
   answer.current.clear();
   answer.outcome = StoreOutcome::kDone;
-  answer.revision = Revision(++revision_);
+  answer.revision = Revision{++revision_};
   ++commits_;
   for (const StorePut& put : commit.puts) {
     StoreItem& item = items_[put.key];
@@ -119,7 +119,7 @@
                              std::function<void(const LeaseAnswer&)> done) {
   LeaseAnswer answer{.outcome = StoreOutcome::kRefused};
   if (!down_) {
-    answer = {StoreOutcome::kDone, LeaseId(next_lease_), life};
+    answer = {StoreOutcome::kDone, LeaseId{next_lease_}, life};
     leases_[next_lease_++] = life;
   }
   defer_([answer, done = std::move(done)] { done(answer); });
@@ -130,8 +130,8 @@
   LeaseAnswer answer{.outcome = StoreOutcome::kRefused};
   if (!down_) {
     const auto found = leases_.find(static_cast<uint64_t>(lease));
-    answer.outcome = found == leases_.end() ? StoreOutcome::kMissing
-                                            : StoreOutcome::kDone;
+    answer.outcome =
+        found == leases_.end() ? StoreOutcome::kMissing : StoreOutcome::kDone;
   }
   defer_([answer, done = std::move(done)] { done(answer); });
 }
@@ -158,7 +158,7 @@
       ++each;
       continue;
     }
-    Record({{.key = each->first, .revision = Revision(revision_)}, true});
+    Record({{.key = each->first, .revision = Revision{revision_}}, true});
     each = items_.erase(each);
   }
   AnswerWatchers();
