Stand-in for the users' platform; process tests of the cell under kills, freezes and outages

Eight tests over the published protocol: leaders killed and frozen, all processes killed, the store down, graceful stops, cancels, bad input.

--- a/programs/cell_placer/main.cc
+++ b/programs/cell_placer/main.cc
@@ -60,6 +60,7 @@
         settings_.placer_metrics_address(), {},
         {.on_request =
              [this](HttpCall call, const HttpRequest&) {
+               metrics_.Set("quetzal_leads", {}, term_ ? 1 : 0);
                metrics_server_->Reply(call, {.body = metrics_.Render(),
                                              .content_type = "text/plain"});
              },
--- a/quetzal/rpc/internal/stream.h
+++ b/quetzal/rpc/internal/stream.h
@@ -256,7 +256,9 @@
       state->handlers.on_message(PeerId{peer}, *message);
     });
     incoming_ = In();
-    this->StartRead(&incoming_);
+    // A stream that was finished meanwhile must not be read from again.
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (!ended_) this->StartRead(&incoming_);
   }
   void OnWriteDone(bool ok) override {
     const std::lock_guard<std::mutex> lock(mutex_);
--- a/quetzal/store/testing/memory_store.h
+++ b/quetzal/store/testing/memory_store.h
@@ -48,6 +48,7 @@
   void Lapse(LeaseId lease);
   const StoreItem* Find(const std::string& key) const;
   size_t commits() const { return commits_; }
+  Revision revision() const { return Revision{revision_}; }
 
  private:
   struct Failure {
--- /dev/null
+++ b/standins/users_platform/main.cc
@@ -0,0 +1,165 @@
+// standin-users-platform: the store, the workers, the advice service and the
+// operator of the users' platform, for tests and demos on one machine.
+//
+// GET /judgement on the control address tells what the workers saw; POST /down
+// and POST /up stop and resume the store.
+#include <nlohmann/json.hpp>
+
+#include "quetzal/program/program.h"
+#include "standins/users_platform/store_front.h"
+#include "standins/users_platform/worker_pool.h"
+
+namespace quetzal::standin {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr Milliseconds kBeat{500};
+constexpr Milliseconds kAdviceTime{3};
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+// Of the workers that are named, so many in ten may run a step.
+constexpr size_t kAllowedInTen = 7;
+
+struct PlatformSettings {
+  std::string store_address;
+  std::string advice_address;
+  std::string control_address;
+  int workers = 0;
+};
+
+PlatformSettings ReadSettings(const Json& json, Problems* problems) {
+  ObjectReader reader(json, "settings", problems);
+  PlatformSettings settings{.store_address = reader.Text("store_address"),
+                            .advice_address = reader.Text("advice_address"),
+                            .control_address = reader.Text("control_address"),
+                            .workers = static_cast<int>(reader.Integer(
+                                "workers", {.least = 1, .most = 200}))};
+  reader.Finish();
+  return settings;
+}
+
+Json Configuration() {
+  const Json advice = {
+      {"decision-ms", 3}, {"period-ms", 0.1}, {"validity-ms", 2'500}};
+  return {{"version", 1},
+          {"routes",
+           {{{"name", "quotes"},
+             {"host", "desk.example"},
+             {"prefix", "/quotes/"},
+             {"service", "desk"},
+             {"priority", 0},
+             {"max-attempts", 2},
+             {"slack-factor", 2.0},
+             {"target-latency-ms", 1'000},
+             {"recommendation", advice},
+             {"public", false}}}},
+          {"services", {{{"name", "desk"}, {"enforces-capacity", false}}}},
+          {"limits", {{"max-body-bytes", 65'536}}},
+          {"tenants",
+           {{{"name", "buyers"}, {"api-keys", {"key-1"}}, {"weight", 100}}}}};
+}
+
+class UsersPlatform : public Service {
+ public:
+  explicit UsersPlatform(PlatformSettings settings)
+      : settings_(std::move(settings)) {}
+
+  bool Start() {
+    if (!store_.Listen(settings_.store_address)) return false;
+    advice_ =
+        Serve(settings_.advice_address,
+              [this](HttpCall call, const HttpRequest& r) { Advise(call, r); });
+    control_ = Serve(
+        settings_.control_address,
+        [this](HttpCall call, const HttpRequest& r) { Control(call, r); });
+    if (!advice_ || !control_) return false;
+    for (int i = 0; i < settings_.workers; ++i) {
+      auto worker =
+          std::make_unique<PoolWorker>("i-" + std::to_string(i), &judgement_);
+      if (!worker->Listen("127.0.0.1:0")) return false;
+      workers_.push_back(std::move(worker));
+    }
+    store_.Put("op/config", Configuration().dump());
+    Beat();
+    Every(kBeat, [this] { Beat(); });
+    return true;
+  }
+
+  void BeginShutdown() override { Quit(kExitDone); }
+
+ private:
+  static std::unique_ptr<HttpServer> Serve(
+      const std::string& address,
+      std::function<void(HttpCall, const HttpRequest&)> on_request) {
+    return ListenForHttp(
+        address, {},
+        {.on_request = std::move(on_request), .on_gone = [](HttpCall) {}});
+  }
+
+  void Beat() {
+    for (const auto& worker : workers_) {
+      store_.Put("servers/" + worker->id(), worker->Entry().dump());
+    }
+  }
+
+  void Advise(HttpCall call, const HttpRequest& request) {
+    const Json question = Json::parse(request.body, nullptr, false);
+    if (!question.is_object() || !question.contains("step") ||
+        !question.contains("workers")) {
+      advice_->Reply(call, {.status = kBadRequest});
+      return;
+    }
+    Json allowed = Json::array();
+    const std::string step = question["step"].get<std::string>();
+    for (const Json& worker : question["workers"]) {
+      const std::string id = worker.get<std::string>();
+      if (std::hash<std::string>()(step + id) % 10 < kAllowedInTen) {
+        allowed.push_back(Json::array({id, "t-" + id}));
+      }
+    }
+    const std::string body =
+        Json{{"allowed", std::move(allowed)}, {"validity-ms", 2'500}}.dump();
+    After(kAdviceTime,
+          [this, call, body] { advice_->Reply(call, {.body = body}); });
+  }
+
+  void Control(HttpCall call, const HttpRequest& request) {
+    if (request.path == "/judgement") {
+      control_->Reply(
+          call,
+          {.body = Json{{"done", judgement_.done.size()},
+                        {"started", judgement_.started.size()},
+                        {"started_twice", judgement_.started_twice},
+                        {"started_after_end", judgement_.started_after_end},
+                        {"over_capacity", judgement_.over_capacity},
+                        {"fenced", judgement_.fenced}}
+                       .dump()});
+    } else if (request.path == "/down" || request.path == "/up") {
+      store_.SetDown(request.path == "/down");
+      control_->Reply(call, {});
+    } else {
+      control_->Reply(call, {.status = kNotFound});
+    }
+  }
+
+  PlatformSettings settings_;
+  StoreFront store_;
+  std::unique_ptr<HttpServer> advice_;
+  std::unique_ptr<HttpServer> control_;
+  Judgement judgement_;
+  std::vector<std::unique_ptr<PoolWorker>> workers_;
+};
+
+}  // namespace
+}  // namespace quetzal::standin
+
+int main(int argc, char** argv) {
+  return quetzal::RunProgram(
+      {.name = "standin-users-platform",
+       .purpose =
+           "Store, workers and advice of the users' platform, for tests.",
+       .start = quetzal::StartWith<quetzal::standin::UsersPlatform>(
+           &quetzal::standin::ReadSettings)},
+      argc, argv);
+}
--- /dev/null
+++ b/standins/users_platform/store_front.h
@@ -0,0 +1,50 @@
+// The users' platform's store over HTTP, on a store in memory. Leases run out
+// by this process's clock.
+#ifndef STANDINS_USERS_PLATFORM_STORE_FRONT_H_
+#define STANDINS_USERS_PLATFORM_STORE_FRONT_H_
+
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "quetzal/http/http.h"
+#include "quetzal/store/testing/memory_store.h"
+
+namespace quetzal::standin {
+
+class StoreFront {
+ public:
+  // False if the address can't be listened on.
+  bool Listen(const std::string& address);
+  // As the operator or a worker writes.
+  void Put(const std::string& key, const std::string& value);
+  // Answers 503 to every call while it is set.
+  void SetDown(bool down) { down_ = down; }
+
+ private:
+  void OnRequest(HttpCall call, const HttpRequest& request);
+  void Read(HttpCall call, const HttpRequest& request);
+  void Range(HttpCall call, const HttpRequest& request);
+  void Watch(HttpCall call, const HttpRequest& request);
+  void Apply(HttpCall call, const std::string& body);
+  void GrantLease(HttpCall call, const std::string& body);
+  void KeepLease(HttpCall call, const std::string& path);
+  void EndLease(HttpCall call, const std::string& path);
+  void SweepLeases();
+  void Answer(HttpCall call, int status, const nlohmann::json& body);
+
+  struct Lease {
+    Milliseconds life{0};
+    Time ends;
+  };
+
+  std::unique_ptr<HttpServer> server_;
+  testing::MemoryStore store_{[](const std::function<void()>& f) { f(); }};
+  std::map<LeaseId, Lease> leases_;
+  bool down_ = false;
+};
+
+}  // namespace quetzal::standin
+
+#endif  // STANDINS_USERS_PLATFORM_STORE_FRONT_H_
--- /dev/null
+++ b/standins/users_platform/worker_pool.cc
@@ -0,0 +1,203 @@
+#include "standins/users_platform/worker_pool.h"
+
+#include <glib.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "quetzal/program/program.h"
+
+namespace quetzal::standin {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+constexpr int kConflict = 409;
+constexpr size_t kMostTasks = 4;  // that fit at a time, whatever they ask for
+constexpr int64_t kTaskMilli = 1'000;
+constexpr Milliseconds kLeaseCheck{100};
+
+Json Refusal(const char* reason, int* status) {
+  *status = kConflict;
+  return {{"reason", reason}};
+}
+
+}  // namespace
+
+PoolWorker::PoolWorker(std::string id, Judgement* judgement)
+    : id_(std::move(id)),
+      judgement_(judgement),
+      started_at_ms_(g_get_real_time() / 1'000) {}
+
+bool PoolWorker::Listen(const std::string& address) {
+  server_ = ListenForHttp(
+      address, {},
+      {.on_request = [this](HttpCall call,
+                            const HttpRequest& r) { OnRequest(call, r); },
+       .on_gone = [](HttpCall) {}});
+  if (!server_) return false;
+  address_ = "127.0.0.1:" + std::to_string(server_->port());
+  Every(kLeaseCheck, [this] {
+    if (ClockMs() <= lease_until_ms_) return;
+    const auto lapsed = running_;
+    for (const auto& [task, run] : lapsed) End(task, run.serial, "lapsed");
+  });
+  return true;
+}
+
+int64_t PoolWorker::ClockMs() const {
+  return g_get_real_time() / 1'000 - started_at_ms_ + 1;
+}
+
+Json PoolWorker::Entry() const {
+  return {{"service", "desk"},
+          {"address", address_},
+          {"zone", "a"},
+          {"version", "v1"},
+          {"slots", 8},
+          {"state", "ready"},
+          {"cold-remaining-ms", 0},
+          {"capacity",
+           {{"cpu", kTaskMilli * static_cast<int64_t>(kMostTasks)},
+            {"task-memory-mb", 4'096},
+            {"gpu", 0}}},
+          {"labels", {"k", "r1"}},
+          {"born", started_at_ms_},
+          {"sequence", ClockMs()}};
+}
+
+void PoolWorker::OnRequest(HttpCall call, const HttpRequest& request) {
+  const Json order = Json::parse(request.body, nullptr, false);
+  if (!order.is_object()) {
+    server_->Reply(call, {.status = kBadRequest});
+    return;
+  }
+  if (request.path == "/hold") {
+    Hold(call, order);
+    return;
+  }
+  int status = kOk;
+  Json body = Json::object();
+  if (request.path == "/run-start") {
+    body = Start(order, &status);
+  } else if (request.path == "/run-stop") {
+    body = Stop(order, &status);
+  } else {
+    status = kNotFound;
+  }
+  body["clock-ms"] = ClockMs();
+  server_->Reply(call, {.status = status, .body = body.dump()});
+}
+
+bool PoolWorker::IsFenced(const Json& order) {
+  const uint64_t fence = order.value("fencing-token", uint64_t{0});
+  if (fence < fence_) {
+    ++judgement_->fenced;
+    return true;
+  }
+  fence_ = fence;
+  return false;
+}
+
+Json PoolWorker::Start(const Json& order, int* status) {
+  if (IsFenced(order)) return Refusal("fence", status);
+  const std::string task = order.at("task").get<std::string>();
+  const int64_t number = order.at("run").get<int64_t>();
+  const auto found = running_.find(task);
+  if (found != running_.end() && found->second.number == number) {
+    return Json::object();
+  }
+  if (highest_ended_[task] >= number) return Refusal("old", status);
+  const int64_t until = order.at("deadline-ms").get<int64_t>();
+  if (until < ClockMs()) return Refusal("late", status);
+  if (order.value("ticket", "") != "t-" + id_) {
+    return Refusal("ticket", status);
+  }
+  lease_until_ms_ = std::max(lease_until_ms_, until);
+  if (++judgement_->running[task] > 1) ++judgement_->started_twice;
+  if (judgement_->done.contains(task)) ++judgement_->started_after_end;
+  judgement_->started.insert(task);
+  const uint64_t serial = next_serial_++;
+  running_[task] = {number, serial};
+  if (running_.size() > kMostTasks) ++judgement_->over_capacity;
+  const std::string how = order.value("specification", "");
+  const auto run_ms =
+      static_cast<int64_t>(g_ascii_strtoull(how.c_str(), nullptr, 10));
+  const bool fails = how.find("fail") != std::string::npos;
+  After(Milliseconds(run_ms), [this, task, serial, fails] {
+    End(task, serial, fails ? "failed" : "done");
+  });
+  return Json::object();
+}
+
+Json PoolWorker::Stop(const Json& order, int* status) {
+  if (IsFenced(order)) return Refusal("fence", status);
+  const std::string task = order.at("task").get<std::string>();
+  const int64_t number = order.at("run").get<int64_t>();
+  int64_t& highest = highest_ended_[task];
+  highest = std::max(highest, number);
+  const auto found = running_.find(task);
+  if (found != running_.end() && found->second.number <= number) {
+    End(task, found->second.serial, "stopped");
+  }
+  return Json::object();
+}
+
+void PoolWorker::End(const std::string& task, uint64_t serial,
+                     const std::string& how) {
+  const auto found = running_.find(task);
+  if (found == running_.end() || found->second.serial != serial) return;
+  const int64_t number = found->second.number;
+  running_.erase(found);
+  --judgement_->running[task];
+  if (how == "done") judgement_->done.insert(task);
+  int64_t& highest = highest_ended_[task];
+  highest = std::max(highest, number);
+  ended_.push_back(Json::array({next_end_++, task, number, how, ""}));
+  for (const HttpCall call : std::exchange(waiting_, {})) AnswerHold(call);
+}
+
+void PoolWorker::Hold(HttpCall call, const Json& order) {
+  if (IsFenced(order)) {
+    server_->Reply(
+        call,
+        {.status = kConflict,
+         .body = Json{{"reason", "fence"}, {"clock-ms", ClockMs()}}.dump()});
+    return;
+  }
+  lease_until_ms_ =
+      std::max(lease_until_ms_, order.value("deadline-ms", int64_t{0}));
+  const int64_t seen = order.value("last-seen", int64_t{0});
+  while (!ended_.empty() && ended_.front().at(0).get<int64_t>() <= seen) {
+    ended_.pop_front();
+  }
+  const Milliseconds wait(order.value("wait-ms", int64_t{0}));
+  if (!ended_.empty() || wait.count() == 0) {
+    AnswerHold(call);
+    return;
+  }
+  waiting_.push_back(call);
+  After(wait, [this, call] {
+    const auto found = std::find(waiting_.begin(), waiting_.end(), call);
+    if (found == waiting_.end()) return;
+    waiting_.erase(found);
+    AnswerHold(call);
+  });
+}
+
+void PoolWorker::AnswerHold(HttpCall call) {
+  Json running = Json::array();
+  for (const auto& [task, run] : running_) {
+    running.push_back(Json::array({task, run.number, "", 0}));
+  }
+  server_->Reply(call, {.body = Json{{"clock-ms", ClockMs()},
+                                     {"born", started_at_ms_},
+                                     {"running", std::move(running)},
+                                     {"finished", ended_}}
+                                    .dump()});
+}
+
+}  // namespace quetzal::standin
--- /dev/null
+++ b/standins/users_platform/worker_pool.h
@@ -0,0 +1,77 @@
+// Workers of the users' platform: take starts, stops and holds, and judge what
+// they are told to do.
+//
+// A task's specification tells how it goes: "RUN_MS" or "RUN_MS fail".
+#ifndef STANDINS_USERS_PLATFORM_WORKER_POOL_H_
+#define STANDINS_USERS_PLATFORM_WORKER_POOL_H_
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "quetzal/http/http.h"
+#include "quetzal/ids/ids.h"
+
+namespace quetzal::standin {
+
+// What all workers together have seen; shared by them.
+struct Judgement {
+  std::map<std::string, int> running;  // tasks, over all workers
+  std::set<std::string> done;
+  std::set<std::string> started;
+  int started_twice = 0;      // two runs of a task at a time
+  int started_after_end = 0;  // a start after a run had ended as done
+  int over_capacity = 0;
+  int fenced = 0;  // orders of a placer that another one had replaced
+};
+
+class PoolWorker {
+ public:
+  PoolWorker(std::string id, Judgement* judgement);
+  bool Listen(const std::string& address);
+  const std::string& id() const { return id_; }
+  nlohmann::json Entry() const;
+
+ private:
+  struct Run {
+    int64_t number = 0;
+    uint64_t serial = 0;  // tells a run from a later one of the task
+  };
+  struct Waiting {
+    HttpCall call{};
+    int64_t last_seen = 0;
+  };
+
+  void OnRequest(HttpCall call, const HttpRequest& request);
+  nlohmann::json Start(const nlohmann::json& order, int* status);
+  nlohmann::json Stop(const nlohmann::json& order, int* status);
+  void Hold(HttpCall call, const nlohmann::json& order);
+  void End(const std::string& task, uint64_t serial, const std::string& how);
+  void AnswerHold(HttpCall call);
+  bool IsFenced(const nlohmann::json& order);
+  int64_t ClockMs() const;
+
+  std::string id_;
+  Judgement* judgement_;
+  std::unique_ptr<HttpServer> server_;
+  int64_t started_at_ms_;
+  std::string address_;
+  uint64_t fence_ = 0;
+  uint64_t next_serial_ = 1;
+  int64_t next_end_ = 1;
+  int64_t lease_until_ms_ = 0;
+  std::map<std::string, Run> running_;
+  std::map<std::string, int64_t> highest_ended_;
+  std::deque<nlohmann::json> ended_;
+  std::vector<HttpCall> waiting_;
+};
+
+}  // namespace quetzal::standin
+
+#endif  // STANDINS_USERS_PLATFORM_WORKER_POOL_H_
--- /dev/null
+++ b/tests/cell_process_test.cc
@@ -0,0 +1,211 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <csignal>
+#include <cstdio>
+
+#include "tests/support/cell_cluster.h"
+
+namespace quetzal::testing {
+namespace {
+
+constexpr int kMachines = 3;
+constexpr int kPatience = 40;  // seconds
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kUnauthorized = 401;
+constexpr int kNotFound = 404;
+constexpr int kGone = 410;
+constexpr int kUnprocessable = 422;
+constexpr int kUnavailable = 503;
+
+std::string IdOf(int number) {
+  char text[17];
+  std::snprintf(text, sizeof(text), "%016x", number);
+  return text;
+}
+
+// Two tasks, and one more after them, of so many milliseconds each.
+std::string ABody(int run_ms) {
+  const std::string step =
+      R"("cpu":1000,"task-memory-mb":10,"estimated-duration-ms":)" +
+      std::to_string(run_ms);
+  return R"({"specification":")" + std::to_string(run_ms) +
+         R"(","steps":[{"count":2,)" + step + R"(},{"count":1,"after":[0],)" +
+         step + "}]}";
+}
+
+class CellProcessTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(CellProcessTest);
+  CPPUNIT_TEST(JobsRunToTheirEndAtWhicheverEntry);
+  CPPUNIT_TEST(AKilledLeaderLosesAndDoublesNothing);
+  CPPUNIT_TEST(AFrozenLeaderWakesUpPowerless);
+  CPPUNIT_TEST(AcceptedJobsOutliveEveryProcess);
+  CPPUNIT_TEST(WithoutTheStoreNewJobsAreRefusedAndAcceptedOnesGoOn);
+  CPPUNIT_TEST(AGracefulStopHandsOver);
+  CPPUNIT_TEST(ACancelledJobStartsNothingMore);
+  CPPUNIT_TEST(BadInputGetsAClearErrorAndHarmsNobody);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    cluster_ = std::make_unique<CellCluster>(kMachines);
+    CPPUNIT_ASSERT(cluster_->Start());
+  }
+  void tearDown() override { cluster_.reset(); }
+
+  void JobsRunToTheirEndAtWhicheverEntry() {
+    for (int i = 0; i < 20; ++i) Submit(i);
+    // The same id at another machine is the same job.
+    for (int i = 0; i < 20; ++i) {
+      CPPUNIT_ASSERT_EQUAL(
+          kOk,
+          cluster_->Submit((i + 1) % kMachines, IdOf(i), ABody(60)).status);
+    }
+    ExpectAllCompleted(20);
+    ExpectNothingWrong(60);
+  }
+
+  void AKilledLeaderLosesAndDoublesNothing() {
+    int sent = 0;
+    for (int round = 0; round < 3; ++round) {
+      for (int i = 0; i < 6; ++i) Submit(sent++);
+      const int leader = WaitForLeader();
+      cluster_->Kill("placer-" + std::to_string(leader), SIGKILL);
+      for (int i = 0; i < 6; ++i) Submit(sent++);
+      CPPUNIT_ASSERT(cluster_->Launch("placer-" + std::to_string(leader)));
+    }
+    ExpectAllCompleted(sent);
+    ExpectNothingWrong(3 * sent);
+  }
+
+  void AFrozenLeaderWakesUpPowerless() {
+    for (int i = 0; i < 6; ++i) Submit(i);
+    const int leader = WaitForLeader();
+    const std::string name = "placer-" + std::to_string(leader);
+    cluster_->Kill(name, SIGSTOP);
+    for (int i = 6; i < 12; ++i) Submit(i);
+    ExpectAllCompleted(12);
+    cluster_->Kill(name, SIGCONT);
+    for (int i = 12; i < 18; ++i) Submit(i);
+    ExpectAllCompleted(18);
+    ExpectNothingWrong(3 * 18);
+  }
+
+  void AcceptedJobsOutliveEveryProcess() {
+    for (int i = 0; i < 12; ++i) Submit(i);
+    for (int i = 0; i < kMachines; ++i) {
+      cluster_->Kill("entry-" + std::to_string(i), SIGKILL);
+      cluster_->Kill("placer-" + std::to_string(i), SIGKILL);
+    }
+    for (int i = 0; i < kMachines; ++i) {
+      CPPUNIT_ASSERT(cluster_->Launch("entry-" + std::to_string(i)));
+      CPPUNIT_ASSERT(cluster_->Launch("placer-" + std::to_string(i)));
+    }
+    for (int i = 0; i < kMachines; ++i) {
+      CPPUNIT_ASSERT(cluster_->WaitReady(i, kPatience));
+    }
+    ExpectAllCompleted(12);
+    ExpectNothingWrong(36);
+  }
+
+  void WithoutTheStoreNewJobsAreRefusedAndAcceptedOnesGoOn() {
+    for (int i = 0; i < 6; ++i) Submit(i);
+    cluster_->SetStoreDown(true);
+    const HttpAnswer refused = cluster_->Submit(0, IdOf(100), ABody(60));
+    CPPUNIT_ASSERT_EQUAL(kUnavailable, refused.status);
+    cluster_->SetStoreDown(false);
+    ExpectAllCompleted(6);
+    CPPUNIT_ASSERT_EQUAL(std::string(), cluster_->StateOf(0, IdOf(100)));
+    Submit(6);
+    ExpectAllCompleted(7);
+    ExpectNothingWrong(21);
+  }
+
+  void AGracefulStopHandsOver() {
+    for (int i = 0; i < 6; ++i) Submit(i);
+    const std::string leader = std::to_string(WaitForLeader());
+    CPPUNIT_ASSERT_EQUAL(0,
+                         cluster_->Kill("placer-" + leader, SIGTERM).value());
+    CPPUNIT_ASSERT_EQUAL(0, cluster_->Kill("entry-" + leader, SIGTERM).value());
+    CPPUNIT_ASSERT(cluster_->Launch("entry-" + leader));
+    CPPUNIT_ASSERT(cluster_->WaitReady(std::stoi(leader), kPatience));
+    ExpectAllCompleted(6);
+    ExpectNothingWrong(18);
+  }
+
+  void ACancelledJobStartsNothingMore() {
+    CPPUNIT_ASSERT_EQUAL(kOk,
+                         cluster_->Submit(0, IdOf(1), ABody(1'000)).status);
+    CPPUNIT_ASSERT_EQUAL(
+        kOk, cluster_->Call(1, "DELETE", "/quotes/" + IdOf(1)).status);
+    CPPUNIT_ASSERT(cluster_->WaitForState(2, IdOf(1), "cancelled", kPatience));
+    Submit(0);
+    ExpectAllCompleted(1);
+    const nlohmann::json judgement = cluster_->Judgement();
+    CPPUNIT_ASSERT(judgement.value("started", 0) <= 3 + 2);
+    CPPUNIT_ASSERT_EQUAL(
+        kGone, cluster_->Call(1, "DELETE", "/quotes/" + IdOf(9)).status);
+  }
+
+  void BadInputGetsAClearErrorAndHarmsNobody() {
+    const std::string path = "/quotes/" + IdOf(1);
+    CPPUNIT_ASSERT_EQUAL(kBadRequest,
+                         cluster_->Call(0, "POST", path, "{").status);
+    CPPUNIT_ASSERT_EQUAL(
+        kBadRequest,
+        cluster_->Call(0, "POST", path, R"({"steps":[{"count":0}]})").status);
+    CPPUNIT_ASSERT_EQUAL(
+        kBadRequest,
+        cluster_->Call(0, "POST", path, R"({"steps":[{"count":"x"}]})").status);
+    CPPUNIT_ASSERT_EQUAL(
+        kUnprocessable,
+        cluster_
+            ->Call(0, "POST", path,
+                   R"({"steps":[{"count":1,"long-running":true}]})")
+            .status);
+    CPPUNIT_ASSERT_EQUAL(kUnauthorized,
+                         cluster_->Call(0, "GET", path, "", "wrong").status);
+    CPPUNIT_ASSERT_EQUAL(kNotFound,
+                         cluster_->Call(0, "GET", "/other/" + IdOf(1)).status);
+    CPPUNIT_ASSERT_EQUAL(kGone, cluster_->Call(0, "GET", path).status);
+    Submit(0);
+    ExpectAllCompleted(1);
+  }
+
+ private:
+  void Submit(int number) {
+    const HttpAnswer answer =
+        cluster_->Submit(number % kMachines, IdOf(number), ABody(60));
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(answer.body, kOk, answer.status);
+  }
+  void ExpectAllCompleted(int jobs) {
+    for (int i = 0; i < jobs; ++i) {
+      CPPUNIT_ASSERT_MESSAGE(
+          IdOf(i), cluster_->WaitForState(i % kMachines, IdOf(i), "completed",
+                                          kPatience));
+    }
+  }
+  void ExpectNothingWrong(int tasks) {
+    const nlohmann::json judgement = cluster_->Judgement();
+    CPPUNIT_ASSERT_EQUAL(tasks, judgement.value("done", 0));
+    CPPUNIT_ASSERT_EQUAL(0, judgement.value("started_twice", -1));
+    CPPUNIT_ASSERT_EQUAL(0, judgement.value("started_after_end", -1));
+    CPPUNIT_ASSERT_EQUAL(0, judgement.value("over_capacity", -1));
+  }
+  int WaitForLeader() {
+    for (int i = 0; i < kPatience * 100; ++i) {
+      const int leader = cluster_->Leader();
+      if (leader >= 0) return leader;
+      g_usleep(10'000);
+    }
+    CPPUNIT_FAIL("no placer leads");
+    return -1;
+  }
+
+  std::unique_ptr<CellCluster> cluster_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CellProcessTest);
+
+}  // namespace
+}  // namespace quetzal::testing
--- /dev/null
+++ b/tests/support/cell_cluster.cc
@@ -0,0 +1,243 @@
+#include "tests/support/cell_cluster.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <utility>
+
+namespace quetzal::testing {
+namespace {
+
+constexpr int kStartSeconds = 20;
+constexpr int kExitSeconds = 20;
+constexpr gulong kLookEveryUs = 10'000;
+constexpr gint64 kSecondUs = 1'000'000;
+// Ports of a machine: callers, readiness, and a few internal ones.
+constexpr int kPortsOfMachine = 8;
+constexpr int kCallersPort = 0;
+constexpr int kReadinessPort = 1;
+constexpr int kInternalPort = 2;
+constexpr int kPlacerMetricsPort = 4;
+constexpr int kStorePort = 0;
+constexpr int kAdvicePort = 1;
+constexpr int kControlPort = 2;
+
+bool IsFree(int port) {
+  const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(static_cast<uint16_t>(port));
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  const bool free = bind(descriptor, reinterpret_cast<sockaddr*>(&address),
+                         sizeof(address)) == 0;
+  close(descriptor);
+  return free;
+}
+
+// The first of `count` free ports in a row, below those that the kernel gives
+// to outgoing connections.
+int FreePorts(int count) {
+  constexpr int kFirst = 14'000;
+  constexpr int kLast = 19'000;
+  const int span = kLast - kFirst - count;
+  const int start = static_cast<int>(getpid()) * 61 % span;
+  for (int i = 0; i < span; ++i) {
+    const int first = kFirst + (start + i) % span;
+    int free = 0;
+    while (free < count && IsFree(first + free)) ++free;
+    if (free == count) return first;
+  }
+  return kFirst;
+}
+
+std::string BuildFolder() {
+  const char* const folder = std::getenv("QUETZAL_BUILD");
+  return folder == nullptr ? "build" : folder;
+}
+
+}  // namespace
+
+std::string CellCluster::Address(int port) {
+  return "127.0.0.1:" + std::to_string(port);
+}
+
+CellCluster::CellCluster(int machines)
+    : machines_(machines), client_(HttpClient::Create({})) {
+  std::string pattern =
+      (std::filesystem::temp_directory_path() / "quetzal-cell-XXXXXX").string();
+  folder_ = mkdtemp(pattern.data());
+  first_port_ = FreePorts((machines + 1) * kPortsOfMachine);
+  processes_["platform"] = {
+      BuildFolder() + "/standins/users_platform/standin-users-platform",
+      WriteSettings("platform",
+                    {{"store_address", Address(first_port_ + kStorePort)},
+                     {"advice_address", Address(first_port_ + kAdvicePort)},
+                     {"control_address", Address(first_port_ + kControlPort)},
+                     {"workers", 6}})};
+  for (int i = 0; i < machines; ++i) AddMachine(i);
+}
+
+CellCluster::~CellCluster() {
+  for (auto& [name, process] : processes_) {
+    if (process.pid == 0) continue;
+    kill(process.pid, SIGKILL);
+    waitpid(process.pid, nullptr, 0);
+  }
+  std::filesystem::remove_all(folder_);
+}
+
+std::string CellCluster::WriteSettings(const std::string& name,
+                                       const nlohmann::json& settings) {
+  std::string file = folder_ + "/" + name + ".json";
+  std::ofstream(file) << settings.dump(2);
+  return file;
+}
+
+void CellCluster::AddMachine(int index) {
+  const int first = first_port_ + (index + 1) * kPortsOfMachine;
+  const std::string number = std::to_string(index);
+  const std::string file = WriteSettings(
+      "vm-" + number, {{"machine", "vm-" + number},
+                       {"ip", "127.0.0.1"},
+                       {"store_address", Address(first_port_ + kStorePort)},
+                       {"advice_address", Address(first_port_ + kAdvicePort)},
+                       {"callers_address", Address(first + kCallersPort)},
+                       {"readiness_address", Address(first + kReadinessPort)},
+                       {"first_internal_port", first + kInternalPort},
+                       {"processor_milli", 1'000},
+                       {"grace_ms", 6'000},
+                       {"most_lease_ms", 3'000},
+                       {"gang_timeout_ms", 3'000},
+                       {"stop_timeout_ms", 900},
+                       {"keep_finished_ms", 120'000}});
+  processes_["entry-" + number] = {
+      BuildFolder() + "/programs/job_entry/quetzal-job-entry", file};
+  processes_["placer-" + number] = {
+      BuildFolder() + "/programs/cell_placer/quetzal-cell-placer", file};
+}
+
+bool CellCluster::Launch(const std::string& name) {
+  Process& process = processes_.at(name);
+  const std::string log = folder_ + "/" + name + ".log";
+  process.pid = fork();
+  if (process.pid < 0) return false;
+  if (process.pid == 0) {
+    const int out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+    dup2(out, STDOUT_FILENO);
+    dup2(out, STDERR_FILENO);
+    execl(process.program.c_str(), process.program.c_str(), "--settings",
+          process.settings.c_str(), nullptr);
+    _exit(127);
+  }
+  return true;
+}
+
+bool CellCluster::Start() {
+  for (const auto& [name, process] : processes_) {
+    if (!Launch(name)) return false;
+  }
+  for (int i = 0; i < machines_; ++i) {
+    if (!WaitReady(i, kStartSeconds)) return false;
+  }
+  return WaitFor(kStartSeconds, [this] { return Leader() >= 0; });
+}
+
+std::optional<int> CellCluster::Kill(const std::string& name, int signal) {
+  Process& process = processes_.at(name);
+  if (process.pid == 0) return std::nullopt;
+  kill(process.pid, signal);
+  if (signal == SIGSTOP || signal == SIGCONT) return std::nullopt;
+  int status = 0;
+  const bool ended = WaitFor(kExitSeconds, [&] {
+    return waitpid(process.pid, &status, WNOHANG) == process.pid;
+  });
+  if (!ended) return std::nullopt;
+  process.pid = 0;
+  if (!WIFEXITED(status)) return std::nullopt;
+  return WEXITSTATUS(status);
+}
+
+bool CellCluster::WaitFor(int seconds, const std::function<bool()>& condition) {
+  const gint64 until = g_get_monotonic_time() + seconds * kSecondUs;
+  while (g_get_monotonic_time() < until) {
+    if (condition()) return true;
+    g_usleep(kLookEveryUs);
+  }
+  return false;
+}
+
+HttpAnswer CellCluster::Send(const HttpClientCall& call) {
+  std::optional<HttpAnswer> result;
+  client_->Send(call, [&](const HttpAnswer& answer) { result = answer; });
+  while (!result) g_main_context_iteration(nullptr, TRUE);
+  return *result;
+}
+
+HttpAnswer CellCluster::Call(int machine, const std::string& method,
+                             const std::string& path, const std::string& body,
+                             const std::string& key) {
+  const int port = first_port_ + (machine + 1) * kPortsOfMachine + kCallersPort;
+  return Send({.method = method,
+               .url = "http://" + Address(port) + path,
+               .headers = {"Host: desk.example", "X-Key: " + key,
+                           "X-Deadline-Ms: 3000"},
+               .body = body,
+               .timeout = Milliseconds(4'000)});
+}
+
+HttpAnswer CellCluster::Submit(int machine, const std::string& id,
+                               const std::string& body) {
+  return Call(machine, "POST", "/quotes/" + id, body);
+}
+
+std::string CellCluster::StateOf(int machine, const std::string& id) {
+  const HttpAnswer answer = Call(machine, "GET", "/quotes/" + id);
+  const auto json = nlohmann::json::parse(answer.body, nullptr, false);
+  return json.is_object() ? json.value("state", "") : "";
+}
+
+bool CellCluster::WaitForState(int machine, const std::string& id,
+                               const std::string& state, int seconds) {
+  return WaitFor(seconds, [&] { return StateOf(machine, id) == state; });
+}
+
+bool CellCluster::WaitReady(int machine, int seconds) {
+  const int port =
+      first_port_ + (machine + 1) * kPortsOfMachine + kReadinessPort;
+  return WaitFor(seconds, [&] {
+    return Send({.url = "http://" + Address(port) + "/readiness"}).ok();
+  });
+}
+
+nlohmann::json CellCluster::Judgement() {
+  const HttpAnswer answer = Send(
+      {.url = "http://" + Address(first_port_ + kControlPort) + "/judgement"});
+  return nlohmann::json::parse(answer.body, nullptr, false);
+}
+
+void CellCluster::SetStoreDown(bool down) {
+  Send({.method = "POST",
+        .url = "http://" + Address(first_port_ + kControlPort) +
+               (down ? "/down" : "/up")});
+}
+
+int CellCluster::Leader() {
+  for (int i = 0; i < machines_; ++i) {
+    const int port =
+        first_port_ + (i + 1) * kPortsOfMachine + kPlacerMetricsPort;
+    const HttpAnswer answer =
+        Send({.url = "http://" + Address(port) + "/metrics"});
+    if (answer.body.find("quetzal_leads 1") != std::string::npos) return i;
+  }
+  return -1;
+}
+
+}  // namespace quetzal::testing
--- /dev/null
+++ b/tests/support/cell_cluster.h
@@ -0,0 +1,74 @@
+// A cell on one machine: the stand-in for the users' platform, and an entry and
+// a placer for each of some machines, as separate processes.
+//
+//   CellCluster cluster(3);
+//   cluster.Start();
+//   cluster.Submit(0, "00000000000000a1", body);
+//   cluster.Kill("placer-1", SIGKILL);
+#ifndef TESTS_SUPPORT_CELL_CLUSTER_H_
+#define TESTS_SUPPORT_CELL_CLUSTER_H_
+
+#include <glib.h>
+
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "quetzal/http_client/http_client.h"
+
+namespace quetzal::testing {
+
+class CellCluster {
+ public:
+  explicit CellCluster(int machines);
+  ~CellCluster();
+
+  // True once every entry is ready and a placer leads.
+  bool Start();
+  bool Launch(const std::string& name);
+  // Sends a signal and, if it ends the process, waits for that. Returns the
+  // exit code of a process that ended by itself.
+  std::optional<int> Kill(const std::string& name, int signal);
+
+  HttpAnswer Call(int machine, const std::string& method,
+                  const std::string& path, const std::string& body = "",
+                  const std::string& key = "key-1");
+  HttpAnswer Submit(int machine, const std::string& id,
+                    const std::string& body);
+  // Of the state that an entry tells; empty if it tells none.
+  std::string StateOf(int machine, const std::string& id);
+  bool WaitForState(int machine, const std::string& id,
+                    const std::string& state, int seconds);
+  bool WaitReady(int machine, int seconds);
+  nlohmann::json Judgement();
+  void SetStoreDown(bool down);
+  // Machine whose placer leads; -1 if none says so.
+  int Leader();
+
+ private:
+  struct Process {
+    std::string program;
+    std::string settings;
+    GPid pid = 0;
+  };
+
+  HttpAnswer Send(const HttpClientCall& call);
+  bool WaitFor(int seconds, const std::function<bool()>& condition);
+  void AddMachine(int index);
+  std::string WriteSettings(const std::string& name,
+                            const nlohmann::json& settings);
+  static std::string Address(int port);
+
+  int machines_;
+  std::string folder_;
+  int first_port_;
+  std::map<std::string, Process> processes_;
+  std::unique_ptr<HttpClient> client_;
+};
+
+}  // namespace quetzal::testing
+
+#endif  // TESTS_SUPPORT_CELL_CLUSTER_H_
