--- a/programs/cell_placer/term.cc
+++ b/programs/cell_placer/term.cc
@@ -12,7 +12,7 @@
 namespace {
 
 // Of causes that come together, such as the ends of a gang.
-constexpr Milliseconds kDecideWithin{4};
+constexpr Milliseconds kDecideWithin{8};
 constexpr Milliseconds kDecideAtLeastEvery{50};
 // Between two watches: changes within it come in one answer, as each call of
 // the store costs. Jobs wait for it, workers' entries hardly matter sooner.
--- a/programs/cell_settings/cell_settings.cc
+++ b/programs/cell_settings/cell_settings.cc
@@ -1,5 +1,7 @@
 #include "programs/cell_settings/cell_settings.h"
 
+#include <glib.h>
+
 namespace quetzal {
 namespace {
 
@@ -7,12 +9,24 @@
 constexpr int kHelperPort = 1;
 constexpr int kPlacerMetricsPort = 2;
 constexpr int64_t kMostPort = 65'535;
-constexpr int64_t kThousandths = 1'000;
 
 std::string AddressOf(const std::string& ip, int port) {
   return ip + ":" + std::to_string(port);
 }
 
+// A decimal number as text, as the platform writes it.
+double ReadShare(ObjectReader* reader) {
+  const std::string text = reader->Text("processor_share", "1");
+  gchar* end = nullptr;
+  const double share = g_ascii_strtod(text.c_str(), &end);
+  if (text.empty() || *end != '\0' || !(share > 0)) {
+    reader->Report("processor_share", "'" + text + "'",
+                   "cores as a decimal number above 0, in quotes");
+    return 1;
+  }
+  return share;
+}
+
 Milliseconds Duration(ObjectReader* reader, const char* field) {
   return Milliseconds(reader->Integer(field, {.least = 1}));
 }
@@ -43,9 +57,7 @@
   settings.readiness_address = reader.Text("readiness_address", "");
   settings.first_internal_port = static_cast<int>(
       reader.Integer("first_internal_port", {.least = 1, .most = kMostPort}));
-  settings.processor_share =
-      static_cast<double>(reader.Integer("processor_milli", {.least = 1})) /
-      kThousandths;
+  settings.processor_share = ReadShare(&reader);
   settings.grace = Duration(&reader, "grace_ms");
   settings.cell.most_lease = Duration(&reader, "most_lease_ms");
   settings.cell.gang_timeout = Duration(&reader, "gang_timeout_ms");
--- a/quetzal/cell/cell.cc
+++ b/quetzal/cell/cell.cc
@@ -124,7 +124,7 @@
   job->stored_version = std::max(job->stored_version, version);
   job->storing = false;
   if (job->version > job->stored_version) QueueWrite(&parts_->state, job);
-  cell::AcknowledgeStored(&parts_->state, now);
+  parts_->state.stored_since = true;
 }
 
 void Cell::OnNotStored(const JobId& id) {
--- a/quetzal/cell/cell.h
+++ b/quetzal/cell/cell.h
@@ -47,7 +47,7 @@
   // How long a stop may take on a worker.
   Milliseconds stop_timeout{900};
   // A hold waits so long for an end. Shorter ones notice a cut sooner.
-  Milliseconds hold_wait{800};
+  Milliseconds hold_wait{1'000};
   // Finished jobs can be asked for at least so long.
   Milliseconds keep_finished{120'000};
 };
--- a/quetzal/cell/internal/fleet.cc
+++ b/quetzal/cell/internal/fleet.cc
@@ -1,7 +1,6 @@
 #include "quetzal/cell/internal/fleet.h"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 #include "quetzal/cell/internal/work.h"
@@ -121,6 +120,7 @@
           .state = RunState::kRunning,
           .ordered = now,
           .start_clock = worker->clock,
+          .listed_in = worker->lists,
           .checkpoint = row.checkpoint};
   Job* const job = state->FindJob(row.task.job);
   const auto step_index = static_cast<size_t>(row.task.step);
@@ -170,11 +170,9 @@
 // to be there.
 void EndVanished(State* state, Worker* worker, const HoldAnswer& answer,
                  Time now) {
-  std::set<TaskName> listed;
-  for (const RunningTask& row : answer.running) listed.insert(row.task);
   for (const auto& [name, number] : NamesOfRuns(*worker)) {
-    if (listed.contains(name)) continue;
     const Run& run = worker->runs.at(name);
+    if (run.listed_in == worker->lists) continue;
     const bool was_there =
         run.state == RunState::kRunning && run.start_clock < answer.clock;
     const bool was_stopped = run.stop_clock && *run.stop_clock < answer.clock;
@@ -186,6 +184,7 @@
 
 void ApplyRunning(State* state, Worker* worker, const HoldAnswer& answer,
                   Time now) {
+  ++worker->lists;
   for (const RunningTask& row : answer.running) {
     const auto found = worker->runs.find(row.task);
     if (found == worker->runs.end()) {
@@ -193,6 +192,7 @@
       continue;
     }
     Run& run = found->second;
+    run.listed_in = worker->lists;
     if (run.number != row.run) continue;
     if (!row.checkpoint.empty()) run.checkpoint = row.checkpoint;
     if (run.state == RunState::kStarting) {
@@ -202,6 +202,20 @@
   }
 }
 
+void AcknowledgeStored(State* state, Worker* worker, Time now) {
+  if (worker->unseen.empty()) return;
+  while (!worker->unseen.empty()) {
+    const UnseenEnd& end = worker->unseen.front();
+    const Job* const job = state->FindJob(end.job);
+    if (job != nullptr && job->stored_version < end.version) break;
+    if (end.orphan && now - end.since < kOrphanPatience) break;
+    if (end.orphan) --state->orphans;
+    worker->last_seen = std::max(worker->last_seen, end.number);
+    worker->unseen.pop_front();
+  }
+  if (worker->unseen.empty()) worker->next_hold = now;
+}
+
 void SendHold(State* state, Worker* worker, Time now) {
   const bool extends =
       !worker->silent && worker->reached &&
@@ -423,7 +437,7 @@
   ApplyRunning(state, worker, answer, now);
   EndVanished(state, worker, answer, now);
   worker->reached = true;
-  AcknowledgeStored(state, now);
+  AcknowledgeStored(state, worker, now);
   if (!worker->unseen.empty()) worker->next_hold = now + kHoldWhileStoring;
 }
 
@@ -509,17 +523,7 @@
 
 void AcknowledgeStored(State* state, Time now) {
   for (auto& [id, worker] : state->workers) {
-    if (worker.unseen.empty()) continue;
-    while (!worker.unseen.empty()) {
-      const UnseenEnd& end = worker.unseen.front();
-      const Job* const job = state->FindJob(end.job);
-      if (job != nullptr && job->stored_version < end.version) break;
-      if (end.orphan && now - end.since < kOrphanPatience) break;
-      if (end.orphan) --state->orphans;
-      worker.last_seen = std::max(worker.last_seen, end.number);
-      worker.unseen.pop_front();
-    }
-    if (worker.unseen.empty()) worker.next_hold = now;
+    AcknowledgeStored(state, &worker, now);
   }
 }
 
@@ -529,6 +533,7 @@
     state->majority_since = now;
   }
   CheckLapses(state, now);
+  if (std::exchange(state->stored_since, false)) AcknowledgeStored(state, now);
   for (auto each = state->workers.begin(); each != state->workers.end();) {
     Worker& worker = each->second;
     if (!worker.listed && worker.runs.empty() && worker.unseen.empty() &&
--- a/quetzal/cell/internal/placing.cc
+++ b/quetzal/cell/internal/placing.cc
@@ -33,13 +33,9 @@
   double score = 0;  // lower is better
 };
 
-bool HasPermit(const Job& job, const Step& step, const Worker& worker,
-               Time now) {
-  if (!job.terms.advice) return true;
-  const auto found = step.permits.find(worker.entry.id);
-  return found != step.permits.end() && found->second.allowed &&
-         found->second.incarnation == worker.incarnation &&
-         found->second.expires > now + kPermitMargin;
+bool IsValid(const PermitState& permit, const Worker& worker, Time now) {
+  return permit.allowed && permit.incarnation == worker.incarnation &&
+         permit.expires > now + kPermitMargin;
 }
 
 // Packs tight, so that room for large tasks stays whole; tasks that only fill
@@ -61,21 +57,33 @@
   return score;
 }
 
+void Consider(const Job& job, int index, Worker* worker, Time now,
+              std::vector<Candidate>* candidates) {
+  const Step& step = job.steps[static_cast<size_t>(index)];
+  if (!TakesWork(*worker, now) || !MayServe(job, step, *worker)) return;
+  int fits = FitsOn(*worker, step);
+  if (step.spec->most_per_worker > 0) {
+    fits = std::min(fits, step.spec->most_per_worker -
+                              RunsOfStepOn(*worker, job, index));
+  }
+  if (fits > 0) candidates->push_back({worker, fits, ScoreOf(step, *worker)});
+}
+
 std::vector<Candidate> CandidatesFor(State* state, const Job& job, int index,
                                      Time now) {
   const Step& step = job.steps[static_cast<size_t>(index)];
   std::vector<Candidate> candidates;
-  for (auto& [id, worker] : state->workers) {
-    if (!TakesWork(worker, now)) continue;
-    if (!HasPermit(job, step, worker, now)) continue;
-    if (!MayServe(job, step, worker)) continue;
-    int fits = FitsOn(worker, step);
-    if (step.spec->most_per_worker > 0) {
-      fits = std::min(
-          fits, step.spec->most_per_worker - RunsOfStepOn(worker, job, index));
+  if (!job.terms.advice) {
+    for (auto& [id, worker] : state->workers) {
+      Consider(job, index, &worker, now, &candidates);
+    }
+    return candidates;
+  }
+  for (const auto& [id, permit] : step.permits) {
+    Worker* const worker = state->FindWorker(id);
+    if (worker != nullptr && IsValid(permit, *worker, now)) {
+      Consider(job, index, worker, now, &candidates);
     }
-    if (fits <= 0) continue;
-    candidates.push_back({&worker, fits, ScoreOf(step, worker)});
   }
   return candidates;
 }
--- a/quetzal/cell/internal/state.h
+++ b/quetzal/cell/internal/state.h
@@ -43,6 +43,7 @@
   Resources charge;
   Time ordered;
   WorkerClock start_clock{0};  // of the answer to the start
+  uint64_t listed_in = 0;      // newest of its worker's lists that had it
   bool stop_in_flight = false;
   Time stop_again;
   std::optional<WorkerClock> stop_clock;  // of the answer to the stop
@@ -70,6 +71,7 @@
   Incarnation incarnation{0};
   WorkerClock clock{0};  // of its newest answer
   Time clock_at;         // when that answer came
+  uint64_t lists = 0;  // of runs, that it gave
   int64_t last_seen = 0;
   int64_t last_processed = 0;
   std::deque<UnseenEnd> unseen;
@@ -149,6 +151,7 @@
   EventLog* log = nullptr;
   Metrics* metrics = nullptr;
   bool recovered = false;
+  bool stored_since = false;  // some ends may be acknowledged now
   bool workers_listed = false;
   bool accounted = false;  // every worker was reached or its leases lapsed
   Time majority_since;
