--- a/quetzal/cell/cell_test.cc
+++ b/quetzal/cell/cell_test.cc
@@ -18,6 +18,7 @@
   int64_t clock_ms = 100'000;
   int64_t next_end = 1;
   bool silent = false;
+  bool stands_still = false;
   std::map<TaskName, int64_t> running;
   std::vector<EndedTask> ended;
   int64_t last_seen = 0;
@@ -138,7 +139,9 @@
                 .incarnation = worker.entry.incarnation,
                 .ended = worker.ended};
       for (const auto& [task, run] : worker.running) {
-        answer.running.push_back({task, run, ""});
+        const int percent =
+            worker.stands_still ? 7 : static_cast<int>(worker.clock_ms % 97);
+        answer.running.push_back({task, run, "", percent});
       }
     }
     cell_->OnHold(action.worker.id, action.request, now_, answer, now_);
@@ -257,6 +260,7 @@
   CPPUNIT_TEST(OnlyAllowedWorkersAreUsed);
   CPPUNIT_TEST(OneWriteOfAJobAtATime);
   CPPUNIT_TEST(ADrainingWorkerGetsNothingNew);
+  CPPUNIT_TEST(ARunThatStandsStillStartsElsewhere);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -571,6 +575,20 @@
     CPPUNIT_ASSERT(second[0].version > first[0].version);
   }
 
+  void ARunThatStandsStillStartsElsewhere() {
+    Fleet fleet(2);
+    fleet.Recover();
+    fleet.cell()->OnJob(Fleet::AJob("a", {Fleet::AStep(4)}), Revision{1},
+                        std::nullopt, fleet.now());
+    fleet.Run(Milliseconds(100));
+    FakeWorker& stalled = fleet.WorkerOf(Task("a", 0, 0));
+    stalled.stands_still = true;
+    fleet.Run(Milliseconds(4'000));
+    CPPUNIT_ASSERT(stalled.running.empty());
+    CPPUNIT_ASSERT(&fleet.WorkerOf(Task("a", 0, 0)) != &stalled);
+    CPPUNIT_ASSERT(fleet.stops_ >= 1);
+  }
+
   void ADrainingWorkerGetsNothingNew() {
     Fleet fleet(2);
     WorkerEntry draining = fleet.workers_.begin()->second.entry;
--- a/quetzal/cell/internal/fleet.cc
+++ b/quetzal/cell/internal/fleet.cc
@@ -19,11 +19,16 @@
 // A worker whose entry is gone may be back within about two seconds of the
 // store's return; its leases are extended so long, and no longer.
 constexpr Milliseconds kUnlistedGrace{2'500};
+// The slowest sound work, 10 s on a worker at an eighth of its speed, does a
+// percent of it in 0.8 s.
+constexpr Milliseconds kStandstill{1'400};
+constexpr Milliseconds kAvoidAfterStandstill{3'000};
 // A worker that refused an order for no lasting reason.
 constexpr Milliseconds kAvoidAfterRefusal{500};
 // Failures above this rate have a worker passed over for a while.
 constexpr double kSuspectFailureRate = 0.5;
-constexpr double kFailureSmoothing = 0.2;
+// Two failures in a row are rare on a sound worker.
+constexpr double kFailureSmoothing = 0.35;
 constexpr Milliseconds kAvoidAfterFailures{4'000};
 
 void Resign(State* state, const std::string& reason) {
@@ -182,6 +187,46 @@
   }
 }
 
+void OweStop(Run* run, Time now) {
+  run->state = RunState::kStopping;
+  run->stop_again = now;
+}
+
+// Gangs miss a member: the others would only wait for it.
+void BreakGang(State* state, Job* job, int index, Time now) {
+  Step& step = job->steps[static_cast<size_t>(index)];
+  if (!step.spec->gang || step.gang_done || step.gang_broken) return;
+  step.gang_broken = true;
+  StopRuns(state, job, index, now);
+}
+
+// A worker may let everything stand still and still answer. Its runs are
+// stopped, so that they start elsewhere, and it is passed over for a while.
+void WatchProgress(State* state, Worker* worker, const RunningTask& row,
+                   Run* run, Time now) {
+  if (row.percent != run->percent || run->state != RunState::kRunning) {
+    run->percent = row.percent;
+    run->progressed = now;
+    return;
+  }
+  const bool may_stand_still =
+      run->job == nullptr || IsFinal(run->job->state) ||
+      run->job->steps[static_cast<size_t>(row.task.step)].spec->fills;
+  if (may_stand_still || now - run->progressed < kStandstill) return;
+  worker->avoid_until = now + kAvoidAfterStandstill;
+  state->metrics->Count("quetzal_runs_stopped_total", {{"why", "standstill"}});
+  state->log->Line("run_stands_still",
+                   {{"worker", worker->entry.id.text()},
+                    {"job", row.task.job.text()},
+                    {"step", row.task.step},
+                    {"task", row.task.index},
+                    {"run", row.run},
+                    {"percent", row.percent},
+                    {"for_ms", (now - run->progressed).count()}});
+  OweStop(run, now);
+  BreakGang(state, run->job, row.task.step, now);
+}
+
 void ApplyRunning(State* state, Worker* worker, const HoldAnswer& answer,
                   Time now) {
   ++worker->lists;
@@ -194,6 +239,7 @@
     Run& run = found->second;
     run.listed_in = worker->lists;
     if (run.number != row.run) continue;
+    WatchProgress(state, worker, row, &run, now);
     if (!row.checkpoint.empty()) run.checkpoint = row.checkpoint;
     if (run.state == RunState::kStarting) {
       run.state = RunState::kRunning;
@@ -241,19 +287,6 @@
       {.task = run->task, .run = run->number, .fence = state->fence}});
 }
 
-void OweStop(Run* run, Time now) {
-  run->state = RunState::kStopping;
-  run->stop_again = now;
-}
-
-// Gangs miss a member: the others would only wait for it.
-void BreakGang(State* state, Job* job, int index, Time now) {
-  Step& step = job->steps[static_cast<size_t>(index)];
-  if (!step.spec->gang || step.gang_done || step.gang_broken) return;
-  step.gang_broken = true;
-  StopRuns(state, job, index, now);
-}
-
 void ReturnTask(State* state, Worker* worker, const StartOrder& order,
                 Time now) {
   const auto found = worker->runs.find(order.task);
--- a/quetzal/cell/internal/placing.cc
+++ b/quetzal/cell/internal/placing.cc
@@ -63,8 +63,8 @@
   if (!TakesWork(*worker, now) || !MayServe(job, step, *worker)) return;
   int fits = FitsOn(*worker, step);
   if (step.spec->most_per_worker > 0) {
-    fits = std::min(fits, step.spec->most_per_worker -
-                              RunsOfStepOn(*worker, job, index));
+    fits = std::min(
+        fits, step.spec->most_per_worker - RunsOfStepOn(*worker, job, index));
   }
   if (fits > 0) candidates->push_back({worker, fits, ScoreOf(step, *worker)});
 }
--- a/quetzal/cell/internal/state.h
+++ b/quetzal/cell/internal/state.h
@@ -43,6 +43,8 @@
   Resources charge;
   Time ordered;
   WorkerClock start_clock{0};  // of the answer to the start
+  int percent = 0;             // of its work, as last listed
+  Time progressed;             // when that last changed
   uint64_t listed_in = 0;      // newest of its worker's lists that had it
   bool stop_in_flight = false;
   Time stop_again;
--- a/quetzal/leadership/leadership.h
+++ b/quetzal/leadership/leadership.h
@@ -26,8 +26,8 @@
 struct LeadershipSettings {
   std::string self;  // differs for each start of a process
   // Life of the seat's lease: bounds how long a dead placer is missed.
-  Milliseconds seat_life{1'500};
-  Milliseconds renew_every{350};
+  Milliseconds seat_life{1'000};
+  Milliseconds renew_every{200};
   // Added before a try to take the seat; for machines less fit to lead.
   Milliseconds handicap{0};
 };
--- a/quetzal/worker/worker.h
+++ b/quetzal/worker/worker.h
@@ -63,6 +63,7 @@
   TaskName task;
   int64_t run = 0;
   std::string checkpoint;
+  int percent = 0;  // of its work that is done
 };
 
 struct EndedTask {
