--- a/quetzal/cell/cell_test.cc
+++ b/quetzal/cell/cell_test.cc
@@ -18,7 +18,7 @@
   int64_t clock_ms = 100'000;
   int64_t next_end = 1;
   bool silent = false;
-  bool stands_still = false;
+  std::optional<int> fixed_percent;
   std::map<TaskName, int64_t> running;
   std::vector<EndedTask> ended;
   int64_t last_seen = 0;
@@ -139,8 +139,8 @@
                 .incarnation = worker.entry.incarnation,
                 .ended = worker.ended};
       for (const auto& [task, run] : worker.running) {
-        const int percent =
-            worker.stands_still ? 7 : static_cast<int>(worker.clock_ms % 97);
+        const int percent = worker.fixed_percent.value_or(
+            static_cast<int>(worker.clock_ms % 97));
         answer.running.push_back({task, run, "", percent});
       }
     }
@@ -260,6 +260,8 @@
   CPPUNIT_TEST(OnlyAllowedWorkersAreUsed);
   CPPUNIT_TEST(OneWriteOfAJobAtATime);
   CPPUNIT_TEST(ADrainingWorkerGetsNothingNew);
+  CPPUNIT_TEST(ARunThatHasJustBegunDoesNotStandStill);
+  CPPUNIT_TEST(ARunThatTakesLongerThanThoughtGoesOn);
   CPPUNIT_TEST(ARunThatStandsStillStartsElsewhere);
   CPPUNIT_TEST_SUITE_END();
 
@@ -575,6 +577,27 @@
     CPPUNIT_ASSERT(second[0].version > first[0].version);
   }
 
+  void ARunThatHasJustBegunDoesNotStandStill() {
+    Fleet fleet(1);
+    fleet.Recover();
+    // All lists of its first second show no percent done yet.
+    for (auto& [id, worker] : fleet.workers_) worker.fixed_percent = 0;
+    fleet.cell()->OnJob(Fleet::AJob("a", {Fleet::AStep(1)}), Revision{1},
+                        std::nullopt, fleet.now());
+    fleet.Run(Milliseconds(1'000));
+    CPPUNIT_ASSERT_EQUAL(0, fleet.stops_);
+  }
+
+  void ARunThatTakesLongerThanThoughtGoesOn() {
+    Fleet fleet(1);
+    fleet.Recover();
+    for (auto& [id, worker] : fleet.workers_) worker.fixed_percent = 100;
+    fleet.cell()->OnJob(Fleet::AJob("a", {Fleet::AStep(1)}), Revision{1},
+                        std::nullopt, fleet.now());
+    fleet.Run(Milliseconds(5'000));
+    CPPUNIT_ASSERT_EQUAL(0, fleet.stops_);
+  }
+
   void ARunThatStandsStillStartsElsewhere() {
     Fleet fleet(2);
     fleet.Recover();
@@ -582,7 +605,7 @@
                         std::nullopt, fleet.now());
     fleet.Run(Milliseconds(100));
     FakeWorker& stalled = fleet.WorkerOf(Task("a", 0, 0));
-    stalled.stands_still = true;
+    stalled.fixed_percent = 7;
     fleet.Run(Milliseconds(4'000));
     CPPUNIT_ASSERT(stalled.running.empty());
     CPPUNIT_ASSERT(&fleet.WorkerOf(Task("a", 0, 0)) != &stalled);
--- a/quetzal/cell/internal/fleet.cc
+++ b/quetzal/cell/internal/fleet.cc
@@ -22,6 +22,7 @@
 // The slowest sound work, 10 s on a worker at an eighth of its speed, does a
 // percent of it in 0.8 s.
 constexpr Milliseconds kStandstill{1'400};
+constexpr int kAllPercent = 100;
 constexpr Milliseconds kAvoidAfterStandstill{3'000};
 // A worker that refused an order for no lasting reason.
 constexpr Milliseconds kAvoidAfterRefusal{500};
@@ -204,7 +205,9 @@
 // stopped, so that they start elsewhere, and it is passed over for a while.
 void WatchProgress(State* state, Worker* worker, const RunningTask& row,
                    Run* run, Time now) {
-  if (row.percent != run->percent || run->state != RunState::kRunning) {
+  // The percent is a guess: a run that takes longer than thought stays at all.
+  const bool moves = row.percent != run->percent || row.percent >= kAllPercent;
+  if (moves || run->state != RunState::kRunning) {
     run->percent = row.percent;
     run->progressed = now;
     return;
@@ -495,6 +498,7 @@
         found->second.start_clock = answer.clock;
         if (found->second.state == RunState::kStarting) {
           found->second.state = RunState::kRunning;
+          found->second.progressed = now;
         }
       }
       return;
--- a/quetzal/cell/internal/state.cc
+++ b/quetzal/cell/internal/state.cc
@@ -42,6 +42,7 @@
     ++worker->orphans;
     ++state->orphans;
   }
+  run.progressed = run.ordered;
   const TaskName name = run.task;
   worker->runs.emplace(name, std::move(run));
 }
