Takeovers with a slow store take fewer calls in a row

Change: the term is read first and tells the store's delay, the wait is capped, the handicap counts from half a core, the lease is 1.25 s and renewed at once.

--- a/programs/cell_placer/main.cc
+++ b/programs/cell_placer/main.cc
@@ -2,6 +2,7 @@
 // that holds the seat acts, the others wait for it.
 #include <glog/logging.h>
 
+#include <algorithm>
 #include <ctime>
 #include <utility>
 
@@ -22,7 +23,9 @@
 constexpr Milliseconds kConfirmedWithin{2'400};
 // A process that stood still longer must hear from store or workers first.
 constexpr Milliseconds kFreezeTolerance{300};
-// Machines with less processor leave the seat to others at first.
+// Machines with less processor than is ample for a placer leave the seat to
+// others at first.
+constexpr double kAmpleCores = 0.5;
 constexpr double kHandicapMsPerMissingCore = 600;
 constexpr Milliseconds kResignTimeout{800};
 
@@ -67,7 +70,8 @@
          .on_gone = [](HttpCall) {}});
     if (!metrics_server_) return false;
     suspended_ = SuspendedTime();
-    const double missing = 1.0 - settings_.processor_share;
+    const double missing =
+        std::max(0.0, kAmpleCores - settings_.processor_share);
     leadership_ = std::make_unique<Leadership>(
         store_.get(),
         LeadershipSettings{.self = NameOfThisStart(settings_.machine),
--- a/quetzal/cell/internal/state.h
+++ b/quetzal/cell/internal/state.h
@@ -73,7 +73,7 @@
   Incarnation incarnation{0};
   WorkerClock clock{0};  // of its newest answer
   Time clock_at;         // when that answer came
-  uint64_t lists = 0;  // of runs, that it gave
+  uint64_t lists = 0;    // of runs, that it gave
   int64_t last_seen = 0;
   int64_t last_processed = 0;
   std::deque<UnseenEnd> unseen;
--- a/quetzal/leadership/leadership.cc
+++ b/quetzal/leadership/leadership.cc
@@ -1,5 +1,6 @@
 #include "quetzal/leadership/leadership.h"
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -9,6 +10,8 @@
 // A standby's wait before it tries is this many answer times of the store, so
 // that the nearest ones win without a race.
 constexpr int kDelayFactor = 3;
+// A store that is slow for all should not delay every takeover.
+constexpr Milliseconds kMostDelay{180};
 constexpr Milliseconds kCampaignRetry{250};
 constexpr Milliseconds kRestAfterLoss{1'000};
 // The store counts a lease from the renewal's arrival; ours from its sending,
@@ -82,14 +85,27 @@
   if (clock_() < rests_until_) return;
   role_ = Role::kCampaigns;
   const Time asked = clock_();
-  // Only to learn how far the store is.
-  store_->Read(SeatKey(), Guard<ReadAnswer>([this, asked](const ReadAnswer&) {
-                 store_delay_ = clock_() - asked;
-                 Later(store_delay_ * kDelayFactor + settings_.handicap,
-                       [this] { Campaign(); });
+  store_->Read(TermKey(),
+               Guard<ReadAnswer>([this, asked](const ReadAnswer& answer) {
+                 OnTerm(answer, clock_() - asked);
                }));
 }
 
+// The read also tells how far the store is.
+void Leadership::OnTerm(const ReadAnswer& answer, Milliseconds store_delay) {
+  if (answer.outcome == StoreOutcome::kMissing) {
+    campaign_ = {kAbsent, 0};
+  } else if (answer.outcome == StoreOutcome::kDone) {
+    campaign_ = {answer.items[0].revision,
+                 NumberFrom(answer.items[0].value) + 1};
+  } else {
+    GiveUpCampaign("the term can't be read");
+    return;
+  }
+  const Milliseconds wait = std::min(store_delay * kDelayFactor, kMostDelay);
+  Later(wait + settings_.handicap, [this] { Campaign(); });
+}
+
 void Leadership::Campaign() {
   if (role_ != Role::kCampaigns) return;
   if (!vacant_) {
@@ -111,19 +127,7 @@
   }
   lease_ = answer.lease;
   renewed_ = sent;
-  store_->Read(TermKey(), Guard<ReadAnswer>([this](const ReadAnswer& read) {
-                 OnTerm(read);
-               }));
-}
-
-void Leadership::OnTerm(const ReadAnswer& answer) {
-  if (answer.outcome == StoreOutcome::kMissing) {
-    TakeSeat(kAbsent, 0);
-  } else if (answer.outcome == StoreOutcome::kDone) {
-    TakeSeat(answer.items[0].revision, NumberFrom(answer.items[0].value) + 1);
-  } else {
-    GiveUpCampaign("the term can't be read");
-  }
+  TakeSeat(campaign_.term_revision, campaign_.term);
 }
 
 void Leadership::TakeSeat(Revision term_revision, int64_t term) {
@@ -189,7 +193,8 @@
     return;
   }
   handlers_.on_lead(fence, term);
-  Later(settings_.renew_every, [this] { Renew(); });
+  // A slow store may have used up most of the lease.
+  Renew();
 }
 
 void Leadership::Renew() {
--- a/quetzal/leadership/leadership.h
+++ b/quetzal/leadership/leadership.h
@@ -26,8 +26,8 @@
 struct LeadershipSettings {
   std::string self;  // differs for each start of a process
   // Life of the seat's lease: bounds how long a dead placer is missed.
-  Milliseconds seat_life{1'000};
-  Milliseconds renew_every{200};
+  Milliseconds seat_life{1'250};
+  Milliseconds renew_every{250};
   // Added before a try to take the seat; for machines less fit to lead.
   Milliseconds handicap{0};
 };
@@ -65,11 +65,17 @@
  private:
   enum class Role { kStandby, kCampaigns, kLeads, kResigned };
 
+  // The term that a campaign is for, and the revision it must follow.
+  struct CampaignTerm {
+    Revision term_revision{0};
+    int64_t term = 0;
+  };
+
   void FollowSeat();
   void OnVacant();
   void Campaign();
   void OnCampaignLease(const LeaseAnswer& answer, Time sent);
-  void OnTerm(const ReadAnswer& answer);
+  void OnTerm(const ReadAnswer& answer, Milliseconds store_delay);
   void TakeSeat(Revision term_revision, int64_t term);
   void OnTaken(const CommitAnswer& answer, int64_t term);
   void CheckWhetherTaken(int64_t term);
@@ -100,7 +106,7 @@
   Revision term_revision_{0};
   Time rests_until_;
   Time renewed_;  // when the newest renewal that counted was sent
-  Milliseconds store_delay_{0};  // of the newest answer
+  CampaignTerm campaign_;
 };
 
 std::string TermKey();
