--- a/programs/cell_placer/term.cc
+++ b/programs/cell_placer/term.cc
@@ -48,22 +48,10 @@
       cell_(settings, fence, run_floor, Now(), parts_.log, parts_.metrics),
       fence_(fence) {}
 
-Term::~Term() { *alive_ = false; }
-
-template <typename Answer>
-std::function<void(const Answer&)> Term::Guard(
-    std::function<void(const Answer&)> callback) {
-  std::weak_ptr<bool> alive = alive_;
-  return [alive, callback = std::move(callback)](const Answer& answer) {
-    if (const auto held = alive.lock(); held && *held) callback(answer);
-  };
-}
+Term::~Term() = default;
 
 void Term::Later(Milliseconds delay, std::function<void()> step) {
-  std::weak_ptr<bool> alive = alive_;
-  After(delay, [alive, step = std::move(step)] {
-    if (const auto held = alive.lock(); held && *held) step();
-  });
+  After(delay, lifetime_.Guard(std::move(step)));
 }
 
 void Term::Start() {
@@ -239,7 +227,6 @@
     if (!parts_.may_order(cell_)) return;
     cell_.Decide(Now());
     for (const CellAction& action : cell_.TakeActions()) {
-      if (!*alive_) return;
       Act(action);
     }
     FlushWrites();
@@ -272,44 +259,45 @@
   const Time sent = Now();
   const WorkerId id = action.worker.id;
   const HoldRequest request = action.request;
-  parts_.workers->Hold(
-      action.worker, request,
-      Guard<HoldAnswer>([this, id, request, sent](const HoldAnswer& answer) {
-        cell_.OnHold(id, request, sent, answer, Now());
-        Wake();
-      }));
+  parts_.workers->Hold(action.worker, request,
+                       lifetime_.Guard<HoldAnswer>(
+                           [this, id, request, sent](const HoldAnswer& answer) {
+                             cell_.OnHold(id, request, sent, answer, Now());
+                             Wake();
+                           }));
 }
 
 void Term::StartTask(const StartAction& action) {
   const Time sent = Now();
   const WorkerId id = action.worker.id;
   const StartOrder order = action.order;
-  parts_.workers->Start(
-      action.worker, order,
-      Guard<OrderAnswer>([this, id, order, sent](const OrderAnswer& answer) {
-        parts_.metrics->Observe("quetzal_worker_call_ms", {{"call", "start"}},
-                                static_cast<double>((Now() - sent).count()));
-        cell_.OnStart(id, order, answer, Now());
-        Wake();
-      }));
+  parts_.workers->Start(action.worker, order,
+                        lifetime_.Guard<OrderAnswer>(
+                            [this, id, order, sent](const OrderAnswer& answer) {
+                              parts_.metrics->Observe(
+                                  "quetzal_worker_call_ms", {{"call", "start"}},
+                                  static_cast<double>((Now() - sent).count()));
+                              cell_.OnStart(id, order, answer, Now());
+                              Wake();
+                            }));
 }
 
 void Term::StopTask(const StopAction& action) {
   const WorkerId id = action.worker.id;
   const StopOrder order = action.order;
-  parts_.workers->Stop(
-      action.worker, order,
-      Guard<OrderAnswer>([this, id, order](const OrderAnswer& answer) {
-        cell_.OnStop(id, order, answer, Now());
-        Wake();
-      }));
+  parts_.workers->Stop(action.worker, order,
+                       lifetime_.Guard<OrderAnswer>(
+                           [this, id, order](const OrderAnswer& answer) {
+                             cell_.OnStop(id, order, answer, Now());
+                             Wake();
+                           }));
 }
 
 void Term::Ask(const AskAction& action) {
   const AdviserId adviser = action.adviser;
   const AdviceQuestion question = action.question;
   parts_.advice->Ask(adviser, question, action.timeout,
-                     Guard<AdviceAnswer>(
+                     lifetime_.Guard<AdviceAnswer>(
                          [this, adviser, question](const AdviceAnswer& answer) {
                            cell_.OnAdvice(adviser, question, answer, Now());
                            Wake();
@@ -342,7 +330,8 @@
   ++writes_in_flight_;
   const Time sent = Now();
   parts_.store->Apply(
-      commit, Guard<CommitAnswer>([this, writes, sent](const CommitAnswer& a) {
+      commit, lifetime_.Guard<CommitAnswer>([this, writes,
+                                             sent](const CommitAnswer& a) {
         parts_.metrics->Observe("quetzal_store_commit_ms",
                                 {{"what", "progress"}},
                                 static_cast<double>((Now() - sent).count()));
@@ -374,7 +363,7 @@
       } else {
         progress_revisions_[write.job] = answer.revision;
       }
-      cell_.OnStored(write.job, write.version, Now());
+      cell_.OnStored(write.job, write.version);
     }
     Wake();
     return;
@@ -410,18 +399,19 @@
   }
   parts_.store->Read(
       ProgressKey(writes[next].job),
-      Guard<ReadAnswer>([this, writes, next](const ReadAnswer& answer) {
-        const JobId& id = writes[next].job;
-        if (answer.outcome == StoreOutcome::kDone) {
-          progress_revisions_[id] = answer.items[0].revision;
-        } else if (answer.outcome == StoreOutcome::kMissing) {
-          progress_revisions_.erase(id);
-        } else {
-          Later(kRetry, [this, writes, next] { ReadBack(writes, next); });
-          return;
-        }
-        ReadBack(writes, next + 1);
-      }));
+      lifetime_.Guard<ReadAnswer>(
+          [this, writes, next](const ReadAnswer& answer) {
+            const JobId& id = writes[next].job;
+            if (answer.outcome == StoreOutcome::kDone) {
+              progress_revisions_[id] = answer.items[0].revision;
+            } else if (answer.outcome == StoreOutcome::kMissing) {
+              progress_revisions_.erase(id);
+            } else {
+              Later(kRetry, [this, writes, next] { ReadBack(writes, next); });
+              return;
+            }
+            ReadBack(writes, next + 1);
+          }));
 }
 
 void Term::RemoveExpired() {
@@ -435,13 +425,14 @@
       commit.removes.push_back(ProgressKey(id));
       commit.removes.push_back(CancelKey(id));
     }
-    parts_.store->Apply(commit,
-                        Guard<CommitAnswer>([this](const CommitAnswer& answer) {
-                          // The next term finds and removes what is left.
-                          if (answer.outcome != StoreOutcome::kDone) {
-                            parts_.log->Line("removal_failed", {});
-                          }
-                        }));
+    parts_.store->Apply(
+        commit,
+        lifetime_.Guard<CommitAnswer>([this](const CommitAnswer& answer) {
+          // The next term finds and removes what is left.
+          if (answer.outcome != StoreOutcome::kDone) {
+            parts_.log->Line("removal_failed", {});
+          }
+        }));
   }
   Later(expired.empty() ? kRemoveEvery : kRetry, [this] { RemoveExpired(); });
 }
--- a/programs/cell_placer/term.h
+++ b/programs/cell_placer/term.h
@@ -19,6 +19,7 @@
 #include "quetzal/advice_pool/advice_pool.h"
 #include "quetzal/catalog/catalog.h"
 #include "quetzal/cell/cell.h"
+#include "quetzal/lifetime/lifetime.h"
 #include "quetzal/store/store.h"
 
 namespace quetzal {
@@ -50,11 +51,6 @@
   void Wake();
 
  private:
-  struct Stored {
-    std::string value;
-    Revision revision{0};
-  };
-
   void FollowConfiguration();
   void FollowWorkers();
   void FollowCell();
@@ -79,14 +75,11 @@
   void RemoveExpired();
   // Runs `step` later if the term still lives.
   void Later(Milliseconds delay, std::function<void()> step);
-  template <typename Answer>
-  std::function<void(const Answer&)> Guard(
-      std::function<void(const Answer&)> callback);
 
   TermParts parts_;
   Cell cell_;
   Fence fence_;
-  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+  Lifetime lifetime_;
   std::unique_ptr<StoreFollower> configuration_;
   std::unique_ptr<StoreFollower> workers_;
   std::unique_ptr<StoreFollower> jobs_;
--- a/quetzal/advice_pool/advice_helper.cc
+++ b/quetzal/advice_pool/advice_helper.cc
@@ -40,7 +40,7 @@
       after_(std::move(after)),
       log_(log) {}
 
-AdviceHelper::~AdviceHelper() { *alive_ = false; }
+AdviceHelper::~AdviceHelper() = default;
 
 bool AdviceHelper::Start() {
   auto server = HelperServer::Listen(
@@ -67,19 +67,15 @@
   for (const std::string& worker : request.workers()) {
     question.workers.emplace_back(worker);
   }
-  std::weak_ptr<bool> alive = alive_;
   advice_->Ask(question, Milliseconds(request.timeout_ms()),
-               [this, alive, peer, id = request.id()](const AdviceAnswer& a) {
-                 const auto held = alive.lock();
-                 if (held && *held) server_->Send(peer, ReplyFrom(id, a));
-               });
+               lifetime_.Guard<AdviceAnswer>(
+                   [this, peer, id = request.id()](const AdviceAnswer& answer) {
+                     server_->Send(peer, ReplyFrom(id, answer));
+                   }));
 }
 
 void AdviceHelper::Later(Milliseconds delay, std::function<void()> step) {
-  std::weak_ptr<bool> alive = alive_;
-  after_(delay, [alive, step = std::move(step)] {
-    if (const auto held = alive.lock(); held && *held) step();
-  });
+  after_(delay, lifetime_.Guard(std::move(step)));
 }
 
 void AdviceHelper::Announce() {
--- a/quetzal/advice_pool/advice_pool.cc
+++ b/quetzal/advice_pool/advice_pool.cc
@@ -31,7 +31,7 @@
       on_advisers_(std::move(on_advisers)),
       log_(log) {}
 
-AdvicePool::~AdvicePool() { *alive_ = false; }
+AdvicePool::~AdvicePool() = default;
 
 void AdvicePool::Start() {
   if (follower_) return;
@@ -113,14 +113,12 @@
   }
   found->second.open[request.id()] = std::move(done);
   found->second.link->Send(request);
-  std::weak_ptr<bool> alive = alive_;
-  after_(timeout + kReplyExtra, [this, alive, machine, id = request.id()] {
-    const auto held = alive.lock();
-    if (!held || !*held) return;
-    wire::AdviceReply none;
-    none.set_id(id);
-    OnReply(machine, none);
-  });
+  after_(timeout + kReplyExtra,
+         lifetime_.Guard([this, machine, id = request.id()] {
+           wire::AdviceReply none;
+           none.set_id(id);
+           OnReply(machine, none);
+         }));
 }
 
 void AdvicePool::OnReply(const std::string& machine,
--- a/quetzal/advice_pool/advice_pool.h
+++ b/quetzal/advice_pool/advice_pool.h
@@ -21,6 +21,7 @@
 
 #include "quetzal/cell/cell.h"
 #include "quetzal/event_log/event_log.h"
+#include "quetzal/lifetime/lifetime.h"
 #include "quetzal/rpc/rpc.h"
 #include "quetzal/store/store.h"
 #include "quetzal/worker/worker.h"
@@ -50,7 +51,7 @@
   Store* store_;
   StoreFollower::Timer after_;
   EventLog* log_;
-  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+  Lifetime lifetime_;
   std::unique_ptr<HelperServer> server_;
   LeaseId lease_ = kNoLease;
   bool withdrawn_ = false;
@@ -90,7 +91,7 @@
   StoreFollower::Timer after_;
   OnAdvisers on_advisers_;
   EventLog* log_;
-  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+  Lifetime lifetime_;
   std::unique_ptr<StoreFollower> follower_;
   std::map<std::string, Helper> helpers_;
   uint64_t next_id_ = 1;
--- a/quetzal/cell/cell.cc
+++ b/quetzal/cell/cell.cc
@@ -118,7 +118,7 @@
   cell::ApplyAdvice(&parts_->state, adviser, question, answer, now);
 }
 
-void Cell::OnStored(const JobId& id, uint64_t version, Time now) {
+void Cell::OnStored(const JobId& id, uint64_t version) {
   cell::Job* const job = parts_->state.FindJob(id);
   if (job == nullptr) return;
   job->stored_version = std::max(job->stored_version, version);
--- a/quetzal/cell/cell.h
+++ b/quetzal/cell/cell.h
@@ -132,7 +132,7 @@
   // How the write that `TakeWrites` gave out went. Stored: acknowledges the
   // ends behind it. Not stored: the newest progress is given out again. Until
   // one of them, no other write of the job is given out.
-  void OnStored(const JobId& id, uint64_t version, Time now);
+  void OnStored(const JobId& id, uint64_t version);
   void OnNotStored(const JobId& id);
 
   // Starts, stops, holds and asks as far as everything known allows.
--- a/quetzal/cell/cell_test.cc
+++ b/quetzal/cell/cell_test.cc
@@ -110,7 +110,7 @@
   void Store() {
     for (const ProgressWrite& write : cell_->TakeWrites(100)) {
       stored_[write.job] = write;
-      cell_->OnStored(write.job, write.version, now_);
+      cell_->OnStored(write.job, write.version);
     }
   }
 
@@ -153,8 +153,8 @@
     OrderAnswer answer;
     if (start_outcome_ == OrderOutcome::kDone && !worker.silent) {
       worker.running[action.order.task] = action.order.run;
-      Resources used;
-      for (const auto& [task, run] : worker.running) used += size_;
+      const Resources used =
+          size_ * static_cast<int64_t>(worker.running.size());
       if (!used.FitsIn(worker.entry.capacity)) over_capacity_ = true;
     }
     if (!worker.silent) {
--- a/quetzal/leadership/leadership.cc
+++ b/quetzal/leadership/leadership.cc
@@ -38,22 +38,10 @@
       clock_(std::move(clock)),
       log_(log) {}
 
-Leadership::~Leadership() { *alive_ = false; }
-
-template <typename Answer>
-std::function<void(const Answer&)> Leadership::Guard(
-    std::function<void(const Answer&)> callback) {
-  std::weak_ptr<bool> alive = alive_;
-  return [alive, callback = std::move(callback)](const Answer& answer) {
-    if (const auto held = alive.lock(); held && *held) callback(answer);
-  };
-}
+Leadership::~Leadership() = default;
 
 void Leadership::Later(Milliseconds delay, std::function<void()> step) {
-  std::weak_ptr<bool> alive = alive_;
-  after_(delay, [alive, step = std::move(step)] {
-    if (const auto held = alive.lock(); held && *held) step();
-  });
+  after_(delay, lifetime_.Guard(std::move(step)));
 }
 
 void Leadership::Start() { FollowSeat(); }
@@ -85,10 +73,10 @@
   if (clock_() < rests_until_) return;
   role_ = Role::kCampaigns;
   const Time asked = clock_();
-  store_->Read(TermKey(),
-               Guard<ReadAnswer>([this, asked](const ReadAnswer& answer) {
-                 OnTerm(answer, clock_() - asked);
-               }));
+  store_->Read(TermKey(), lifetime_.Guard<ReadAnswer>(
+                              [this, asked](const ReadAnswer& answer) {
+                                OnTerm(answer, clock_() - asked);
+                              }));
 }
 
 // The read also tells how far the store is.
@@ -115,7 +103,7 @@
   const Time sent = clock_();
   store_->GrantLease(
       settings_.seat_life,
-      Guard<LeaseAnswer>([this, sent](const LeaseAnswer& answer) {
+      lifetime_.Guard<LeaseAnswer>([this, sent](const LeaseAnswer& answer) {
         OnCampaignLease(answer, sent);
       }));
 }
@@ -135,7 +123,7 @@
       {.conditions = {{SeatKey(), kAbsent}, {TermKey(), term_revision}},
        .puts = {{SeatKey(), settings_.self, lease_},
                 {TermKey(), std::to_string(term), kNoLease}}},
-      Guard<CommitAnswer>(
+      lifetime_.Guard<CommitAnswer>(
           [this, term](const CommitAnswer& answer) { OnTaken(answer, term); }));
 }
 
@@ -151,18 +139,19 @@
 }
 
 void Leadership::CheckWhetherTaken(int64_t term) {
-  store_->Read(SeatKey(),
-               Guard<ReadAnswer>([this, term](const ReadAnswer& answer) {
-                 const bool is_own = answer.outcome == StoreOutcome::kDone &&
-                                     answer.items[0].value == settings_.self &&
-                                     answer.items[0].lease == lease_;
-                 if (!is_own) {
-                   GiveUpCampaign("the write has no answer");
-                   return;
-                 }
-                 term_revision_ = answer.items[0].revision;
-                 BeginTerm(Fence{static_cast<uint64_t>(term_revision_)}, term);
-               }));
+  store_->Read(
+      SeatKey(),
+      lifetime_.Guard<ReadAnswer>([this, term](const ReadAnswer& answer) {
+        const bool is_own = answer.outcome == StoreOutcome::kDone &&
+                            answer.items[0].value == settings_.self &&
+                            answer.items[0].lease == lease_;
+        if (!is_own) {
+          GiveUpCampaign("the write has no answer");
+          return;
+        }
+        term_revision_ = answer.items[0].revision;
+        BeginTerm(Fence{static_cast<uint64_t>(term_revision_)}, term);
+      }));
 }
 
 void Leadership::GiveUpCampaign(const char* why) {
@@ -200,10 +189,10 @@
 void Leadership::Renew() {
   if (role_ != Role::kLeads) return;
   const Time sent = clock_();
-  store_->KeepLease(lease_,
-                    Guard<LeaseAnswer>([this, sent](const LeaseAnswer& answer) {
-                      OnRenewed(answer, sent);
-                    }));
+  store_->KeepLease(lease_, lifetime_.Guard<LeaseAnswer>(
+                                [this, sent](const LeaseAnswer& answer) {
+                                  OnRenewed(answer, sent);
+                                }));
 }
 
 void Leadership::OnRenewed(const LeaseAnswer& answer, Time sent) {
@@ -223,7 +212,7 @@
   const Time sent = clock_();
   store_->GrantLease(
       settings_.seat_life,
-      Guard<LeaseAnswer>([this, sent](const LeaseAnswer& lease) {
+      lifetime_.Guard<LeaseAnswer>([this, sent](const LeaseAnswer& lease) {
         if (role_ != Role::kLeads) return;
         if (lease.outcome != StoreOutcome::kDone) {
           Later(settings_.renew_every, [this] { Renew(); });
@@ -235,7 +224,8 @@
             {.conditions = {{SeatKey(), kAbsent}, {TermKey(), term_revision_}},
              .puts = {{SeatKey(), settings_.self, lease_},
                       {TermKey(), std::to_string(term_), kNoLease}}},
-            Guard<CommitAnswer>([this, sent](const CommitAnswer& answer) {
+            lifetime_.Guard<CommitAnswer>([this,
+                                           sent](const CommitAnswer& answer) {
               if (role_ != Role::kLeads) return;
               if (answer.outcome != StoreOutcome::kDone) {
                 Lose("the seat lapsed");
@@ -279,7 +269,7 @@
   store_->Apply(
       {.conditions = {{SeatKey(), Revision{static_cast<uint64_t>(fence_)}}},
        .removes = {SeatKey()}},
-      Guard<CommitAnswer>(
+      lifetime_.Guard<CommitAnswer>(
           [done = std::move(done)](const CommitAnswer&) { done(); }));
 }
 
--- a/quetzal/leadership/leadership.h
+++ b/quetzal/leadership/leadership.h
@@ -18,6 +18,7 @@
 
 #include "quetzal/event_log/event_log.h"
 #include "quetzal/ids/ids.h"
+#include "quetzal/lifetime/lifetime.h"
 #include "quetzal/store/store.h"
 #include "quetzal/worker/worker.h"
 
@@ -84,10 +85,6 @@
   void Renew();
   void OnRenewed(const LeaseAnswer& answer, Time sent);
   void TakeSeatAgain();
-  // Wraps a callback so that it does nothing once this object is gone.
-  template <typename Answer>
-  std::function<void(const Answer&)> Guard(
-      std::function<void(const Answer&)> callback);
   void Later(Milliseconds delay, std::function<void()> step);
 
   Store* store_;
@@ -96,7 +93,7 @@
   StoreFollower::Timer after_;
   Clock clock_;
   EventLog* log_;
-  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+  Lifetime lifetime_;
   std::unique_ptr<StoreFollower> seat_;
   Role role_ = Role::kStandby;
   bool vacant_ = false;
--- a/quetzal/store/follower.cc
+++ b/quetzal/store/follower.cc
@@ -11,8 +11,7 @@
       prefix_(std::move(prefix)),
       timing_(timing),
       handlers_(std::move(handlers)),
-      after_(std::move(after)),
-      alive_(std::make_shared<StoreFollower*>(this)) {}
+      after_(std::move(after)) {}
 
 StoreFollower::~StoreFollower() = default;
 
@@ -25,10 +24,9 @@
 }
 
 void StoreFollower::ListFrom(const std::string& after) {
-  std::weak_ptr<StoreFollower*> alive = alive_;
-  store_->Range(prefix_, after, [alive](const ReadAnswer& answer) {
-    if (const auto self = alive.lock()) (*self)->OnPage(answer);
-  });
+  store_->Range(prefix_, after,
+                lifetime_.Guard<ReadAnswer>(
+                    [this](const ReadAnswer& answer) { OnPage(answer); }));
 }
 
 void StoreFollower::OnPage(const ReadAnswer& answer) {
@@ -71,11 +69,9 @@
 }
 
 void StoreFollower::Watch() {
-  std::weak_ptr<StoreFollower*> alive = alive_;
   store_->Watch(prefix_, revision_, timing_.watch_wait,
-                [alive](const WatchAnswer& answer) {
-                  if (const auto self = alive.lock()) (*self)->OnWatch(answer);
-                });
+                lifetime_.Guard<WatchAnswer>(
+                    [this](const WatchAnswer& answer) { OnWatch(answer); }));
 }
 
 void StoreFollower::OnWatch(const WatchAnswer& answer) {
@@ -112,10 +108,7 @@
 }
 
 void StoreFollower::Later(Milliseconds delay, void (StoreFollower::*step)()) {
-  std::weak_ptr<StoreFollower*> alive = alive_;
-  after_(delay, [alive, step] {
-    if (const auto self = alive.lock()) ((**self).*step)();
-  });
+  after_(delay, lifetime_.Guard([this, step] { (this->*step)(); }));
 }
 
 void StoreFollower::SetReached(bool reached) {
--- a/quetzal/store/store.h
+++ b/quetzal/store/store.h
@@ -21,6 +21,7 @@
 
 #include "quetzal/ids/ids.h"
 #include "quetzal/job/job.h"
+#include "quetzal/lifetime/lifetime.h"
 
 namespace quetzal {
 
@@ -186,8 +187,7 @@
   FollowerTiming timing_;
   FollowerHandlers handlers_;
   Timer after_;
-  // Callbacks hold it weakly: they may outlive the follower.
-  std::shared_ptr<StoreFollower*> alive_;
+  Lifetime lifetime_;
   bool listed_ = false;
   bool reached_ = false;
   Revision revision_{0};
--- a/standins/users_platform/store_front.cc
+++ b/standins/users_platform/store_front.cc
@@ -4,6 +4,7 @@
 
 #include <utility>
 
+#include "quetzal/base64/base64.h"
 #include "quetzal/program/program.h"
 
 namespace quetzal::standin {
@@ -19,25 +20,9 @@
 constexpr int kUnavailable = 503;
 constexpr Milliseconds kSweepEvery{50};
 
-std::string Encode(const std::string& bytes) {
-  gchar* const text = g_base64_encode(
-      reinterpret_cast<const guchar*>(bytes.data()), bytes.size());
-  std::string result = text;
-  g_free(text);
-  return result;
-}
-
-std::string Decode(const std::string& text) {
-  gsize size = 0;
-  guchar* const bytes = g_base64_decode(text.c_str(), &size);
-  std::string result(reinterpret_cast<const char*>(bytes), size);
-  g_free(bytes);
-  return result;
-}
-
 Json JsonOf(const StoreItem& item) {
   return {{"key", item.key},
-          {"value", Encode(item.value)},
+          {"value", EncodeBase64(item.value)},
           {"revision", static_cast<uint64_t>(item.revision)},
           {"created", static_cast<uint64_t>(item.created)},
           {"lease", static_cast<uint64_t>(item.lease)}};
@@ -70,7 +55,7 @@
   }
   for (const Json& row : json.value("puts", Json::array())) {
     commit.puts.push_back({row.at("key").get<std::string>(),
-                           Decode(row.at("value").get<std::string>()),
+                           DecodeBase64(row.at("value").get<std::string>()),
                            LeaseId{row.value("lease", uint64_t{0})}});
   }
   commit.removes = json.value("remove", std::vector<std::string>());
