A new placer waits for the configuration before it judges ends

Cause: Term::OnCellListed told the cell that it had recovered without waiting for the configuration, so a takeover whose job listing ended first judged failed runs by default terms (one attempt). Ruled out: keeping the rule in Term, where no test without sockets reaches it. Change: the cell itself waits for both (jobs listed, catalog offered). Before: ANewPlacerJudgesNothingBeforeTheConfigurationCame fails (the job ends failed after one of two attempts).

--- a/programs/cell_placer/term.cc
+++ b/programs/cell_placer/term.cc
@@ -88,8 +88,7 @@
                 if (!catalogs_.Offer(catalog.value())) return;
                 parts_.log->Line("configuration_in_force",
                                  {{"version", catalog.value()->version()}});
-                cell_.OnCatalog(catalog.value());
-                RecoverIfReady();
+                cell_.OnCatalog(catalog.value(), Now());
                 Wake();
               },
           .on_removed = [](const std::string&) {}},
@@ -208,15 +207,7 @@
   listed_jobs_.clear();
   listed_cancels_.clear();
   listed_progress_.clear();
-  cell_.OnRecovered(Now());
-  Wake();
-}
-
-// Jobs can't be judged before their queues' terms are known.
-void Term::RecoverIfReady() {
-  if (!jobs_ || !jobs_->is_listed() || !catalogs_.current()) return;
-  if (std::exchange(recovered_, true)) return;
-  cell_.OnRecovered(Now());
+  cell_.OnJobsListed(Now());
   Wake();
 }
 
--- a/programs/cell_placer/term.h
+++ b/programs/cell_placer/term.h
@@ -57,7 +57,6 @@
   void OnCellItem(const StoreItem& item);
   void OnCellRemoved(const std::string& key);
   void OnCellListed();
-  void RecoverIfReady();
   void LearnJob(const JobId& id, const StoreItem& item);
   void Decide();
   void Act(const CellAction& action);
@@ -89,7 +88,6 @@
   std::unordered_map<JobId, std::string> listed_progress_;
   std::unordered_set<JobId> listed_cancels_;
   std::unordered_map<JobId, Revision> progress_revisions_;
-  bool recovered_ = false;
   bool wake_pending_ = false;
   bool flush_pending_ = false;
   Time next_flush_;
--- a/quetzal/cell/cell.cc
+++ b/quetzal/cell/cell.cc
@@ -17,6 +17,16 @@
   state->dirty.push_back(job->accepted.id);
 }
 
+// Ends that workers tell can't be judged without the terms of their queues.
+void RecoverIfReady(cell::State* state, Time now) {
+  if (state->recovered || !state->jobs_listed || !state->catalog) return;
+  state->recovered = true;
+  state->log->Line("jobs_recovered",
+                   {{"jobs", static_cast<int64_t>(state->jobs.size())},
+                    {"version", state->catalog->version()},
+                    {"after_ms", (now - state->term_began).count()}});
+}
+
 }  // namespace
 
 struct Cell::Parts {
@@ -37,13 +47,14 @@
 
 Cell::~Cell() = default;
 
-void Cell::OnCatalog(std::shared_ptr<const Catalog> catalog) {
+void Cell::OnCatalog(std::shared_ptr<const Catalog> catalog, Time now) {
   cell::State& state = parts_->state;
   state.catalog = std::move(catalog);
   for (auto& [id, job] : state.jobs) {
     const Queue* const queue = state.catalog->FindQueue(job->accepted.queue);
     if (queue != nullptr) cell::SetTerms(job.get(), *queue);
   }
+  RecoverIfReady(&state, now);
 }
 
 void Cell::OnWorkerEntry(const WorkerEntry& entry, Time now) {
@@ -78,12 +89,9 @@
   }
 }
 
-void Cell::OnRecovered(Time now) {
-  cell::State& state = parts_->state;
-  state.recovered = true;
-  state.log->Line("jobs_recovered",
-                  {{"jobs", static_cast<int64_t>(state.jobs.size())},
-                   {"after_ms", (now - state.term_began).count()}});
+void Cell::OnJobsListed(Time now) {
+  parts_->state.jobs_listed = true;
+  RecoverIfReady(&parts_->state, now);
 }
 
 void Cell::OnFenceRaised(Fence fence) { parts_->state.fence = fence; }
--- a/quetzal/cell/cell.h
+++ b/quetzal/cell/cell.h
@@ -2,9 +2,9 @@
 // platform, over all failure domains. No sockets, threads or clocks.
 //
 //   Cell cell(settings, fence, run_floor, now, &log, &metrics);
-//   cell.OnCatalog(catalog);
+//   cell.OnCatalog(catalog, now);
 //   cell.OnJob(job, created, progress, now);
-//   cell.OnRecovered(now);
+//   cell.OnJobsListed(now);
 //   cell.Decide(now);
 //   for (const CellAction& action : cell.TakeActions()) std::visit(...,
 //   action); for (const ProgressWrite& write : cell.TakeWrites(n)) ...
@@ -99,7 +99,7 @@
   Cell(const Cell&) = delete;
   Cell& operator=(const Cell&) = delete;
 
-  void OnCatalog(std::shared_ptr<const Catalog> catalog);
+  void OnCatalog(std::shared_ptr<const Catalog> catalog, Time now);
   void OnWorkerEntry(const WorkerEntry& entry, Time now);
   void OnWorkerEntryRemoved(const WorkerId& id, Time now);
   // All entries that the platform's list held when the term began were told.
@@ -112,8 +112,9 @@
   // A job that the store holds as ended; remembered until it expires.
   void OnEndedJob(const JobId& id, Time now);
   void OnCancel(const JobId& id, Time now);
-  // All jobs that the store held when the term began were told.
-  void OnRecovered(Time now);
+  // All jobs that the store held when the term began were told. Workers are
+  // asked, and jobs judged, once their queues' terms are known too.
+  void OnJobsListed(Time now);
   // The seat was taken again under a higher fence, with no other placer's term
   // in between.
   void OnFenceRaised(Fence fence);
--- a/quetzal/cell/cell_test.cc
+++ b/quetzal/cell/cell_test.cc
@@ -47,19 +47,23 @@
   }
 
   // A placer takes over: all it knows comes from workers and from `stored`.
-  void NewTerm(Fence fence, int64_t run_floor) {
+  enum class Configuration { kKnown, kOnTheWay };
+
+  void NewTerm(Fence fence, int64_t run_floor,
+               Configuration configuration = Configuration::kKnown) {
     cell_ = std::make_unique<Cell>(CellSettings{}, fence, run_floor, now_,
                                    &log_, &metrics_);
     actions_.clear();
-    cell_->OnCatalog(MakeCatalog());
+    if (configuration == Configuration::kKnown) Configure();
     for (const auto& [id, worker] : workers_) {
       cell_->OnWorkerEntry(worker.entry, now_);
     }
     cell_->OnWorkersListed();
     cell_->OnAdvisers({AdviserId("vm-1")});
   }
+  void Configure() { cell_->OnCatalog(MakeCatalog(), now_); }
   void Recover() {
-    cell_->OnRecovered(now_);
+    cell_->OnJobsListed(now_);
     Run(Milliseconds(20));
   }
 
@@ -77,7 +81,7 @@
   }
   void SetLimit(Resources limit) {
     limit_ = limit;
-    cell_->OnCatalog(MakeCatalog());
+    Configure();
   }
 
   static AcceptedJob AJob(const std::string& id, std::vector<StepSpec> steps) {
@@ -252,6 +256,7 @@
   CPPUNIT_TEST(AcknowledgesEndsOnlyOnceStored);
   CPPUNIT_TEST(ANewPlacerAdoptsWhatRuns);
   CPPUNIT_TEST(ANewPlacerWaitsForAWorkerThatItCannotReach);
+  CPPUNIT_TEST(ANewPlacerJudgesNothingBeforeTheConfigurationCame);
   CPPUNIT_TEST(ARunOfAJobNotKnownYetIsNeitherStoppedNorDoubled);
   CPPUNIT_TEST(AnEndOfAJobNotKnownYetIsNotLost);
   CPPUNIT_TEST(FailuresToldInAnyOrderCountOnceEach);
@@ -454,6 +459,25 @@
     CPPUNIT_ASSERT_EQUAL(size_t{3}, fleet.starts_.size());
   }
 
+  // Two attempts are allowed; without the configuration it would be one.
+  void ANewPlacerJudgesNothingBeforeTheConfigurationCame() {
+    Fleet fleet(1);
+    fleet.Recover();
+    const AcceptedJob job = Fleet::AJob("a", {Fleet::AStep(1)});
+    fleet.cell()->OnJob(job, Revision{1}, std::nullopt, fleet.now());
+    fleet.Run(Milliseconds(100));
+    fleet.NewTerm(Fence{9}, 32, Fleet::Configuration::kOnTheWay);
+    fleet.cell()->OnJob(job, Revision{1}, std::nullopt, fleet.now());
+    fleet.WorkerOf(Task("a", 0, 0)).End(Task("a", 0, 0), EndKind::kFailed);
+    fleet.Recover();
+    fleet.Run(Milliseconds(3'000));
+    CPPUNIT_ASSERT(fleet.StoredState("a") != JobState::kFailed);
+    fleet.Configure();
+    fleet.Run(Milliseconds(10'000));
+    CPPUNIT_ASSERT(fleet.StoredState("a") == JobState::kRunning);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, fleet.running());
+  }
+
   void ARunOfAJobNotKnownYetIsNeitherStoppedNorDoubled() {
     Fleet fleet(1);
     fleet.Recover();
--- a/quetzal/cell/internal/state.h
+++ b/quetzal/cell/internal/state.h
@@ -152,7 +152,8 @@
   Time term_began;
   EventLog* log = nullptr;
   Metrics* metrics = nullptr;
-  bool recovered = false;
+  bool jobs_listed = false;
+  bool recovered = false;  // jobs and their queues' terms are known
   bool stored_since = false;  // some ends may be acknowledged now
   bool workers_listed = false;
   bool accounted = false;  // every worker was reached or its leases lapsed
