Seat renewals don't wait for the answer to the one before

Change: a renewal is sent every 250 ms whatever became of the one before. Before: ASeatOutlivesRenewalsWithoutAnswers fails.

--- a/quetzal/leadership/leadership.cc
+++ b/quetzal/leadership/leadership.cc
@@ -183,39 +183,41 @@
   }
   handlers_.on_lead(fence, term);
   // A slow store may have used up most of the lease.
-  Renew();
+  Renew(++renewal_round_);
 }
 
-void Leadership::Renew() {
-  if (role_ != Role::kLeads) return;
+// Doesn't wait for the answer to the one before: where answers are lost, that
+// would take longer than the lease.
+void Leadership::Renew(uint64_t round) {
+  if (role_ != Role::kLeads || round != renewal_round_) return;
   const Time sent = clock_();
-  store_->KeepLease(lease_, lifetime_.Guard<LeaseAnswer>(
-                                [this, sent](const LeaseAnswer& answer) {
-                                  OnRenewed(answer, sent);
-                                }));
+  const LeaseId lease = lease_;
+  store_->KeepLease(lease, lifetime_.Guard<LeaseAnswer>(
+                               [this, lease, sent](const LeaseAnswer& answer) {
+                                 if (lease == lease_) OnRenewed(answer, sent);
+                               }));
+  Later(settings_.renew_every, [this, round] { Renew(round); });
 }
 
 void Leadership::OnRenewed(const LeaseAnswer& answer, Time sent) {
   if (role_ != Role::kLeads) return;
   if (answer.outcome == StoreOutcome::kMissing) {
     TakeSeatAgain();
-    return;
-  }
-  if (answer.outcome == StoreOutcome::kDone) {
-    renewed_ = sent;
+  } else if (answer.outcome == StoreOutcome::kDone) {
+    renewed_ = std::max(renewed_, sent);
   }
-  Later(settings_.renew_every, [this] { Renew(); });
 }
 
 void Leadership::TakeSeatAgain() {
+  if (std::exchange(takes_again_, true)) return;
   log_->Line("seat_lapsed", {{"term", term_}});
   const Time sent = clock_();
   store_->GrantLease(
       settings_.seat_life,
       lifetime_.Guard<LeaseAnswer>([this, sent](const LeaseAnswer& lease) {
-        if (role_ != Role::kLeads) return;
-        if (lease.outcome != StoreOutcome::kDone) {
-          Later(settings_.renew_every, [this] { Renew(); });
+        if (role_ != Role::kLeads || lease.outcome != StoreOutcome::kDone) {
+          // The next renewal finds the lease missing again.
+          takes_again_ = false;
           return;
         }
         lease_ = lease.lease;
@@ -226,6 +228,7 @@
                       {TermKey(), std::to_string(term_), kNoLease}}},
             lifetime_.Guard<CommitAnswer>([this,
                                            sent](const CommitAnswer& answer) {
+              takes_again_ = false;
               if (role_ != Role::kLeads) return;
               if (answer.outcome != StoreOutcome::kDone) {
                 Lose("the seat lapsed");
@@ -234,7 +237,6 @@
               renewed_ = sent;
               term_revision_ = answer.revision;
               BeginTerm(Fence{static_cast<uint64_t>(answer.revision)}, term_);
-              Later(settings_.renew_every, [this] { Renew(); });
             }));
       }));
 }
--- a/quetzal/leadership/leadership.h
+++ b/quetzal/leadership/leadership.h
@@ -82,7 +82,7 @@
   void CheckWhetherTaken(int64_t term);
   void BeginTerm(Fence fence, int64_t term);
   void GiveUpCampaign(const char* why);
-  void Renew();
+  void Renew(uint64_t round);
   void OnRenewed(const LeaseAnswer& answer, Time sent);
   void TakeSeatAgain();
   void Later(Milliseconds delay, std::function<void()> step);
@@ -101,6 +101,8 @@
   Fence fence_{0};
   int64_t term_ = 0;
   Revision term_revision_{0};
+  uint64_t renewal_round_ = 0;  // renewals of former terms end themselves
+  bool takes_again_ = false;
   Time rests_until_;
   Time renewed_;  // when the newest renewal that counted was sent
   CampaignTerm campaign_;
--- a/quetzal/leadership/leadership_test.cc
+++ b/quetzal/leadership/leadership_test.cc
@@ -42,6 +42,7 @@
   CPPUNIT_TEST(ASeatThatLapsedInAnOutageIsHeldAnew);
   CPPUNIT_TEST(ALeaderThatAnotherReplacedIsNotSure);
   CPPUNIT_TEST(ALeaderWithoutTheStoreIsSureOnlyForItsLease);
+  CPPUNIT_TEST(ASeatOutlivesRenewalsWithoutAnswers);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -138,6 +139,20 @@
     CPPUNIT_ASSERT(!a.leadership.IsSure(clock_.now()));
   }
 
+  // The store loses answers; each takes its caller longer to miss than the
+  // seat's lease lasts.
+  void ASeatOutlivesRenewalsWithoutAnswers() {
+    Candidate a("a", &clock_, &store_, &log_);
+    a.leadership.Start();
+    clock_.Pass(Milliseconds(1'000));
+    for (int i = 0; i < 10; ++i) {
+      store_.LoseRenewals(3);
+      clock_.Pass(Milliseconds(1'010));
+      CPPUNIT_ASSERT(a.leadership.IsSure(clock_.now()));
+    }
+    CPPUNIT_ASSERT_EQUAL(0, a.lost);
+  }
+
  private:
   testing::VirtualClock clock_;
   testing::MemoryStore store_{clock_.Soon()};
--- a/quetzal/store/testing/memory_store.cc
+++ b/quetzal/store/testing/memory_store.cc
@@ -101,6 +101,7 @@
 void MemoryStore::Apply(const Commit& commit,
                         std::function<void(const CommitAnswer&)> done) {
   CommitAnswer answer{.outcome = StoreOutcome::kRefused};
+  bool is_answered = true;
   if (!down_) {
     if (failures_.empty()) {
       answer = Carry(commit);
@@ -109,9 +110,10 @@
       failures_.pop_front();
       if (failure.but_do_it) Carry(commit);
       answer.outcome = failure.outcome;
+      is_answered = !failure.without_answer;
     }
   }
-  defer_([answer, done = std::move(done)] { done(answer); });
+  if (is_answered) defer_([answer, done = std::move(done)] { done(answer); });
   AnswerWatchers();
 }
 
@@ -127,6 +129,10 @@
 
 void MemoryStore::KeepLease(LeaseId lease,
                             std::function<void(const LeaseAnswer&)> done) {
+  if (lost_renewals_ > 0) {
+    --lost_renewals_;
+    return;
+  }
   LeaseAnswer answer{.outcome = StoreOutcome::kRefused};
   if (!down_) {
     const auto found = leases_.find(static_cast<uint64_t>(lease));
--- a/quetzal/store/testing/memory_store.h
+++ b/quetzal/store/testing/memory_store.h
@@ -40,6 +40,12 @@
   void FailNextCommit(StoreOutcome outcome, bool but_do_it) {
     failures_.push_back({outcome, but_do_it});
   }
+  // The next commit gets no answer at all; it is carried out if asked for.
+  void LoseNextCommit(bool but_do_it) {
+    failures_.push_back({StoreOutcome::kUnknown, but_do_it, true});
+  }
+  // So many renewals of leases have no effect and no answer.
+  void LoseRenewals(int count) { lost_renewals_ = count; }
   // All calls are refused while it is set.
   void SetDown(bool down) { down_ = down; }
   // Forgets the history: watches must list anew.
@@ -54,6 +60,7 @@
   struct Failure {
     StoreOutcome outcome;
     bool but_do_it;
+    bool without_answer = false;
   };
   struct Watcher {
     std::string prefix;
@@ -68,6 +75,7 @@
 
   Defer defer_;
   bool down_ = false;
+  int lost_renewals_ = 0;
   uint64_t revision_ = 1;
   uint64_t compacted_ = 0;
   uint64_t next_lease_ = 1;
