New placers account for workers that the list forgot; lost answers are missed soon

Workers whose heartbeats to the store were late by seconds left the platform's list; a placer that took over then never asked them, took all workers for accounted and started their tasks again. Ruled out: progress lost in the store (conditions on seat and revision hold for late writes), stale listings, ends acknowledged too soon, run numbers. Change: work goes only to workers that a stored roster names; a new placer reads it and asks those too, or waits until they are gone for good. Besides, commits without an answer are tried again after three times the slowest recent answer (250 ms to 1.6 s) instead of 1.6 s; the conflict that a second try meets tells what a read back told before. Settings in seconds may be fractions; two settings that nothing read are gone.

--- a/programs/cell_placer/term.cc
+++ b/programs/cell_placer/term.cc
@@ -59,6 +59,7 @@
   FollowConfiguration();
   FollowWorkers();
   FollowCell();
+  ReadRoster();
   Later(kDecideAtLeastEvery, [this] { Decide(); });
   Later(kRemoveEvery, [this] { RemoveExpired(); });
 }
@@ -119,7 +120,7 @@
                 cell_.OnWorkerEntryRemoved(WorkerId(key.substr(prefix.size())),
                                            Now());
               },
-          .on_listed = [this] { cell_.OnWorkersListed(); }},
+          .on_listed = [this] { cell_.OnWorkersListed(Now()); }},
       &After);
   workers_->Start();
 }
@@ -135,6 +136,57 @@
   jobs_->Start();
 }
 
+void Term::ReadRoster() {
+  parts_.store->Read(RosterKey(),
+                     lifetime_.Guard<ReadAnswer>([this](const ReadAnswer& a) {
+                       if (a.outcome != StoreOutcome::kDone &&
+                           a.outcome != StoreOutcome::kMissing) {
+                         Later(kRetry, [this] { ReadRoster(); });
+                         return;
+                       }
+                       RosterEntries entries;
+                       if (!a.items.empty()) {
+                         roster_revision_ = a.items[0].revision;
+                         auto decoded = DecodeRoster(a.items[0].value);
+                         // Written by another version: leases that it covers
+                         // can't be known.
+                         if (!decoded)
+                           parts_.log->Line("roster_unreadable", {});
+                         entries = std::move(decoded).value_or(RosterEntries{});
+                       }
+                       cell_.OnRoster(entries, Now());
+                       Wake();
+                     }));
+}
+
+void Term::FlushRoster() {
+  const std::optional<std::string> text = cell_.TakeRosterWrite(Now());
+  if (!text) return;
+  const Commit commit{
+      .conditions = {{SeatKey(), Revision{static_cast<uint64_t>(fence_)}},
+                     {RosterKey(), roster_revision_}},
+      .puts = {{.key = RosterKey(), .value = *text}}};
+  parts_.store->Apply(
+      commit, lifetime_.Guard<CommitAnswer>([this](const CommitAnswer& answer) {
+        OnRosterWritten(answer);
+      }));
+}
+
+// After a lost answer the next try conflicts, which tells the revision.
+void Term::OnRosterWritten(const CommitAnswer& answer) {
+  const bool stored = answer.outcome == StoreOutcome::kDone;
+  if (stored) roster_revision_ = answer.revision;
+  for (const StoreItem& item : answer.current) {
+    if (item.key == RosterKey()) roster_revision_ = item.revision;
+  }
+  if (!stored) {
+    parts_.metrics->Count("quetzal_roster_retries_total");
+    parts_.log->Line("roster_not_stored", {});
+  }
+  cell_.OnRosterWritten(stored);
+  Wake();
+}
+
 void Term::OnCellItem(const StoreItem& item) {
   const CellKey key = ParseCellKey(item.key);
   const JobId id(key.name);
@@ -220,6 +272,7 @@
     for (const CellAction& action : cell_.TakeActions()) {
       Act(action);
     }
+    FlushRoster();
     FlushWrites();
   });
 }
@@ -320,14 +373,21 @@
   for (const ProgressWrite& write : writes) AddToCommit(write, &commit);
   ++writes_in_flight_;
   const Time sent = Now();
+  auto settled = std::make_shared<bool>(false);
   parts_.store->Apply(
-      commit, lifetime_.Guard<CommitAnswer>([this, writes,
-                                             sent](const CommitAnswer& a) {
-        parts_.metrics->Observe("quetzal_store_commit_ms",
-                                {{"what", "progress"}},
-                                static_cast<double>((Now() - sent).count()));
-        OnWritten(writes, a);
-      }));
+      commit, lifetime_.Guard<CommitAnswer>(
+                  [this, writes, sent, settled](const CommitAnswer& a) {
+                    const Milliseconds took = Now() - sent;
+                    parts_.metrics->Observe("quetzal_store_commit_ms",
+                                            {{"what", "progress"}},
+                                            static_cast<double>(took.count()));
+                    if (a.outcome != StoreOutcome::kUnknown)
+                      patience_.Observe(took);
+                    if (!std::exchange(*settled, true)) OnWritten(writes, a);
+                  }));
+  Later(patience_.current(), [this, writes, settled] {
+    if (!std::exchange(*settled, true)) OnWritten(writes, CommitAnswer{});
+  });
 }
 
 void Term::AddToCommit(const ProgressWrite& write, Commit* commit) const {
@@ -361,19 +421,30 @@
   }
   parts_.metrics->Count("quetzal_progress_retries_total");
   if (answer.outcome == StoreOutcome::kConflict) {
-    for (const StoreItem& item : answer.current) {
-      if (item.key == SeatKey()) continue;
-      const JobId id(ParseCellKey(item.key).name);
-      progress_revisions_[id] = item.revision;
-    }
-  }
-  if (answer.outcome == StoreOutcome::kUnknown) {
-    ++writes_in_flight_;
-    ReadBack(writes, 0);
-    return;
+    LearnRevisions(writes, answer.current);
   }
+  // A second try is harmless: its condition fails if the first was carried out,
+  // and the conflict tells the revision to go on from.
+  const bool may_be_done = answer.outcome == StoreOutcome::kUnknown;
   ++writes_in_flight_;
-  Later(kRetry, [this, writes] { EndFailedWrite(writes); });
+  Later(may_be_done ? Milliseconds(0) : kRetry,
+        [this, writes] { EndFailedWrite(writes); });
+}
+
+// A key that the store doesn't tell of is absent.
+void Term::LearnRevisions(const std::vector<ProgressWrite>& writes,
+                          const std::vector<StoreItem>& current) {
+  for (const ProgressWrite& write : writes) {
+    const std::string key = ProgressKey(write.job);
+    const auto found =
+        std::find_if(current.begin(), current.end(),
+                     [&](const StoreItem& item) { return item.key == key; });
+    if (found == current.end() || found->revision == kAbsent) {
+      progress_revisions_.erase(write.job);
+    } else {
+      progress_revisions_[write.job] = found->revision;
+    }
+  }
 }
 
 void Term::EndFailedWrite(const std::vector<ProgressWrite>& writes) {
@@ -382,29 +453,6 @@
   FlushWrites();
 }
 
-// Learns the revisions that a write without an answer may have changed.
-void Term::ReadBack(const std::vector<ProgressWrite>& writes, size_t next) {
-  if (next == writes.size()) {
-    EndFailedWrite(writes);
-    return;
-  }
-  parts_.store->Read(
-      ProgressKey(writes[next].job),
-      lifetime_.Guard<ReadAnswer>(
-          [this, writes, next](const ReadAnswer& answer) {
-            const JobId& id = writes[next].job;
-            if (answer.outcome == StoreOutcome::kDone) {
-              progress_revisions_[id] = answer.items[0].revision;
-            } else if (answer.outcome == StoreOutcome::kMissing) {
-              progress_revisions_.erase(id);
-            } else {
-              Later(kRetry, [this, writes, next] { ReadBack(writes, next); });
-              return;
-            }
-            ReadBack(writes, next + 1);
-          }));
-}
-
 void Term::RemoveExpired() {
   const std::vector<JobId> expired = cell_.TakeExpired(kExpiredInCommit, Now());
   if (!expired.empty()) {
--- a/programs/cell_placer/term.h
+++ b/programs/cell_placer/term.h
@@ -20,6 +20,7 @@
 #include "quetzal/catalog/catalog.h"
 #include "quetzal/cell/cell.h"
 #include "quetzal/lifetime/lifetime.h"
+#include "quetzal/retry/retry.h"
 #include "quetzal/store/store.h"
 
 namespace quetzal {
@@ -54,6 +55,9 @@
   void FollowConfiguration();
   void FollowWorkers();
   void FollowCell();
+  void ReadRoster();
+  void FlushRoster();
+  void OnRosterWritten(const CommitAnswer& answer);
   void OnCellItem(const StoreItem& item);
   void OnCellRemoved(const std::string& key);
   void OnCellListed();
@@ -70,7 +74,8 @@
   void OnWritten(const std::vector<ProgressWrite>& writes,
                  const CommitAnswer& answer);
   void EndFailedWrite(const std::vector<ProgressWrite>& writes);
-  void ReadBack(const std::vector<ProgressWrite>& writes, size_t next);
+  void LearnRevisions(const std::vector<ProgressWrite>& writes,
+                      const std::vector<StoreItem>& current);
   void RemoveExpired();
   // Runs `step` later if the term still lives.
   void Later(Milliseconds delay, std::function<void()> step);
@@ -88,10 +93,12 @@
   std::unordered_map<JobId, std::string> listed_progress_;
   std::unordered_set<JobId> listed_cancels_;
   std::unordered_map<JobId, Revision> progress_revisions_;
+  Revision roster_revision_ = kAbsent;
   bool wake_pending_ = false;
   bool flush_pending_ = false;
   Time next_flush_;
   int writes_in_flight_ = 0;
+  Patience patience_;  // for the store's answers to writes
 };
 
 }  // namespace quetzal
--- a/programs/cell_settings/cell_settings.cc
+++ b/programs/cell_settings/cell_settings.cc
@@ -14,17 +14,25 @@
   return ip + ":" + std::to_string(port);
 }
 
-// A decimal number as text, as the platform writes it.
-double ReadShare(ObjectReader* reader) {
-  const std::string text = reader->Text("processor_share", "1");
+// A decimal number as text, as the platform writes it; `unit` is for people.
+double Decimal(ObjectReader* reader, const char* field, const char* unit,
+               const std::optional<std::string>& fallback = std::nullopt) {
+  const std::string text = reader->Text(field, fallback);
   gchar* end = nullptr;
-  const double share = g_ascii_strtod(text.c_str(), &end);
-  if (text.empty() || *end != '\0' || !(share > 0)) {
-    reader->Report("processor_share", "'" + text + "'",
-                   "cores as a decimal number above 0, in quotes");
+  const double number = g_ascii_strtod(text.c_str(), &end);
+  if (text.empty() || *end != '\0' || !(number > 0)) {
+    reader->Report(
+        field, "'" + text + "'",
+        std::string(unit) + " as a decimal number above 0, in quotes");
     return 1;
   }
-  return share;
+  return number;
+}
+
+Milliseconds Seconds(ObjectReader* reader, const char* field) {
+  constexpr double kMillisecondsInSecond = 1'000;
+  return Milliseconds(static_cast<int64_t>(Decimal(reader, field, "seconds") *
+                                           kMillisecondsInSecond));
 }
 
 Milliseconds Duration(ObjectReader* reader, const char* field) {
@@ -57,12 +65,11 @@
   settings.readiness_address = reader.Text("readiness_address", "");
   settings.first_internal_port = static_cast<int>(
       reader.Integer("first_internal_port", {.least = 1, .most = kMostPort}));
-  settings.processor_share = ReadShare(&reader);
-  settings.grace = Duration(&reader, "grace_ms");
+  settings.processor_share = Decimal(&reader, "processor_share", "cores", "1");
+  settings.grace = Seconds(&reader, "grace_s");
   settings.cell.most_lease = Duration(&reader, "most_lease_ms");
-  settings.cell.gang_timeout = Duration(&reader, "gang_timeout_ms");
-  settings.cell.stop_timeout = Duration(&reader, "stop_timeout_ms");
-  settings.cell.keep_finished = Duration(&reader, "keep_finished_ms");
+  settings.cell.worker_beat = Duration(&reader, "worker_beat_ms");
+  settings.cell.keep_finished = Seconds(&reader, "keep_finished_s");
   settings.log_lines_per_second =
       reader.Integer("log_lines_per_second", {.least = 1, .fallback = 100});
   reader.Finish();
--- a/quetzal/cell/cell.cc
+++ b/quetzal/cell/cell.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "quetzal/cell/internal/accounting.h"
 #include "quetzal/cell/internal/asking.h"
 #include "quetzal/cell/internal/fleet.h"
 #include "quetzal/cell/internal/placing.h"
@@ -19,7 +20,10 @@
 
 // Ends that workers tell can't be judged without the terms of their queues.
 void RecoverIfReady(cell::State* state, Time now) {
-  if (state->recovered || !state->jobs_listed || !state->catalog) return;
+  if (state->recovered || !state->jobs_listed || !state->catalog ||
+      !state->roster.is_loaded()) {
+    return;
+  }
   state->recovered = true;
   state->log->Line("jobs_recovered",
                    {{"jobs", static_cast<int64_t>(state->jobs.size())},
@@ -65,7 +69,23 @@
   cell::ForgetEntry(&parts_->state, id, now);
 }
 
-void Cell::OnWorkersListed() { parts_->state.workers_listed = true; }
+void Cell::OnWorkersListed(Time now) {
+  parts_->state.workers_listed = true;
+  parts_->state.workers_listed_at = now;
+}
+
+void Cell::OnRoster(const RosterEntries& entries, Time now) {
+  cell::LearnRoster(&parts_->state, entries, now);
+  RecoverIfReady(&parts_->state, now);
+}
+
+std::optional<std::string> Cell::TakeRosterWrite(Time now) {
+  return cell::TakeRosterWrite(&parts_->state, now);
+}
+
+void Cell::OnRosterWritten(bool stored) {
+  cell::ApplyRosterWritten(&parts_->state, stored);
+}
 
 void Cell::OnJob(const AcceptedJob& job, Revision created,
                  const std::optional<JobProgress>& progress, Time now) {
--- a/quetzal/cell/cell.h
+++ b/quetzal/cell/cell.h
@@ -15,6 +15,8 @@
 //  - A run ends by its worker's word, by the end of its worker's incarnation,
 //    or when its lease has surely lapsed. Until then it is charged to worker
 //    and team, and its task isn't started elsewhere.
+//  - Work is given only to workers that the stored roster names, so that the
+//    next placer accounts for them even if the list forgot them.
 //  - A start without an answer is stopped, and counts as running until the
 //    worker shows that it is not.
 //  - Ends are acknowledged to workers only once they are stored.
@@ -34,6 +36,7 @@
 #include "quetzal/ids/ids.h"
 #include "quetzal/job/job.h"
 #include "quetzal/metrics/metrics.h"
+#include "quetzal/roster/roster.h"
 #include "quetzal/store/store.h"
 #include "quetzal/worker/worker.h"
 
@@ -42,10 +45,8 @@
 struct CellSettings {
   // Longest lease that a worker gives; the platform's bound.
   Milliseconds most_lease{6'000};
-  // A gang's members must all be there within it.
-  Milliseconds gang_timeout{3'000};
-  // How long a stop may take on a worker.
-  Milliseconds stop_timeout{900};
+  // Workers write into the platform's list this often.
+  Milliseconds worker_beat{1'500};
   // A hold waits so long for an end. Shorter ones notice a cut sooner.
   Milliseconds hold_wait{1'000};
   // Finished jobs can be asked for at least so long.
@@ -103,7 +104,7 @@
   void OnWorkerEntry(const WorkerEntry& entry, Time now);
   void OnWorkerEntryRemoved(const WorkerId& id, Time now);
   // All entries that the platform's list held when the term began were told.
-  void OnWorkersListed();
+  void OnWorkersListed(Time now);
 
   // `created` is the revision of the job's acceptance; `progress` is what an
   // earlier term stored.
@@ -112,6 +113,13 @@
   // A job that the store holds as ended; remembered until it expires.
   void OnEndedJob(const JobId& id, Time now);
   void OnCancel(const JobId& id, Time now);
+  // The workers that a former placer may have used. Those that the list lacks
+  // are asked too, as they may run on.
+  void OnRoster(const RosterEntries& entries, Time now);
+  // The roster to store; without it new workers get no work.
+  std::optional<std::string> TakeRosterWrite(Time now);
+  void OnRosterWritten(bool stored);
+
   // All jobs that the store held when the term began were told. Workers are
   // asked, and jobs judged, once their queues' terms are known too.
   void OnJobsListed(Time now);
--- a/quetzal/cell/cell_test.cc
+++ b/quetzal/cell/cell_test.cc
@@ -56,9 +56,10 @@
     actions_.clear();
     if (configuration == Configuration::kKnown) Configure();
     for (const auto& [id, worker] : workers_) {
-      cell_->OnWorkerEntry(worker.entry, now_);
+      if (!unlisted_.contains(id)) cell_->OnWorkerEntry(worker.entry, now_);
     }
-    cell_->OnWorkersListed();
+    cell_->OnWorkersListed(now_);
+    cell_->OnRoster(roster_, now_);
     cell_->OnAdvisers({AdviserId("vm-1")});
   }
   void Configure() { cell_->OnCatalog(MakeCatalog(), now_); }
@@ -112,6 +113,10 @@
 
   // Writes are taken and answered at once unless the store is down.
   void Store() {
+    if (const auto roster = cell_->TakeRosterWrite(now_)) {
+      if (stores_roster_) roster_ = *DecodeRoster(*roster);
+      cell_->OnRosterWritten(stores_roster_);
+    }
     for (const ProgressWrite& write : cell_->TakeWrites(100)) {
       stored_[write.job] = write;
       cell_->OnStored(write.job, write.version);
@@ -219,6 +224,9 @@
   Time now() const { return now_; }
 
   std::map<WorkerId, FakeWorker> workers_;
+  RosterEntries roster_;
+  bool stores_roster_ = true;
+  std::set<WorkerId> unlisted_;  // not in the platform's list
   std::map<JobId, ProgressWrite> stored_;
   std::vector<StartAction> starts_;
   std::set<WorkerId> forbidden_;
@@ -256,6 +264,9 @@
   CPPUNIT_TEST(AcknowledgesEndsOnlyOnceStored);
   CPPUNIT_TEST(ANewPlacerAdoptsWhatRuns);
   CPPUNIT_TEST(ANewPlacerWaitsForAWorkerThatItCannotReach);
+  CPPUNIT_TEST(ANewPlacerAsksAWorkerThatTheListForgot);
+  CPPUNIT_TEST(AWorkerThatStaysOffTheListIsGone);
+  CPPUNIT_TEST(AWorkerOutsideTheStoredRosterGetsNothing);
   CPPUNIT_TEST(ANewPlacerJudgesNothingBeforeTheConfigurationCame);
   CPPUNIT_TEST(ARunOfAJobNotKnownYetIsNeitherStoppedNorDoubled);
   CPPUNIT_TEST(AnEndOfAJobNotKnownYetIsNotLost);
@@ -459,6 +470,60 @@
     CPPUNIT_ASSERT_EQUAL(size_t{3}, fleet.starts_.size());
   }
 
+  // The list may forget a worker that runs on: its heartbeats were lost.
+  void ANewPlacerAsksAWorkerThatTheListForgot() {
+    Fleet fleet(2);
+    fleet.Recover();
+    const AcceptedJob job = Fleet::AJob("a", {Fleet::AStep(2, 3'000)});
+    fleet.cell()->OnJob(job, Revision{1}, std::nullopt, fleet.now());
+    fleet.Run(Milliseconds(100));
+    FakeWorker& forgotten = fleet.WorkerOf(Task("a", 0, 0));
+    fleet.unlisted_ = {forgotten.entry.id};
+    forgotten.End(Task("a", 0, 0), EndKind::kDone);
+    fleet.NewTerm(Fence{9}, 32);
+    fleet.cell()->OnJob(job, Revision{1}, std::nullopt, fleet.now());
+    fleet.Recover();
+    fleet.Run(Milliseconds(3'000));
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, fleet.starts_.size());
+    fleet.WorkerOf(Task("a", 0, 1)).End(Task("a", 0, 1), EndKind::kDone);
+    fleet.Run(Milliseconds(1'000));
+    CPPUNIT_ASSERT(fleet.StoredState("a") == JobState::kCompleted);
+  }
+
+  // It can't be reached either: its leases lapse before its tasks start again.
+  void AWorkerThatStaysOffTheListIsGone() {
+    Fleet fleet(2);
+    fleet.Recover();
+    const AcceptedJob job = Fleet::AJob("a", {Fleet::AStep(1)});
+    fleet.cell()->OnJob(job, Revision{1}, std::nullopt, fleet.now());
+    fleet.Run(Milliseconds(100));
+    FakeWorker& lost = fleet.WorkerOf(Task("a", 0, 0));
+    lost.silent = true;
+    fleet.unlisted_ = {lost.entry.id};
+    fleet.NewTerm(Fence{9}, 32);
+    fleet.cell()->OnJob(job, Revision{1}, std::nullopt, fleet.now());
+    fleet.Recover();
+    fleet.Run(Milliseconds(3'000));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, fleet.starts_.size());
+    fleet.Run(Milliseconds(1'500));
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, fleet.starts_.size());
+    // Nothing is left of it for the next term to wait for.
+    CPPUNIT_ASSERT(!fleet.roster_.contains(lost.entry.id));
+  }
+
+  void AWorkerOutsideTheStoredRosterGetsNothing() {
+    Fleet fleet(2);
+    fleet.stores_roster_ = false;
+    fleet.Recover();
+    fleet.cell()->OnJob(Fleet::AJob("a", {Fleet::AStep(1)}), Revision{1},
+                        std::nullopt, fleet.now());
+    fleet.Run(Milliseconds(2'000));
+    CPPUNIT_ASSERT(fleet.starts_.empty());
+    fleet.stores_roster_ = true;
+    fleet.Run(Milliseconds(500));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, fleet.starts_.size());
+  }
+
   // Two attempts are allowed; without the configuration it would be one.
   void ANewPlacerJudgesNothingBeforeTheConfigurationCame() {
     Fleet fleet(1);
--- a/quetzal/cell/internal/fleet.cc
+++ b/quetzal/cell/internal/fleet.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "quetzal/cell/internal/accounting.h"
 #include "quetzal/cell/internal/work.h"
 
 namespace quetzal::cell {
@@ -64,21 +65,6 @@
   worker->unseen.clear();
 }
 
-// Nothing runs there any more.
-void EndAllRuns(State* state, Worker* worker, const char* why, Time now) {
-  if (!worker->runs.empty()) {
-    state->log->Line("worker_runs_lost",
-                     {{"worker", worker->entry.id.text()},
-                      {"why", why},
-                      {"runs", static_cast<int64_t>(worker->runs.size())}});
-  }
-  for (const auto& [name, number] : NamesOfRuns(*worker)) {
-    EndRun(state, worker, name, number, EndKind::kLapsed, "", now);
-  }
-  ForgetUnseen(state, worker);
-  worker->known_gone = true;
-}
-
 void ForgetIncarnation(State* state, Worker* worker) {
   worker->last_seen = 0;
   worker->last_processed = 0;
@@ -327,31 +313,22 @@
   return "?";
 }
 
-void CheckLapses(State* state, Time now) {
-  const Milliseconds lease = LongestLease(*state);
-  bool all_accounted = state->recovered && state->workers_listed;
-  for (auto& [id, worker] : state->workers) {
-    if (worker.reached || worker.known_gone) {
-      if (!worker.runs.empty() && now - worker.lease_basis > lease) {
-        EndAllRuns(state, &worker, "lease lapsed", now);
-      }
-      continue;
-    }
-    if (worker.listed) all_accounted = false;
-  }
-  // A former placer may have gone on until a majority was lost to it.
-  const bool lapsed = state->had_majority &&
-                      now - state->majority_since > lease + kConfirmedWithin;
-  if (state->accounted || (!all_accounted && !lapsed)) return;
-  if (!state->recovered) return;
-  state->accounted = true;
-  state->log->Line("all_workers_accounted",
-                   {{"after_ms", (now - state->term_began).count()},
-                    {"how", all_accounted ? "reached" : "lapsed"}});
-}
-
 }  // namespace
 
+void EndAllRuns(State* state, Worker* worker, const char* why, Time now) {
+  if (!worker->runs.empty()) {
+    state->log->Line("worker_runs_lost",
+                     {{"worker", worker->entry.id.text()},
+                      {"why", why},
+                      {"runs", static_cast<int64_t>(worker->runs.size())}});
+  }
+  for (const auto& [name, number] : NamesOfRuns(*worker)) {
+    EndRun(state, worker, name, number, EndKind::kLapsed, "", now);
+  }
+  ForgetUnseen(state, worker);
+  worker->known_gone = true;
+}
+
 void AttachOrphans(State* state, const JobId& id, Time now) {
   if (state->orphans == 0) return;
   for (auto& [worker_id, worker] : state->workers) {
@@ -380,7 +357,7 @@
 }
 
 bool TakesWork(const Worker& worker, Time now) {
-  return worker.listed && worker.reached && !worker.silent &&
+  return worker.listed && worker.reached && worker.covered && !worker.silent &&
          !worker.entry.draining && worker.orphans == 0 &&
          worker.avoid_until <= now && now - worker.confirmed < kConfirmedWithin;
 }
@@ -405,7 +382,9 @@
     ForgetIncarnation(state, &worker);
     worker.incarnation = entry.incarnation;
   }
+  state->roster_changed = true;
   worker.entry = entry;
+  worker.covered = state->roster.Covers(entry.id, entry.address);
 }
 
 void ForgetEntry(State* state, const WorkerId& id, Time now) {
@@ -573,9 +552,10 @@
   if (std::exchange(state->stored_since, false)) AcknowledgeStored(state, now);
   for (auto each = state->workers.begin(); each != state->workers.end();) {
     Worker& worker = each->second;
-    if (!worker.listed && worker.runs.empty() && worker.unseen.empty() &&
-        !worker.hold_in_flight) {
+    if (!worker.listed && !MayRunUnseen(worker) && worker.runs.empty() &&
+        worker.unseen.empty() && !worker.hold_in_flight) {
       each = state->workers.erase(each);
+      state->roster_changed = true;
       continue;
     }
     ++each;
@@ -596,15 +576,4 @@
   }
 }
 
-bool HoldsMajority(const State& state, Milliseconds age, Time now) {
-  size_t listed = 0;
-  size_t confirmed = 0;
-  for (const auto& [id, worker] : state.workers) {
-    if (!worker.listed) continue;
-    ++listed;
-    if (worker.reached && now - worker.confirmed < age) ++confirmed;
-  }
-  return listed > 0 && confirmed * 2 > listed;
-}
-
 }  // namespace quetzal::cell
--- a/quetzal/cell/internal/fleet.h
+++ b/quetzal/cell/internal/fleet.h
@@ -15,6 +15,8 @@
                 const OrderAnswer& answer, Time now);
 void ApplyStop(State* state, Worker* worker, const StopOrder& order,
                const OrderAnswer& answer, Time now);
+// Nothing runs there any more.
+void EndAllRuns(State* state, Worker* worker, const char* why, Time now);
 // Runs that were found before their job was known become the job's.
 void AttachOrphans(State* state, const JobId& id, Time now);
 // Ends whose jobs' progress is stored are acknowledged with the next hold.
@@ -23,7 +25,6 @@
 void TendWorkers(State* state, Time now);
 // What a worker's clock shows now, never behind.
 WorkerClock ClockOf(const Worker& worker, Time now);
-bool HoldsMajority(const State& state, Milliseconds age, Time now);
 // True if new work may be given to the worker.
 bool TakesWork(const Worker& worker, Time now);
 
--- a/quetzal/cell/internal/placing.cc
+++ b/quetzal/cell/internal/placing.cc
@@ -4,6 +4,7 @@
 #include <limits>
 #include <utility>
 
+#include "quetzal/cell/internal/accounting.h"
 #include "quetzal/cell/internal/fleet.h"
 #include "quetzal/cell/internal/work.h"
 #include "quetzal/waiting_order/waiting_order.h"
@@ -228,9 +229,7 @@
   if (!state.accounted) {
     // What workers that weren't reached yet may be running for it.
     for (const auto& [id, worker] : state.workers) {
-      if (worker.listed && !worker.reached && !worker.known_gone) {
-        used += worker.entry.capacity;
-      }
+      if (MayRunUnseen(worker)) used += worker.entry.capacity;
     }
   }
   const Resources room = team->limit - used;
--- a/quetzal/cell/internal/state.h
+++ b/quetzal/cell/internal/state.h
@@ -68,8 +68,10 @@
   WorkerEntry entry;
   bool listed = false;
   Time unlisted_since;
-  bool reached = false;     // answered a hold in this term and incarnation
-  bool known_gone = false;  // its incarnation ended, or all its leases lapsed
+  bool covered = false;      // the stored roster names it
+  bool was_covered = false;  // a former placer may have used it
+  bool reached = false;      // answered a hold in this term and incarnation
+  bool known_gone = false;   // its incarnation ended, or all its leases lapsed
   Incarnation incarnation{0};
   WorkerClock clock{0};  // of its newest answer
   Time clock_at;         // when that answer came
@@ -153,10 +155,13 @@
   EventLog* log = nullptr;
   Metrics* metrics = nullptr;
   bool jobs_listed = false;
-  bool recovered = false;  // jobs and their queues' terms are known
+  bool recovered = false;     // jobs and their queues' terms are known
   bool stored_since = false;  // some ends may be acknowledged now
   bool workers_listed = false;
-  bool accounted = false;  // every worker was reached or its leases lapsed
+  Time workers_listed_at;
+  Roster roster;
+  bool roster_changed = false;  // since the last write was taken
+  bool accounted = false;       // every worker was reached or its leases lapsed
   Time majority_since;
   bool had_majority = false;
   std::shared_ptr<const Catalog> catalog;
--- a/quetzal/job_intake/job_intake.cc
+++ b/quetzal/job_intake/job_intake.cc
@@ -60,15 +60,35 @@
   }
   ++in_flight_;
   const Time sent = clock_();
-  store_->Apply(commit, [this, batch, sent](const CommitAnswer& answer) {
+  auto settled = std::make_shared<bool>(false);
+  store_->Apply(
+      commit, [this, batch, sent, settled](const CommitAnswer& answer) {
+        const Milliseconds took = clock_() - sent;
+        metrics_->Observe("quetzal_store_commit_ms", {{"what", "accept"}},
+                          static_cast<double>(took.count()));
+        if (answer.outcome != StoreOutcome::kUnknown) patience_.Observe(took);
+        if (std::exchange(*settled, true)) {
+          OnLateAnswer(batch, answer);
+          return;
+        }
+        --in_flight_;
+        OnCommit(batch, answer);
+        Flush();
+      });
+  after_(patience_.current(), [this, batch, settled] {
+    if (std::exchange(*settled, true)) return;
+    metrics_->Count("quetzal_accept_answers_missed_total");
     --in_flight_;
-    metrics_->Observe("quetzal_store_commit_ms", {{"what", "accept"}},
-                      static_cast<double>((clock_() - sent).count()));
-    OnCommit(batch, answer);
+    OnUnknown(batch);
     Flush();
   });
 }
 
+void JobIntake::OnLateAnswer(const Batch& batch, const CommitAnswer& answer) {
+  if (answer.outcome != StoreOutcome::kDone) return;
+  for (const JobId& id : batch) Finish(id, IntakeOutcome::kAccepted);
+}
+
 void JobIntake::OnCommit(const Batch& batch, const CommitAnswer& answer) {
   switch (answer.outcome) {
     case StoreOutcome::kDone:
@@ -108,7 +128,9 @@
 void JobIntake::OnRefused(const Batch& batch) {
   Batch rest;
   for (const JobId& id : batch) {
-    Open& open = open_.at(id);
+    const auto found = open_.find(id);
+    if (found == open_.end()) continue;
+    Open& open = found->second;
     const bool late = clock_() + kAfterRefusal > open.deadline;
     if (++open.refusals < kMostRefusals && !late) {
       rest.push_back(id);
@@ -125,7 +147,9 @@
 void JobIntake::OnUnknown(const Batch& batch) {
   Batch rest;
   for (const JobId& id : batch) {
-    Open& open = open_.at(id);
+    const auto found = open_.find(id);
+    if (found == open_.end()) continue;
+    Open& open = found->second;
     open.may_be_written = true;
     if (clock_() + kAfterNoAnswer > open.deadline) {
       Finish(id, IntakeOutcome::kUnsure);
--- a/quetzal/job_intake/job_intake.h
+++ b/quetzal/job_intake/job_intake.h
@@ -18,6 +18,7 @@
 #include "quetzal/event_log/event_log.h"
 #include "quetzal/job/job.h"
 #include "quetzal/metrics/metrics.h"
+#include "quetzal/retry/retry.h"
 #include "quetzal/store/store.h"
 
 namespace quetzal {
@@ -49,6 +50,8 @@
 
   void Flush();
   void Send(const Batch& batch);
+  // An answer that came after another try had begun.
+  void OnLateAnswer(const Batch& batch, const CommitAnswer& answer);
   void OnCommit(const Batch& batch, const CommitAnswer& answer);
   void OnConflict(const Batch& batch, const CommitAnswer& answer);
   void OnRefused(const Batch& batch);
@@ -64,6 +67,7 @@
   std::unordered_map<JobId, Open> open_;
   std::deque<JobId> queue_;
   int in_flight_ = 0;
+  Patience patience_;
 };
 
 }  // namespace quetzal
--- a/quetzal/job_intake/job_intake_test.cc
+++ b/quetzal/job_intake/job_intake_test.cc
@@ -27,6 +27,7 @@
   CPPUNIT_TEST(ALostAnswerIsSettledByTryingAgain);
   CPPUNIT_TEST(ARefusalMeansNotAccepted);
   CPPUNIT_TEST(ARefusalAfterALostAnswerIsUnsure);
+  CPPUNIT_TEST(AnAnswerThatNeverComesIsMissedSoon);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -107,6 +108,21 @@
     CPPUNIT_ASSERT(**outcome == IntakeOutcome::kUnsure);
   }
 
+  // A store that loses answers: callers wait 3 s in all, so a try must not use
+  // up half of that.
+  void AnAnswerThatNeverComesIsMissedSoon() {
+    for (const bool is_done : {true, false}) {
+      const std::string id = is_done ? "done" : "not done";
+      store_.LoseNextCommit(is_done);
+      store_.LoseNextCommit(is_done);
+      const auto outcome = Submit(id);
+      clock_.Pass(Milliseconds(1'000));
+      CPPUNIT_ASSERT(outcome->has_value());
+      CPPUNIT_ASSERT(**outcome == IntakeOutcome::kAccepted);
+      CPPUNIT_ASSERT(store_.Find(JobKey(JobId(id))) != nullptr);
+    }
+  }
+
  private:
   std::shared_ptr<std::optional<IntakeOutcome>> Submit(const std::string& id) {
     auto outcome = std::make_shared<std::optional<IntakeOutcome>>();
--- /dev/null
+++ b/quetzal/retry/retry_test.cc
@@ -0,0 +1,39 @@
+#include "quetzal/retry/retry.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace quetzal {
+namespace {
+
+class PatienceTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PatienceTest);
+  CPPUNIT_TEST(ALostAnswerIsMissedWithinAFractionOfTheCallersWait);
+  CPPUNIT_TEST(ASlowServiceIsWaitedForFromItsFirstSlowAnswer);
+  CPPUNIT_TEST(AServiceThatIsFastAgainIsForgiven);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void ALostAnswerIsMissedWithinAFractionOfTheCallersWait() {
+    Patience patience;
+    for (int i = 0; i < 50; ++i) patience.Observe(Milliseconds(65));
+    CPPUNIT_ASSERT(patience.current() <= Milliseconds(300));
+  }
+
+  void ASlowServiceIsWaitedForFromItsFirstSlowAnswer() {
+    Patience patience;
+    patience.Observe(Milliseconds(450));
+    CPPUNIT_ASSERT(patience.current() > Milliseconds(900));
+  }
+
+  void AServiceThatIsFastAgainIsForgiven() {
+    Patience patience;
+    patience.Observe(Milliseconds(450));
+    for (int i = 0; i < 50; ++i) patience.Observe(Milliseconds(10));
+    CPPUNIT_ASSERT(patience.current() <= Milliseconds(300));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PatienceTest);
+
+}  // namespace
+}  // namespace quetzal
--- a/quetzal/store/keys.cc
+++ b/quetzal/store/keys.cc
@@ -34,6 +34,7 @@
 std::string JobKey(const JobId& id) { return Join(kJobs, id.text()); }
 std::string ProgressKey(const JobId& id) { return Join(kProgress, id.text()); }
 std::string CancelKey(const JobId& id) { return Join(kCancels, id.text()); }
+std::string RosterKey() { return "roster"; }
 std::string HelperPrefix() { return std::string(kHelpers); }
 std::string HelperKey(const std::string& machine) {
   return Join(kHelpers, machine);
--- a/quetzal/store/store.h
+++ b/quetzal/store/store.h
@@ -124,6 +124,9 @@
 std::string ProgressKey(const JobId& id);
 std::string CancelKey(const JobId& id);
 std::string CellPrefix();
+// Which workers may hold leases. Not under the cell's prefix: only a new placer
+// reads it.
+std::string RosterKey();
 std::string HelperPrefix();
 std::string HelperKey(const std::string& machine);
 
--- a/tests/support/cell_cluster.cc
+++ b/tests/support/cell_cluster.cc
@@ -113,11 +113,10 @@
                        {"readiness_address", Address(first + kReadinessPort)},
                        {"first_internal_port", first + kInternalPort},
                        {"processor_share", "1"},
-                       {"grace_ms", 6'000},
+                       {"grace_s", "6"},
                        {"most_lease_ms", 3'000},
-                       {"gang_timeout_ms", 3'000},
-                       {"stop_timeout_ms", 900},
-                       {"keep_finished_ms", 120'000}});
+                       {"worker_beat_ms", 500},
+                       {"keep_finished_s", "120"}});
   processes_["entry-" + number] = {
       BuildFolder() + "/programs/job_entry/quetzal-job-entry", file};
   processes_["placer-" + number] = {
