Replay of generated loads through the cell's core in virtual time

The project's experiment tool for the cell: deployments of today's and of the grown size (figures of the users' sheets), jobs drawn with a seed, virtual workers, advisers that answer one call at a time, a store with a round trip.

--- /dev/null
+++ b/bench/cell_policy.cc
@@ -0,0 +1,92 @@
+// Replays generated loads through the shipped core of the cell in virtual time
+// and prints what callers would get. Deterministic for a seed.
+//
+//   cell_policy [--seed 1] [--load calm|burst|flood|all] [--size today|grown]
+#include <tclap/CmdLine.h>
+
+#include <chrono>
+#include <cstdio>
+#include <map>
+
+#include "bench/support/virtual_cell.h"
+
+namespace quetzal::bench {
+namespace {
+
+constexpr Milliseconds kExtra{25'000};
+
+std::vector<Burst> BurstsOf(const std::string& load) {
+  if (load == "burst") {
+    return {{.job_class = "quick",
+             .from = Milliseconds(6'000),
+             .to = Milliseconds(10'000),
+             .factor = 2.3},
+            {.job_class = "heavy",
+             .from = Milliseconds(20'000),
+             .to = Milliseconds(24'000),
+             .factor = 1.7}};
+  }
+  if (load == "flood") {
+    return {{.from = Milliseconds(6'000),
+             .to = Milliseconds(14'000),
+             .factor = 8,
+             .team = "t1"},
+            {.job_class = "quick",
+             .from = Milliseconds(8'000),
+             .to = Milliseconds(12'000),
+             .factor = 2.3}};
+  }
+  return {};
+}
+
+void Play(const std::string& size, const std::string& load, uint64_t seed) {
+  Deployment deployment =
+      size == "today" ? TodaysDeployment() : GrownDeployment();
+  deployment.bursts = BurstsOf(load);
+  const auto began = std::chrono::steady_clock::now();
+  VirtualCell cell(deployment, seed);
+  cell.Run(kExtra);
+  const std::chrono::duration<double> took =
+      std::chrono::steady_clock::now() - began;
+  const CellReport report = cell.Report();
+  std::printf(
+      "%-5s %-5s credit %.3f  busy %.2f  waste %.0f core-s  starts %lld  "
+      "advice %lld calls %.0f s  over capacity %d  (%.1f s)\n",
+      size.c_str(), load.c_str(), report.credit, report.busy_share,
+      report.wasted_core_seconds, static_cast<long long>(report.starts),
+      static_cast<long long>(report.questions), report.advice_seconds,
+      cell.over_capacity(), took.count());
+  for (const ClassReport& row : report.classes) {
+    std::printf(
+        "      %-6s asked %5d  in time %5d  late %5d  credit %.3f  "
+        "wait p50 %5lld  p95 %6lld ms\n",
+        row.name.c_str(), row.asked, row.in_time, row.late, row.credit,
+        static_cast<long long>(row.wait_p50.count()),
+        static_cast<long long>(row.wait_p95.count()));
+  }
+  std::fflush(stdout);
+}
+
+int Run(int argc, char** argv) {
+  TCLAP::CmdLine command("Replays loads through the core of the cell.");
+  TCLAP::ValueArg<uint64_t> seed("", "seed", "of the jobs", false, 1, "number",
+                                 command);
+  TCLAP::ValueArg<std::string> load("", "load", "calm, burst, flood or all",
+                                    false, "all", "load", command);
+  TCLAP::ValueArg<std::string> size("", "size", "today, grown or all", false,
+                                    "all", "size", command);
+  command.parse(argc, argv);
+  for (const std::string each_size : {"today", "grown"}) {
+    if (size.getValue() != "all" && size.getValue() != each_size) continue;
+    for (const std::string each : {"calm", "burst", "flood"}) {
+      if (load.getValue() != "all" && load.getValue() != each) continue;
+      Play(each_size, each, seed.getValue());
+    }
+  }
+  return 0;
+}
+
+}  // namespace
+}  // namespace quetzal::bench
+
+int main(int argc, char** argv) { return quetzal::bench::Run(argc, argv); }
--- /dev/null
+++ b/bench/support/virtual_cell.cc
@@ -0,0 +1,583 @@
+#include "bench/support/virtual_cell.h"
+
+#include <algorithm>
+#include <cmath>
+#include <functional>
+#include <utility>
+
+namespace quetzal::bench {
+namespace {
+
+constexpr Milliseconds kDecideWithin{8};  // as the shipped placer does
+constexpr Milliseconds kDecideAtLeastEvery{50};
+constexpr Milliseconds kCommitGap{20};
+constexpr Milliseconds kCallerToAccepted{60};  // its way and the commit
+constexpr Milliseconds kWatch{45};             // until a change is seen
+constexpr size_t kMostWrites = 10;
+constexpr int kAll = 100;
+constexpr double kLateWorth = 0.2;
+constexpr int kLateFactor = 3;
+
+double Over(double part, double whole) { return whole > 0 ? part / whole : 0; }
+
+Milliseconds Quantile(std::vector<Milliseconds> values, double part) {
+  if (values.empty()) return Milliseconds(0);
+  const auto at =
+      static_cast<size_t>(part * static_cast<double>(values.size()));
+  std::nth_element(values.begin(), values.begin() + static_cast<long>(at),
+                   values.end());
+  return values[at];
+}
+
+}  // namespace
+
+Deployment TodaysDeployment() {
+  Deployment d;
+  d.workers = 48;
+  d.worker_capacity = {.cpu_milli = 16'000, .memory_mib = 32'768};
+  d.advisers = 6;
+  d.teams = 6;
+  d.classes = {{.name = "heavy",
+                .per_second = 1.84,
+                .worth = 12.4,
+                .steps = {1.2, 0.4, 3},
+                .width = {8, 0.8, 48},
+                .run_ms = {4'000, 0.5, 10'000},
+                .cpu_milli = {4'500, 0.4, 7'600},
+                .memory_mib = {6'400, 0.5, 13'000},
+                .uneven = 0.15,
+                .estimate_off = 0.5,
+                .gang_share = 1,
+                .saves_share = 0.5,
+                .failing_share = 0.005,
+                .priority = 1,
+                .slack_factor = 2.2,
+                .latency_target = Milliseconds(1'200),
+                .advice = {300, 4.4, Milliseconds(2'500)},
+                .allowed_share = 0.35},
+               {.name = "wide",
+                .per_second = 4.34,
+                .worth = 3.27,
+                .steps = {1.5, 0.4, 3.8},
+                .width = {10, 0.8, 60},
+                .run_ms = {3'400, 0.5, 8'400},
+                .cpu_milli = {980, 0.45, 2'900},
+                .memory_mib = {1'800, 0.6, 5'400},
+                .uneven = 0.15,
+                .estimate_off = 0.2,
+                .saves_share = 0.8,
+                .most_apart = 0.12,
+                .failing_share = 0.05,
+                .priority = 2,
+                .most_attempts = 3,
+                .slack_factor = 4,
+                .latency_target = Milliseconds(3'000),
+                .advice = {62, 0.88, Milliseconds(2'500)},
+                .allowed_share = 0.45},
+               {.name = "quick",
+                .per_second = 48.1,
+                .worth = 0.414,
+                .steps = {1, 0, 1},
+                .width = {2, 0.8, 12},
+                .run_ms = {640, 0.5, 1'600},
+                .cpu_milli = {1'400, 0.45, 4'200},
+                .memory_mib = {2'600, 0.6, 7'700},
+                .uneven = 0.3,
+                .estimate_off = 0.9,
+                .gang_share = 0.3,
+                .failing_share = 0.05,
+                .slack_factor = 1.5,
+                .latency_target = Milliseconds(600),
+                .advice = {5.6, 0.08, Milliseconds(2'500)},
+                .allowed_share = 0.7}};
+  return d;
+}
+
+Deployment GrownDeployment() {
+  Deployment d = TodaysDeployment();
+  d.workers = 350;
+  d.worker_capacity = {.cpu_milli = 16'000, .memory_mib = 65'536};
+  d.advisers = 34;
+  d.teams = 20;
+  JobClass& heavy = d.classes[0];
+  heavy.per_second = 4.29;
+  heavy.worth = 8.87;
+  heavy.width = {20, 0.8, 120};
+  heavy.run_ms = {5'000, 0.5, 12'000};
+  heavy.memory_mib = {9'100, 0.5, 18'000};
+  heavy.uneven = 0.3;
+  heavy.estimate_off = 0.2;
+  heavy.most_attempts = 4;
+  heavy.advice = {430, 6.2, Milliseconds(2'500)};
+  JobClass& wide = d.classes[1];
+  wide.per_second = 8.96;
+  wide.worth = 2.65;
+  wide.width = {25, 0.8, 150};
+  wide.run_ms = {2'700, 0.5, 6'800};
+  wide.cpu_milli = {1'700, 0.45, 5'200};
+  wide.memory_mib = {5'000, 0.6, 15'000};
+  wide.failing_share = 0.02;
+  wide.most_attempts = 4;
+  wide.advice = {100, 1.4, Milliseconds(2'500)};
+  JobClass& quick = d.classes[2];
+  quick.per_second = 80.3;
+  quick.width = {3.2, 0.8, 19};
+  quick.run_ms = {1'000, 0.5, 2'500};
+  quick.cpu_milli = {2'500, 0.45, 7'400};
+  quick.memory_mib = {9'100, 0.6, 27'000};
+  quick.uneven = 0.15;
+  quick.failing_share = 0.02;
+  quick.most_attempts = 4;
+  quick.advice = {11, 0.16, Milliseconds(2'500)};
+  return d;
+}
+
+VirtualCell::VirtualCell(Deployment deployment, uint64_t seed)
+    : deployment_(std::move(deployment)), random_(seed), seed_(seed) {
+  began_ = events_.now() + Milliseconds(3'000);
+  std::uniform_real_distribution<double> share(0, 1);
+  cell_ = std::make_unique<Cell>(CellSettings{}, Fence{7}, 0, events_.now(),
+                                 &log_, &metrics_);
+  std::vector<Queue> queues;
+  for (const JobClass& each : deployment_.classes) {
+    queues.push_back({.name = QueueId(each.name),
+                      .service = ServiceId("s"),
+                      .priority = each.priority,
+                      .most_attempts = each.most_attempts,
+                      .slack_factor = each.slack_factor,
+                      .latency_target = each.latency_target,
+                      .advice = each.advice});
+  }
+  std::vector<Team> teams;
+  double all = 0;
+  for (const JobClass& each : deployment_.classes) all += each.per_second;
+  for (int i = 0; i < static_cast<int>(deployment_.teams); ++i) {
+    // Twice its usual rate, as at the users.
+    teams.push_back({.name = TeamId("t" + std::to_string(i)),
+                     .weight = 2 * all / deployment_.teams});
+  }
+  cell_->OnCatalog(std::make_shared<const Catalog>(
+                       1, std::move(queues), std::vector<ServiceTerms>{},
+                       std::move(teams), CatalogLimits{}),
+                   events_.now());
+  const auto one_way = [&] {
+    return share(random_) < deployment_.far_share ? deployment_.far
+                                                  : deployment_.near;
+  };
+  for (int i = 0; i < deployment_.workers; ++i) {
+    Worker worker;
+    worker.entry.id = WorkerId("w" + std::to_string(i));
+    worker.entry.address = "w" + std::to_string(i);
+    worker.entry.service = ServiceId("s");
+    worker.entry.capacity = deployment_.worker_capacity;
+    worker.entry.incarnation = Incarnation{1};
+    worker.one_way = one_way();
+    cell_->OnWorkerEntry(worker.entry, events_.now());
+    workers_[worker.entry.id] = worker;
+  }
+  std::vector<AdviserId> advisers;
+  for (int i = 0; i < deployment_.advisers; ++i) {
+    const AdviserId id("vm" + std::to_string(i));
+    advisers_[id] = {.one_way = one_way(), .free_at = events_.now()};
+    advisers.push_back(id);
+  }
+  cell_->OnAdvisers(advisers);
+  cell_->OnWorkersListed(events_.now());
+  cell_->OnRoster({}, events_.now());
+  cell_->OnJobsListed(events_.now());
+  DrawJobs();
+  Wake();
+}
+
+VirtualCell::~VirtualCell() = default;
+
+double VirtualCell::Draw(const Spread& spread) {
+  if (spread.spread <= 0) return spread.mean;
+  const double sigma = std::sqrt(std::log(1 + spread.spread * spread.spread));
+  std::lognormal_distribution<double> draw(
+      std::log(spread.mean) - sigma * sigma / 2, sigma);
+  return std::min(spread.most, draw(random_));
+}
+
+Milliseconds VirtualCell::DrawMs(const Spread& spread) {
+  return Milliseconds(static_cast<int64_t>(Draw(spread)));
+}
+
+void VirtualCell::DrawJobs() {
+  for (const JobClass& each : deployment_.classes) {
+    for (int team = 0; team < static_cast<int>(deployment_.teams); ++team) {
+      const std::string name = "t" + std::to_string(team);
+      Time at = began_;
+      while (true) {
+        double rate = each.per_second / deployment_.teams;
+        for (const Burst& burst : deployment_.bursts) {
+          const bool strikes =
+              at >= began_ + burst.from && at < began_ + burst.to &&
+              (burst.job_class.empty() || burst.job_class == each.name) &&
+              (burst.team.empty() || burst.team == name);
+          if (strikes) rate *= burst.factor;
+        }
+        std::exponential_distribution<double> gap(rate);
+        constexpr double kMsInSecond = 1'000;
+        constexpr double kLongestGapMs = 500;  // so that bursts strike in time
+        const double ms = gap(random_) * kMsInSecond;
+        at += Milliseconds(
+            static_cast<int64_t>(std::ceil(std::min(ms, kLongestGapMs))));
+        if (at >= began_ + deployment_.length) break;
+        if (ms <= kLongestGapMs) AddArrival(each, at, name);
+      }
+    }
+  }
+}
+
+void VirtualCell::AddArrival(const JobClass& job_class, Time at,
+                             const std::string& team) {
+  std::uniform_real_distribution<double> share(0, 1);
+  Truth truth{.job_class = &job_class, .arrived = at};
+  AcceptedJob& job = truth.job;
+  job.id = JobId(job_class.name + "-" + std::to_string(order_.size()));
+  job.team = TeamId(team);
+  job.queue = QueueId(job_class.name);
+  job.service = ServiceId("s");
+  const auto steps = std::max<int64_t>(1, std::lround(Draw(job_class.steps)));
+  const bool gang = share(random_) < job_class.gang_share;
+  const bool saves = share(random_) < job_class.saves_share;
+  const bool apart = share(random_) < job_class.most_apart;
+  Milliseconds chain{0};
+  for (int64_t i = 0; i < steps; ++i) {
+    StepSpec step;
+    step.count = static_cast<int>(
+        std::max<int64_t>(1, std::lround(Draw(job_class.width))));
+    step.demand.cpu_milli = static_cast<int64_t>(Draw(job_class.cpu_milli));
+    step.demand.memory_mib = static_cast<int64_t>(Draw(job_class.memory_mib));
+    step.gang = gang && step.count > 1;
+    step.saves_progress = saves;
+    if (apart && !step.gang) step.most_per_worker = 1;
+    if (i > 0) step.after = {static_cast<int>(i - 1)};
+    const double mean = Draw(job_class.run_ms);
+    const double guess = Draw({1, job_class.estimate_off, 10});
+    step.estimated_run_time = Milliseconds(static_cast<int64_t>(mean * guess));
+    std::vector<Milliseconds> work;
+    for (int t = 0; t < step.count; ++t) {
+      work.push_back(std::max(Milliseconds(20),
+                              DrawMs({mean, job_class.uneven, 3 * mean})));
+    }
+    if (step.gang) work.assign(work.size(), work[0]);
+    chain += *std::max_element(work.begin(), work.end());
+    truth.work.push_back(std::move(work));
+    job.spec.steps.push_back(step);
+  }
+  truth.objective =
+      Milliseconds(static_cast<int64_t>(static_cast<double>(chain.count()) *
+                                        job_class.slack_factor)) +
+      job_class.latency_target;
+  order_.push_back(job.id);
+  const JobId id = job.id;
+  truths_[id] = std::move(truth);
+  events_.At(at + kCallerToAccepted + kWatch, [this, id] {
+    cell_->OnJob(truths_.at(id).job, Revision{1}, std::nullopt, events_.now());
+    Wake();
+  });
+}
+
+void VirtualCell::Run(Milliseconds extra) {
+  const Time until = began_ + deployment_.length + extra;
+  while (events_.now() < until) {
+    events_.RunUntil(events_.now() + kDecideAtLeastEvery);
+    Wake();
+  }
+}
+
+void VirtualCell::Wake() {
+  if (std::exchange(wake_pending_, true)) return;
+  events_.At(events_.now() + kDecideWithin, [this] {
+    wake_pending_ = false;
+    cell_->Decide(events_.now());
+    for (const CellAction& action : cell_->TakeActions()) Act(action);
+    Store();
+  });
+}
+
+void VirtualCell::Store() {
+  if (cell_->TakeRosterWrite(events_.now())) {
+    events_.At(events_.now() + deployment_.store_round_trip, [this] {
+      cell_->OnRosterWritten(true);
+      Wake();
+    });
+  }
+  if (events_.now() < next_store_) return;
+  next_store_ = events_.now() + kCommitGap;
+  while (cell_->has_writes()) {
+    for (const ProgressWrite& write : cell_->TakeWrites(kMostWrites)) {
+      events_.At(events_.now() + deployment_.store_round_trip, [this, write] {
+        cell_->OnStored(write.job, write.version);
+        const bool completed =
+            write.final && DecodeState(write.value) == JobState::kCompleted;
+        if (completed) truths_.at(write.job).completed = events_.now() + kWatch;
+        Wake();
+      });
+    }
+  }
+}
+
+void VirtualCell::Act(const CellAction& action) {
+  struct Visitor {
+    VirtualCell* cell;
+    void operator()(const HoldAction& a) const { cell->Hold(a); }
+    void operator()(const StartAction& a) const { cell->StartTask(a); }
+    void operator()(const StopAction& a) const { cell->StopTask(a); }
+    void operator()(const AskAction& a) const { cell->Ask(a); }
+    void operator()(const ResignAction&) const {}
+  };
+  std::visit(Visitor{this}, action);
+}
+
+void VirtualCell::Hold(const HoldAction& action) {
+  Worker* const worker = &workers_.at(action.worker.id);
+  const Time sent = events_.now();
+  events_.At(sent + worker->one_way, [this, worker, action, sent] {
+    while (!worker->ended.empty() &&
+           worker->ended.front().number <= action.request.last_seen) {
+      worker->ended.pop_front();
+    }
+    worker->request = action.request;
+    worker->hold_sent = sent;
+    worker->hold_waits = true;
+    const uint64_t hold = ++worker->hold;
+    if (!worker->ended.empty()) {
+      AnswerHold(worker);
+      return;
+    }
+    events_.At(events_.now() + action.request.wait, [this, worker, hold] {
+      if (worker->hold_waits && worker->hold == hold) AnswerHold(worker);
+    });
+  });
+}
+
+void VirtualCell::AnswerHold(Worker* worker) {
+  worker->hold_waits = false;
+  HoldAnswer answer{
+      .outcome = OrderOutcome::kDone,
+      .clock = WorkerClock{events_.now().time_since_epoch().count()},
+      .incarnation = worker->entry.incarnation,
+      .ended = {worker->ended.begin(), worker->ended.end()}};
+  for (const auto& [task, run] : worker->running) {
+    const Milliseconds done = events_.now() - run.began;
+    const int percent =
+        run.waits_for_gang
+            ? static_cast<int>(events_.now().time_since_epoch().count() % kAll)
+            : static_cast<int>(kAll * done.count() / run.work.count());
+    answer.running.push_back({task, run.order.run, "", percent});
+  }
+  events_.At(events_.now() + worker->one_way, [this, worker, answer,
+                                               request = worker->request,
+                                               sent = worker->hold_sent] {
+    cell_->OnHold(worker->entry.id, request, sent, answer, events_.now());
+    Wake();
+  });
+}
+
+void VirtualCell::StartTask(const StartAction& action) {
+  Worker* const worker = &workers_.at(action.worker.id);
+  ++starts_;
+  events_.At(events_.now() + worker->one_way, [this, worker, action] {
+    const StartOrder& order = action.order;
+    Truth& truth = truths_.at(order.task.job);
+    truth.first_starts.try_emplace(order.task, events_.now());
+    std::uniform_real_distribution<double> share(0, 1);
+    // Not of the shared generator: arrivals are drawn already, ends depend on
+    // the task and run only.
+    std::mt19937_64 chance(
+        seed_ ^ std::hash<std::string>()(order.task.job.text() + "." +
+                                         std::to_string(order.task.step) + "." +
+                                         std::to_string(order.task.index) +
+                                         "." + std::to_string(order.run)));
+    const auto step = static_cast<size_t>(order.task.step);
+    const StepSpec& spec = truth.job.spec.steps[step];
+    Running run{.order = order,
+                .began = events_.now(),
+                .work = truth.work[step][static_cast<size_t>(order.task.index)],
+                .fails = share(chance) < truth.job_class->failing_share,
+                .waits_for_gang = spec.gang,
+                .number = next_run_++};
+    if (spec.gang) run.fails = run.fails && order.task.index == 0;
+    worker->running[order.task] = run;
+    Resources used;
+    for (const auto& [task, each] : worker->running) {
+      used += truths_.at(task.job)
+                  .job.spec.steps[static_cast<size_t>(task.step)]
+                  .demand;
+    }
+    if (!used.FitsIn(worker->entry.capacity)) ++over_capacity_;
+    if (spec.gang) {
+      BeginGangIfWhole(order.task, order.run);
+    } else {
+      ScheduleEnd(worker, order.task, run.work);
+    }
+    const OrderAnswer answer{
+        OrderOutcome::kDone,
+        WorkerClock{events_.now().time_since_epoch().count()}};
+    events_.At(events_.now() + worker->one_way, [this, worker, order, answer] {
+      cell_->OnStart(worker->entry.id, order, answer, events_.now());
+      Wake();
+    });
+  });
+}
+
+void VirtualCell::BeginGangIfWhole(const TaskName& member, int64_t run) {
+  const StepSpec& spec =
+      truths_.at(member.job).job.spec.steps[static_cast<size_t>(member.step)];
+  std::vector<std::pair<Worker*, TaskName>> members;
+  bool fails = false;
+  for (auto& [id, worker] : workers_) {
+    for (auto& [task, each] : worker.running) {
+      if (task.job != member.job || task.step != member.step) continue;
+      if (each.order.run != run) continue;
+      members.emplace_back(&worker, task);
+      fails = fails || each.fails;
+    }
+  }
+  if (static_cast<int>(members.size()) < spec.count) return;
+  for (const auto& [worker, task] : members) {
+    Running& each = worker->running.at(task);
+    each.began = events_.now();
+    each.waits_for_gang = false;
+    each.fails = fails;
+    ScheduleEnd(worker, task, each.work);
+  }
+}
+
+void VirtualCell::ScheduleEnd(Worker* worker, const TaskName& task,
+                              Milliseconds after) {
+  const uint64_t number = worker->running.at(task).number;
+  events_.At(events_.now() + after, [this, worker, task, number] {
+    const auto found = worker->running.find(task);
+    if (found == worker->running.end() || found->second.number != number) {
+      return;
+    }
+    EndTask(worker, task,
+            found->second.fails ? EndKind::kFailed : EndKind::kDone);
+  });
+}
+
+void VirtualCell::EndTask(Worker* worker, const TaskName& task, EndKind how) {
+  const Running run = worker->running.at(task);
+  worker->running.erase(task);
+  worker->ended.push_back(
+      {worker->next_end++, task, run.order.run, how, run.order.checkpoint});
+  const StepSpec& spec =
+      truths_.at(task.job).job.spec.steps[static_cast<size_t>(task.step)];
+  constexpr double kMilliInCoreSecond = 1e6;
+  const double spent =
+      static_cast<double>((events_.now() - run.began).count()) *
+      static_cast<double>(spec.demand.cpu_milli) / kMilliInCoreSecond;
+  (how == EndKind::kDone ? useful_core_seconds_ : wasted_core_seconds_) +=
+      spent;
+  if (worker->hold_waits) AnswerHold(worker);
+}
+
+void VirtualCell::StopTask(const StopAction& action) {
+  Worker* const worker = &workers_.at(action.worker.id);
+  events_.At(events_.now() + worker->one_way, [this, worker, action] {
+    const auto found = worker->running.find(action.order.task);
+    if (found != worker->running.end() &&
+        found->second.order.run == action.order.run) {
+      EndTask(worker, action.order.task, EndKind::kStopped);
+    }
+    const OrderAnswer answer{
+        OrderOutcome::kDone,
+        WorkerClock{events_.now().time_since_epoch().count()}};
+    events_.At(events_.now() + worker->one_way, [this, worker, action, answer] {
+      cell_->OnStop(worker->entry.id, action.order, answer, events_.now());
+      Wake();
+    });
+  });
+}
+
+bool VirtualCell::IsAllowed(const AdviceQuestion& question,
+                            const WorkerId& worker) const {
+  std::mt19937_64 chance(
+      seed_ ^ std::hash<std::string>()(question.job.text() + "/" +
+                                       std::to_string(question.step) + "/" +
+                                       worker.text()));
+  std::uniform_real_distribution<double> share(0, 1);
+  return share(chance) < truths_.at(question.job).job_class->allowed_share;
+}
+
+void VirtualCell::Ask(const AskAction& action) {
+  Adviser& adviser = advisers_.at(action.adviser);
+  const AdviceQuestion question = action.question;
+  const AdviceTerms& terms = truths_.at(question.job).job_class->advice;
+  const double call_ms =
+      terms.call_ms +
+      terms.worker_ms * static_cast<double>(question.workers.size());
+  ++questions_;
+  constexpr double kMsInSecond = 1'000;
+  advice_seconds_ += call_ms / kMsInSecond;
+  // To the adviser, and from there to the advice service, and back.
+  const Time arrives = events_.now() + adviser.one_way + deployment_.far;
+  adviser.free_at = std::max(adviser.free_at, arrives) +
+                    Milliseconds(static_cast<int64_t>(std::ceil(call_ms)));
+  AdviceAnswer answer{.kind = AdviceAnswer::Kind::kAnswered,
+                      .validity = terms.validity};
+  for (const WorkerId& worker : question.workers) {
+    if (IsAllowed(question, worker)) answer.permits.push_back({worker, "t"});
+  }
+  events_.At(adviser.free_at + deployment_.far + adviser.one_way,
+             [this, id = action.adviser, question, answer] {
+               cell_->OnAdvice(id, question, answer, events_.now());
+               Wake();
+             });
+}
+
+CellReport VirtualCell::Report() const {
+  CellReport report{.questions = questions_,
+                    .advice_seconds = advice_seconds_,
+                    .wasted_core_seconds = wasted_core_seconds_,
+                    .starts = starts_};
+  double earned_of_all = 0;
+  double owed_of_all = 0;
+  for (const JobClass& job_class : deployment_.classes) {
+    ClassReport row{.name = job_class.name};
+    double earned = 0;
+    double owed = 0;
+    std::vector<Milliseconds> waits;
+    for (const JobId& id : order_) {
+      const Truth& truth = truths_.at(id);
+      if (truth.job_class != &job_class) continue;
+      ++row.asked;
+      owed += job_class.worth;
+      Time last = truth.arrived;
+      for (const auto& [task, at] : truth.first_starts) {
+        if (task.step == 0) last = std::max(last, at);
+      }
+      waits.push_back(last - truth.arrived);
+      if (!truth.completed) continue;
+      const Milliseconds took = *truth.completed - truth.arrived;
+      if (took <= truth.objective) {
+        ++row.in_time;
+        earned += job_class.worth;
+      } else if (took <= truth.objective * kLateFactor) {
+        ++row.late;
+        earned += job_class.worth * kLateWorth;
+      }
+    }
+    row.credit = Over(earned, owed);
+    row.wait_p50 = Quantile(waits, 0.5);
+    row.wait_p95 = Quantile(waits, 0.95);
+    earned_of_all += earned;
+    owed_of_all += owed;
+    report.classes.push_back(row);
+  }
+  report.credit = Over(earned_of_all, owed_of_all);
+  constexpr double kMilliInCore = 1'000;
+  constexpr double kMsInSecond = 1'000;
+  report.busy_share =
+      Over(useful_core_seconds_ + wasted_core_seconds_,
+           static_cast<double>(deployment_.worker_capacity.cpu_milli) /
+               kMilliInCore * deployment_.workers *
+               static_cast<double>(deployment_.length.count()) / kMsInSecond);
+  return report;
+}
+
+}  // namespace quetzal::bench
