A watch that falls silent is checked by a listing beside it

Ruled out: shorter waits of watches (trial: a new watch is as deaf, first starts at 9.0 s); takeovers (none then); room (starts fell to a third). Change: a follower that may expect news lists all keys when its watch has told nothing for 300 ms (placer) or 900 ms (entries), seldom while that finds none.

--- a/programs/cell_placer/term.cc
+++ b/programs/cell_placer/term.cc
@@ -18,6 +18,9 @@
 // the store costs. Jobs wait for it, workers' entries hardly matter sooner.
 constexpr Milliseconds kJobsPause{20};
 constexpr Milliseconds kWorkerListPause{150};
+// Of a watch, before it is checked by a listing: ten times the usual time
+// between its answers, and little beside a quick job's objective.
+constexpr Milliseconds kSilence{300};
 constexpr Milliseconds kOldestArrival{60'000};
 constexpr Milliseconds kRetry{100};
 constexpr Milliseconds kRemoveEvery{2'000};
@@ -100,7 +103,8 @@
 void Term::FollowWorkers() {
   const std::string prefix = platform::kWorkerPrefix;
   workers_ = std::make_unique<StoreFollower>(
-      parts_.store, prefix, FollowerTiming{.pause = kWorkerListPause},
+      parts_.store, prefix,
+      FollowerTiming{.pause = kWorkerListPause, .silence = kSilence},
       FollowerHandlers{
           .on_put =
               [this, prefix](const StoreItem& item) {
@@ -127,7 +131,8 @@
 
 void Term::FollowCell() {
   jobs_ = std::make_unique<StoreFollower>(
-      parts_.store, CellPrefix(), FollowerTiming{.pause = kJobsPause},
+      parts_.store, CellPrefix(),
+      FollowerTiming{.pause = kJobsPause, .silence = kSilence},
       FollowerHandlers{
           .on_put = [this](const StoreItem& item) { OnCellItem(item); },
           .on_removed = [this](const std::string& key) { OnCellRemoved(key); },
--- a/programs/job_entry/main.cc
+++ b/programs/job_entry/main.cc
@@ -24,6 +24,9 @@
 // Between two watches of all jobs: what it adds to a caller's wait is small
 // beside the interval at which states are asked for, and each call costs.
 constexpr Milliseconds kJobsPause{90};
+// Of a watch, before it is checked by a listing; as many entries would list
+// at once, later than the placer does.
+constexpr Milliseconds kSilence{900};
 constexpr int kOk = 200;
 constexpr int kUnavailable = 503;
 constexpr int kNotFound = 404;
@@ -147,7 +150,8 @@
 
   void FollowJobs() {
     jobs_ = std::make_unique<StoreFollower>(
-        store_.get(), CellPrefix(), FollowerTiming{.pause = kJobsPause},
+        store_.get(), CellPrefix(),
+        FollowerTiming{.pause = kJobsPause, .silence = kSilence},
         FollowerHandlers{
             .on_put =
                 [this](const StoreItem& item) {
--- a/quetzal/store/follower.cc
+++ b/quetzal/store/follower.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <utility>
 
 #include "quetzal/store/store.h"
@@ -17,51 +18,64 @@
 
 void StoreFollower::Start() { ListAnew(); }
 
-void StoreFollower::ListAnew() {
-  listing_.clear();
-  first_page_revision_ = Revision{0};
-  ListFrom("");
+void StoreFollower::ListAnew() { ListFrom(std::make_shared<Listing>(), ""); }
+
+void StoreFollower::ListFrom(const SharedListing& listing,
+                             const std::string& after) {
+  store_->Range(
+      prefix_, after,
+      lifetime_.Guard<ReadAnswer>([this, listing](const ReadAnswer& answer) {
+        if (IsWanted(*listing)) OnPage(listing, answer);
+      }));
 }
 
-void StoreFollower::ListFrom(const std::string& after) {
-  store_->Range(prefix_, after,
-                lifetime_.Guard<ReadAnswer>(
-                    [this](const ReadAnswer& answer) { OnPage(answer); }));
+bool StoreFollower::IsWanted(const Listing& listing) const {
+  return listing.number == 0 || (watching_ && listing.number == watch_);
 }
 
-void StoreFollower::OnPage(const ReadAnswer& answer) {
+void StoreFollower::OnPage(const SharedListing& listing,
+                           const ReadAnswer& answer) {
   if (answer.outcome != StoreOutcome::kDone) {
+    // Beside a watch, that one tells whether the store answers.
+    if (listing->number != 0) return;
     SetReached(false);
     Later(timing_.retry, &StoreFollower::ListAnew);
     return;
   }
   SetReached(true);
   // Pages aren't a snapshot: changes since the first one are watched for.
-  if (first_page_revision_ == Revision{0}) {
-    first_page_revision_ = answer.store_revision;
+  if (listing->first_page == Revision{0}) {
+    listing->first_page = answer.store_revision;
   }
   for (const StoreItem& item : answer.items) {
-    listing_[item.key] = item.revision;
-    Learn(item);
+    listing->keys[item.key] = item.revision;
+    if (Learn(item)) listing->found_news = true;
   }
   if (answer.has_more && !answer.items.empty()) {
-    ListFrom(answer.items.back().key);
+    ListFrom(listing, answer.items.back().key);
     return;
   }
-  EndListing();
+  EndListing(listing.get());
 }
 
-void StoreFollower::EndListing() {
+void StoreFollower::EndListing(Listing* listing) {
   std::vector<std::string> removed;
   for (const auto& [key, revision] : known_) {
-    if (!listing_.contains(key)) removed.push_back(key);
+    if (!listing->keys.contains(key)) removed.push_back(key);
   }
   for (const std::string& key : removed) {
     known_.erase(key);
     handlers_.on_removed(key);
   }
-  listing_.clear();
-  revision_ = first_page_revision_;
+  revision_ = std::max(revision_, listing->first_page);
+  if (listing->number != 0) {
+    const bool is_deaf = listing->found_news || !removed.empty();
+    silence_ = is_deaf ? timing_.silence : std::min(silence_ * 2, kMostSilence);
+    CheckSilence(watch_);
+    return;
+  }
+  revision_ = listing->first_page;
+  silence_ = timing_.silence;
   if (!std::exchange(listed_, true) && handlers_.on_listed) {
     handlers_.on_listed();
   }
@@ -69,12 +83,27 @@
 }
 
 void StoreFollower::Watch() {
+  ++watch_;
+  watching_ = true;
   store_->Watch(prefix_, revision_, timing_.watch_wait,
                 lifetime_.Guard<WatchAnswer>(
                     [this](const WatchAnswer& answer) { OnWatch(answer); }));
+  CheckSilence(watch_);
+}
+
+void StoreFollower::CheckSilence(uint64_t watch) {
+  if (timing_.silence.count() == 0) return;
+  after_(silence_, lifetime_.Guard([this, watch] {
+    if (!watching_ || watch != watch_) return;
+    auto listing = std::make_shared<Listing>();
+    listing->number = watch;
+    ListFrom(listing, "");
+  }));
 }
 
 void StoreFollower::OnWatch(const WatchAnswer& answer) {
+  watching_ = false;
+  if (!answer.events.empty()) silence_ = timing_.silence;
   if (answer.outcome == StoreOutcome::kCompacted) {
     ListAnew();
     return;
@@ -100,11 +129,12 @@
   Later(timing_.pause, &StoreFollower::Watch);
 }
 
-void StoreFollower::Learn(const StoreItem& item) {
+bool StoreFollower::Learn(const StoreItem& item) {
   Revision& known = known_[item.key];
-  if (item.revision <= known) return;
+  if (item.revision <= known) return false;
   known = item.revision;
   handlers_.on_put(item);
+  return true;
 }
 
 void StoreFollower::Later(Milliseconds delay, void (StoreFollower::*step)()) {
--- a/quetzal/store/follower_test.cc
+++ b/quetzal/store/follower_test.cc
@@ -14,6 +14,8 @@
   CPPUNIT_TEST(TellsWhatIsThereAndWhatChanges);
   CPPUNIT_TEST(ListsAnewAfterTheHistoryIsGone);
   CPPUNIT_TEST(GoesOnAfterAnOutage);
+  CPPUNIT_TEST(ASilentWatchIsCheckedByAListing);
+  CPPUNIT_TEST(AWatchWithNothingToTellIsCheckedSeldom);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -65,10 +67,36 @@
     CPPUNIT_ASSERT_EQUAL(std::string("x"), seen_["a/1"]);
   }
 
+  // The store compacts: for seconds, watches hear nothing of what changes.
+  void ASilentWatchIsCheckedByAListing() {
+    Put("a/0", "x");
+    Start({.silence = Milliseconds(300)});
+    clock_.Pass(Milliseconds(100));
+    store_.SetWatchesDeaf(true);
+    for (int i = 1; i <= 4; ++i) {
+      Put("a/" + std::to_string(i), "x");
+      Remove("a/" + std::to_string(i - 1));
+      clock_.Pass(Milliseconds(700));
+      CPPUNIT_ASSERT_EQUAL(size_t{1}, seen_.size());
+      CPPUNIT_ASSERT(seen_.contains("a/" + std::to_string(i)));
+    }
+    store_.SetWatchesDeaf(false);
+    Put("a/9", "y");
+    clock_.Pass(Milliseconds(100));
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, seen_.size());
+  }
+
+  void AWatchWithNothingToTellIsCheckedSeldom() {
+    Start({.silence = Milliseconds(300)});
+    const size_t at_first = store_.listings();
+    clock_.Pass(Milliseconds(60'000));
+    CPPUNIT_ASSERT(store_.listings() - at_first <= 13);
+  }
+
  private:
-  void Start() {
+  void Start(FollowerTiming timing = {}) {
     follower_ = std::make_unique<StoreFollower>(
-        &store_, "a/", FollowerTiming{},
+        &store_, "a/", timing,
         FollowerHandlers{
             .on_put =
                 [this](const StoreItem& item) { seen_[item.key] = item.value; },
--- a/quetzal/store/store.h
+++ b/quetzal/store/store.h
@@ -138,7 +138,7 @@
 CellKey ParseCellKey(const std::string& key);
 
 // A copy of all keys with a prefix, kept fresh by a watch. Lists again when the
-// history that it needs is gone.
+// history that it needs is gone, and when the watch is suspiciously silent.
 struct FollowerHandlers {
   // A key was written, or found by a listing with another revision than known.
   std::function<void(const StoreItem& item)> on_put;
@@ -157,7 +157,12 @@
   // Between two watches, so that many changes come in one answer.
   Milliseconds pause{20};
   Milliseconds retry{150};  // after a call that failed
+  // A watch that tells nothing for so long is checked by a listing beside it,
+  // as watches may fall silent while changes are made. 0: never. Doubled, up to
+  // `kMostSilence`, while such listings find nothing new.
+  Milliseconds silence{0};
 };
+inline constexpr Milliseconds kMostSilence{8'000};
 
 class StoreFollower {
  public:
@@ -175,15 +180,27 @@
   Revision revision() const { return revision_; }
 
  private:
-  void ListFrom(const std::string& after);
-  void OnPage(const ReadAnswer& answer);
-  void EndListing();
+  // What one pass over all keys has found so far.
+  struct Listing {
+    uint64_t number = 0;  // of the watch that it is beside; 0: none
+    bool found_news = false;
+    Revision first_page{0};
+    std::unordered_map<std::string, Revision> keys;
+  };
+  using SharedListing = std::shared_ptr<Listing>;
+
+  void ListFrom(const SharedListing& listing, const std::string& after);
+  void OnPage(const SharedListing& listing, const ReadAnswer& answer);
+  void EndListing(Listing* listing);
   void Watch();
+  void CheckSilence(uint64_t watch);
+  // False for a listing beside a watch that was answered meanwhile.
+  bool IsWanted(const Listing& listing) const;
   void OnWatch(const WatchAnswer& answer);
   void Later(Milliseconds delay, void (StoreFollower::*step)());
   void ListAnew();
   void SetReached(bool reached);
-  void Learn(const StoreItem& item);
+  bool Learn(const StoreItem& item);
 
   Store* store_;
   std::string prefix_;
@@ -194,10 +211,10 @@
   bool listed_ = false;
   bool reached_ = false;
   Revision revision_{0};
-  Revision first_page_revision_{0};
-  std::string last_key_;
   std::unordered_map<std::string, Revision> known_;
-  std::unordered_map<std::string, Revision> listing_;
+  Milliseconds silence_{0};  // until the watch under way is checked
+  uint64_t watch_ = 0;       // counts watches; the newest may be under way
+  bool watching_ = false;
 };
 
 }  // namespace quetzal
--- a/quetzal/store/testing/memory_store.cc
+++ b/quetzal/store/testing/memory_store.cc
@@ -19,6 +19,7 @@
 
 void MemoryStore::Range(const std::string& prefix, const std::string& after,
                         std::function<void(const ReadAnswer&)> done) {
+  ++listings_;
   ReadAnswer answer{.outcome = StoreOutcome::kRefused};
   if (!down_) {
     answer.outcome = StoreOutcome::kDone;
@@ -55,6 +56,7 @@
 }
 
 void MemoryStore::AnswerWatchers() {
+  if (deaf_) return;
   for (auto each = watchers_.begin(); each != watchers_.end();) {
     WatchAnswer answer = EventsFor(*each);
     if (answer.outcome == StoreOutcome::kDone && answer.events.empty()) {
--- a/quetzal/store/testing/memory_store.h
+++ b/quetzal/store/testing/memory_store.h
@@ -48,12 +48,18 @@
   void LoseRenewals(int count) { lost_renewals_ = count; }
   // All calls are refused while it is set.
   void SetDown(bool down) { down_ = down; }
+  // Watches hear nothing and aren't answered while it is set.
+  void SetWatchesDeaf(bool deaf) {
+    deaf_ = deaf;
+    AnswerWatchers();
+  }
   // Forgets the history: watches must list anew.
   void Compact();
   // Removes the lease and its keys, as if it had run out.
   void Lapse(LeaseId lease);
   const StoreItem* Find(const std::string& key) const;
   size_t commits() const { return commits_; }
+  size_t listings() const { return listings_; }
   Revision revision() const { return Revision{revision_}; }
 
  private:
@@ -75,11 +81,13 @@
 
   Defer defer_;
   bool down_ = false;
+  bool deaf_ = false;
   int lost_renewals_ = 0;
   uint64_t revision_ = 1;
   uint64_t compacted_ = 0;
   uint64_t next_lease_ = 1;
   size_t commits_ = 0;
+  size_t listings_ = 0;
   std::map<std::string, StoreItem> items_;
   std::map<uint64_t, Milliseconds> leases_;
   std::deque<StoreEvent> history_;
