The HTTP client polls one descriptor; timers share a source; cheaper search for workers to name

A profile of the placer against the stand-in (150 workers) showed the main loop walking hundreds of poll descriptors and timers in every round, and the search for workers to name repeated for every waiting step although no adviser was free. Ruled out: JSON of the store's watches (6 ms a second by size), gRPC (4 %). Change: libcurl's sockets sit in an epoll set behind one source; one-time timers share one source; a step looks for workers only when an adviser is free; permits are found by number; runs are walked only where a stop is owed; the ends of a completed gang's members are waited for before they are stopped.

--- a/bench/support/virtual_cell.h
+++ b/bench/support/virtual_cell.h
@@ -62,6 +62,13 @@
   std::string team;  // empty: all
 };
 
+// Advisers that can't be reached for a while: nothing is answered.
+struct AdviserCut {
+  double share = 0;
+  Milliseconds from{0};
+  Milliseconds to{0};
+};
+
 struct Deployment {
   int workers = 48;
   Resources worker_capacity;
@@ -74,6 +81,7 @@
   Milliseconds store_round_trip{35};
   std::vector<JobClass> classes;
   std::vector<Burst> bursts;
+  AdviserCut adviser_cut;
   Milliseconds length{34'000};
 };
 
@@ -84,7 +92,7 @@
 
 struct ClassReport {
   std::string name;
-  int asked = 0;
+  int asked = 0;  // within their teams' weights
   int in_time = 0;
   int late = 0;              // ended by three times the objective
   double credit = 0;         // earned over owed, a late end counting a fifth
@@ -136,12 +144,14 @@
   struct Adviser {
     Milliseconds one_way{1};
     Time free_at;
+    bool is_cut = false;  // while the cut lasts
   };
   struct Truth {
     const JobClass* job_class = nullptr;
     AcceptedJob job;
     std::vector<std::vector<Milliseconds>> work;  // by step and task
     Milliseconds objective{0};
+    bool is_owed = true;  // within its team's weight
     Time arrived;
     std::map<TaskName, Time> first_starts;
     std::optional<Time> completed;
@@ -149,6 +159,8 @@
 
   void DrawJobs();
   void AddArrival(const JobClass& job_class, Time at, const std::string& team);
+  double TeamWeight() const;
+  void MarkOwed();
   Milliseconds DrawMs(const Spread& spread);
   double Draw(const Spread& spread);
   void Wake();
--- a/quetzal/cell/cell.cc
+++ b/quetzal/cell/cell.cc
@@ -166,6 +166,7 @@
   cell::State& state = parts_->state;
   cell::TendWorkers(&state, now);
   if (!state.recovered) return;
+  cell::FindUsable(&state, now);
   for (const cell::WaitingStep& step : cell::InOrder(state, now)) {
     cell::PlaceStep(&state, step, now);
     cell::AskForStep(&state, step, now);
--- a/quetzal/cell/internal/accounting.cc
+++ b/quetzal/cell/internal/accounting.cc
@@ -30,10 +30,9 @@
   state->roster.Load(entries);
   state->roster_changed = true;
   for (const auto& [id, entry] : entries) {
-    const auto [found, is_new] = state->workers.try_emplace(id);
-    Worker& worker = found->second;
+    const bool is_new = state->FindWorker(id) == nullptr;
+    Worker& worker = *state->EnsureWorker(id);
     if (is_new) {
-      worker.entry.id = id;
       worker.entry.address = entry.address;
       worker.entry.capacity = entry.capacity;
       worker.unlisted_since = now;
--- a/quetzal/cell/internal/asking.cc
+++ b/quetzal/cell/internal/asking.cc
@@ -24,6 +24,9 @@
 constexpr int kMostOpen = 8;  // of one adviser; the platform takes 32
 constexpr Milliseconds kAnswerMargin{1'500};
 constexpr Milliseconds kAskAgainAfterFailure{100};
+// No worker that might serve has room: tasks end all the time, but the search
+// is costly with many steps waiting.
+constexpr Milliseconds kAskAgainWithoutRoom{40};
 // Permits this close to their end are renewed with the next question.
 constexpr Milliseconds kRenewWithin{300};
 
@@ -49,15 +52,15 @@
                                const Step& step, Time now) {
   const double share = ShareOf(state, job.terms.name);
   std::vector<Named> named;
-  for (const auto& [id, worker] : state.workers) {
-    if (!TakesWork(worker, now)) continue;
-    if (!MayServe(job, step, worker)) continue;
+  for (const Worker* const each : state.usable) {
+    const Worker& worker = *each;
     int fits = FitsOn(worker, step);
+    if (fits <= 0 || !MayServe(job, step, worker)) continue;
     if (step.spec->most_per_worker > 0) {
       fits = std::min(fits, step.spec->most_per_worker);
     }
     if (fits <= 0) continue;
-    const auto permit = step.permits.find(id);
+    const auto permit = step.permits.find(worker.slot);
     double expected = fits * share;
     if (permit != step.permits.end() &&
         permit->second.incarnation == worker.incarnation) {
@@ -72,8 +75,12 @@
     const bool is_known = expected == fits;
     named.push_back({&worker, expected, is_known ? kKnownFirst : score});
   }
-  std::sort(named.begin(), named.end(),
-            [](const Named& a, const Named& b) { return a.score < b.score; });
+  const size_t most = std::min(named.size(), kMostNamed);
+  std::partial_sort(
+      named.begin(), named.begin() + static_cast<std::ptrdiff_t>(most),
+      named.end(),
+      [](const Named& a, const Named& b) { return a.score < b.score; });
+  named.resize(most);
   return named;
 }
 
@@ -110,9 +117,15 @@
   Step& step = job.steps[static_cast<size_t>(waiting.index)];
   if (!job.terms.advice || step.question_in_flight) return;
   if (now < step.next_question || state->advisers.empty()) return;
+  const AdviceTerms& terms = *job.terms.advice;
+  // Before the costly search: most steps wait for a free adviser.
+  if (FreeAdviser(*state, terms.call_ms, now) == nullptr) return;
   if (WithinTeamLimit(*state, job, step) <= 0) return;
   const std::vector<Named> named = WorthNaming(*state, job, step, now);
-  if (named.empty()) return;
+  if (named.empty()) {
+    step.next_question = now + kAskAgainWithoutRoom;
+    return;
+  }
   AdviceQuestion question{.job = job.accepted.id, .step = waiting.index};
   const double needed = TasksToStart(step) * kSpare;
   double expected = 0;
@@ -121,7 +134,6 @@
     question.workers.push_back(each.worker->entry.id);
     expected += each.expected;
   }
-  const AdviceTerms& terms = *job.terms.advice;
   const double call_ms =
       terms.call_ms +
       terms.worker_ms * static_cast<double>(question.workers.size());
@@ -163,11 +175,13 @@
   for (const WorkerId& id : question.workers) {
     const Worker* const worker = state->FindWorker(id);
     if (worker == nullptr) continue;
-    if (!step.permits.contains(id)) ++fresh;
-    step.permits[id] = {.incarnation = worker->incarnation};
+    if (!step.permits.contains(worker->slot)) ++fresh;
+    step.permits[worker->slot] = {.incarnation = worker->incarnation};
   }
   for (const Permit& permit : answer.permits) {
-    const auto found = step.permits.find(permit.worker);
+    const Worker* const worker = state->FindWorker(permit.worker);
+    if (worker == nullptr) continue;
+    const auto found = step.permits.find(worker->slot);
     if (found == step.permits.end()) continue;
     ++allowed;
     found->second.allowed = true;
--- a/quetzal/cell/internal/fleet.cc
+++ b/quetzal/cell/internal/fleet.cc
@@ -125,7 +125,7 @@
     Step& step = job->steps[step_index];
     Task& task = step.tasks[task_index];
     run.job = job;
-    run.charge = ChargeOf(*step.spec);
+    run.charge = step.charge;
     wanted = wanted && !task.progress.done && task.active_runs == 0;
     task.progress.last_run = std::max(task.progress.last_run, row.run);
     if (wanted && step.spec->gang) {
@@ -137,8 +137,7 @@
     // A former placer may have started it from news that is still on the way.
     run.orphan_since = now;
   } else if (!wanted) {
-    run.state = RunState::kStopping;
-    run.stop_again = now;
+    OweStop(worker, &run, now);
   }
   state->log->Line("run_adopted", {{"worker", worker->entry.id.text()},
                                    {"job", row.task.job.text()},
@@ -174,11 +173,6 @@
   }
 }
 
-void OweStop(Run* run, Time now) {
-  run->state = RunState::kStopping;
-  run->stop_again = now;
-}
-
 // Gangs miss a member: the others would only wait for it.
 void BreakGang(State* state, Job* job, int index, Time now) {
   Step& step = job->steps[static_cast<size_t>(index)];
@@ -212,7 +206,7 @@
                     {"run", row.run},
                     {"percent", row.percent},
                     {"for_ms", (now - run->progressed).count()}});
-  OweStop(run, now);
+  OweStop(worker, run, now);
   BreakGang(state, run->job, row.task.step, now);
 }
 
@@ -313,6 +307,12 @@
   return "?";
 }
 
+bool TakesWork(const Worker& worker, Time now) {
+  return worker.listed && worker.reached && worker.covered && !worker.silent &&
+         !worker.entry.draining && worker.orphans == 0 &&
+         worker.avoid_until <= now && now - worker.confirmed < kConfirmedWithin;
+}
+
 }  // namespace
 
 void EndAllRuns(State* state, Worker* worker, const char* why, Time now) {
@@ -356,14 +356,16 @@
                      (now - worker.clock_at).count()};
 }
 
-bool TakesWork(const Worker& worker, Time now) {
-  return worker.listed && worker.reached && worker.covered && !worker.silent &&
-         !worker.entry.draining && worker.orphans == 0 &&
-         worker.avoid_until <= now && now - worker.confirmed < kConfirmedWithin;
+void FindUsable(State* state, Time now) {
+  state->usable.clear();
+  for (auto& [id, worker] : state->workers) {
+    worker.usable = TakesWork(worker, now);
+    if (worker.usable) state->usable.push_back(&worker);
+  }
 }
 
 void LearnEntry(State* state, const WorkerEntry& entry, Time now) {
-  Worker& worker = state->workers[entry.id];
+  Worker& worker = *state->EnsureWorker(entry.id);
   if (!worker.listed) {
     worker.listed = true;
     worker.next_hold = now;
@@ -489,7 +491,7 @@
     case OrderOutcome::kUnknown:
       // It may be carried out yet: stopped first, then started elsewhere.
       if (present) {
-        OweStop(&found->second, now);
+        OweStop(worker, &found->second, now);
         Job* const job = found->second.job;
         if (job != nullptr) BreakGang(state, job, order.task.step, now);
       }
@@ -510,7 +512,7 @@
   if (job != nullptr) {
     Step& step = job->steps[static_cast<size_t>(order.task.step)];
     if (answer.outcome == OrderOutcome::kNoTicket) {
-      step.permits.erase(worker->entry.id);
+      step.permits.erase(worker->slot);
     }
     Task& task = step.tasks[static_cast<size_t>(order.task.index)];
     task.progress.last_run = std::max(task.progress.last_run, order.run);
@@ -543,6 +545,22 @@
   }
 }
 
+void StopWhatIsOwed(State* state, Worker* worker, Time now) {
+  if (!worker->owes_stops && worker->orphans == 0) return;
+  worker->owes_stops = false;
+  for (auto& [name, run] : worker->runs) {
+    if (run.orphan_since && run.state == RunState::kRunning &&
+        now - *run.orphan_since > kOrphanPatience) {
+      OweStop(worker, &run, now);
+    }
+    if (run.state != RunState::kStopping) continue;
+    worker->owes_stops = true;
+    const bool is_due =
+        !run.stop_in_flight && !run.stop_clock && now >= run.stop_again;
+    if (is_due) SendStop(state, worker, &run, now);
+  }
+}
+
 void TendWorkers(State* state, Time now) {
   if (!state->had_majority && HoldsMajority(*state, kConfirmedWithin, now)) {
     state->had_majority = true;
@@ -554,6 +572,7 @@
     Worker& worker = each->second;
     if (!worker.listed && !MayRunUnseen(worker) && worker.runs.empty() &&
         worker.unseen.empty() && !worker.hold_in_flight) {
+      state->slots[worker.slot] = nullptr;
       each = state->workers.erase(each);
       state->roster_changed = true;
       continue;
@@ -563,16 +582,7 @@
     if (!worker.hold_in_flight && now >= worker.next_hold) {
       SendHold(state, &worker, now);
     }
-    for (auto& [name, run] : worker.runs) {
-      if (run.orphan_since && run.state == RunState::kRunning &&
-          now - *run.orphan_since > kOrphanPatience) {
-        OweStop(&run, now);
-      }
-      const bool owed = run.state == RunState::kStopping &&
-                        !run.stop_in_flight && !run.stop_clock &&
-                        now >= run.stop_again;
-      if (owed) SendStop(state, &worker, &run, now);
-    }
+    StopWhatIsOwed(state, &worker, now);
   }
 }
 
--- a/quetzal/cell/internal/fleet.h
+++ b/quetzal/cell/internal/fleet.h
@@ -25,8 +25,8 @@
 void TendWorkers(State* state, Time now);
 // What a worker's clock shows now, never behind.
 WorkerClock ClockOf(const Worker& worker, Time now);
-// True if new work may be given to the worker.
-bool TakesWork(const Worker& worker, Time now);
+// Notes which workers may be given new work now.
+void FindUsable(State* state, Time now);
 
 }  // namespace quetzal::cell
 
--- a/quetzal/cell/internal/placing.cc
+++ b/quetzal/cell/internal/placing.cc
@@ -58,11 +58,12 @@
   return score;
 }
 
-void Consider(const Job& job, int index, Worker* worker, Time now,
+void Consider(const Job& job, int index, Worker* worker,
               std::vector<Candidate>* candidates) {
   const Step& step = job.steps[static_cast<size_t>(index)];
-  if (!TakesWork(*worker, now) || !MayServe(job, step, *worker)) return;
+  if (!worker->usable) return;
   int fits = FitsOn(*worker, step);
+  if (fits <= 0 || !MayServe(job, step, *worker)) return;
   if (step.spec->most_per_worker > 0) {
     fits = std::min(
         fits, step.spec->most_per_worker - RunsOfStepOn(*worker, job, index));
@@ -75,15 +76,16 @@
   const Step& step = job.steps[static_cast<size_t>(index)];
   std::vector<Candidate> candidates;
   if (!job.terms.advice) {
-    for (auto& [id, worker] : state->workers) {
-      Consider(job, index, &worker, now, &candidates);
+    for (Worker* const worker : state->usable) {
+      Consider(job, index, worker, &candidates);
     }
     return candidates;
   }
-  for (const auto& [id, permit] : step.permits) {
-    Worker* const worker = state->FindWorker(id);
+  for (const auto& [slot, permit] : step.permits) {
+    if (!permit.allowed) continue;
+    Worker* const worker = state->WorkerAt(slot);
     if (worker != nullptr && IsValid(permit, *worker, now)) {
-      Consider(job, index, worker, now, &candidates);
+      Consider(job, index, worker, &candidates);
     }
   }
   return candidates;
@@ -102,7 +104,7 @@
       .lease_until = WorkerClock{static_cast<int64_t>(ClockOf(*worker, now)) +
                                  state->settings.most_lease.count()},
       .checkpoint = checkpoint};
-  const auto permit = step.permits.find(worker->entry.id);
+  const auto permit = step.permits.find(worker->slot);
   if (permit != step.permits.end()) order.ticket = permit->second.ticket;
   worker->lease_basis = now;
   Task& task = step.tasks[static_cast<size_t>(task_index)];
@@ -112,7 +114,7 @@
           .number = run_number,
           .state = RunState::kStarting,
           .job = job,
-          .charge = ChargeOf(*step.spec),
+          .charge = step.charge,
           .ordered = now,
           .checkpoint = checkpoint});
   state->log->Line("start", {{"job", job->accepted.id.text()},
@@ -200,7 +202,7 @@
 
 int FitsOn(const Worker& worker, const Step& step) {
   const Resources room = worker.Free();
-  const Resources charge = ChargeOf(*step.spec);
+  const Resources& charge = step.charge;
   const int64_t fits =
       std::min({Ratio(room.cpu_milli, charge.cpu_milli),
                 Ratio(room.memory_mib, charge.memory_mib),
--- a/quetzal/cell/internal/state.cc
+++ b/quetzal/cell/internal/state.cc
@@ -14,6 +14,23 @@
   return found == workers.end() ? nullptr : &found->second;
 }
 
+Worker* State::EnsureWorker(const WorkerId& id) {
+  const auto [found, is_new] = workers.try_emplace(id);
+  Worker* const worker = &found->second;
+  if (is_new) {
+    worker->entry.id = id;
+    worker->slot = slots.size();
+    slots.push_back(worker);
+  }
+  return worker;
+}
+
+void OweStop(Worker* worker, Run* run, Time at) {
+  run->state = RunState::kStopping;
+  run->stop_again = at;
+  worker->owes_stops = true;
+}
+
 Resources ChargeOf(const StepSpec& spec) {
   Resources charge = spec.demand;
   if (spec.fills) charge.cpu_milli = 0;
--- a/quetzal/cell/internal/state.h
+++ b/quetzal/cell/internal/state.h
@@ -64,8 +64,14 @@
   Time since;
 };
 
+// Names a worker for as long as it is known; never used again.
+using WorkerSlot = size_t;
+
 struct Worker {
   WorkerEntry entry;
+  WorkerSlot slot = 0;
+  bool usable = false;      // takes work, as of the decision under way
+  bool owes_stops = false;  // perhaps: some run is to be stopped
   bool listed = false;
   Time unlisted_since;
   bool covered = false;      // the stored roster names it
@@ -108,6 +114,7 @@
 
 struct Step {
   const StepSpec* spec = nullptr;
+  Resources charge;  // what a run of it takes from its worker
   std::vector<Task> tasks;
   int done = 0;
   bool ready = false;
@@ -116,7 +123,7 @@
       0};  // longest work from this step's start to the job's end
   bool question_in_flight = false;
   Time next_question;
-  std::unordered_map<WorkerId, PermitState> permits;
+  std::unordered_map<WorkerSlot, PermitState> permits;
   // Of a gang: its members' common run, how many of them are charged, and
   // whether that run is being given up.
   int64_t gang_run = 0;
@@ -166,6 +173,8 @@
   bool had_majority = false;
   std::shared_ptr<const Catalog> catalog;
   std::unordered_map<WorkerId, Worker> workers;
+  std::vector<Worker*> slots;   // by slot; null once the worker is forgotten
+  std::vector<Worker*> usable;  // as of the decision under way
   std::unordered_map<JobId, std::unique_ptr<Job>> jobs;
   // Cancelled before their acceptance was seen, as keys come in any order.
   std::unordered_set<JobId> cancelled_unknown;
@@ -186,6 +195,9 @@
 
   Job* FindJob(const JobId& id);
   Worker* FindWorker(const WorkerId& id);
+  Worker* WorkerAt(WorkerSlot slot) { return slots[slot]; }
+  // Adds the worker if it isn't known.
+  Worker* EnsureWorker(const WorkerId& id);
 };
 
 // What a run of the step takes from its worker.
@@ -193,6 +205,9 @@
 // The most a placer's leases can outlast the order that extended them.
 Milliseconds LongestLease(const State& state);
 
+// The run is to be stopped, not before `at`.
+void OweStop(Worker* worker, Run* run, Time at);
+
 void AddRun(State* state, Worker* worker, Run run);
 // Gives back what the run held. The run is destroyed.
 void RemoveRun(State* state, Worker* worker, const TaskName& task);
--- a/quetzal/cell/internal/work.cc
+++ b/quetzal/cell/internal/work.cc
@@ -5,6 +5,10 @@
 namespace quetzal::cell {
 namespace {
 
+// The members of a gang end at once, but their workers are heard one after the
+// other; two round trips to a far region and a hold that had to be sent anew.
+constexpr Milliseconds kEndsSettle{500};
+
 bool AreAllDone(const Job& job) {
   return std::all_of(job.steps.begin(), job.steps.end(), [](const Step& step) {
     return step.done == static_cast<int>(step.tasks.size());
@@ -31,7 +35,9 @@
   state->waiting.erase(job);
   state->finished.push_back(job->accepted.id);
   Touch(state, job);
-  StopRuns(state, job, std::nullopt, now);
+  // The ends of a gang's other members are on their way.
+  const bool completed = how == JobState::kCompleted;
+  StopRuns(state, job, std::nullopt, completed ? now + kEndsSettle : now);
   state->metrics->Count(
       "quetzal_jobs_ended_total",
       {{"queue", job->terms.name.text()}, {"how", NameOf(how)}});
@@ -145,6 +151,7 @@
   for (const StepSpec& spec : job->accepted.spec.steps) {
     Step step;
     step.spec = &spec;
+    step.charge = ChargeOf(spec);
     step.tasks.resize(static_cast<size_t>(spec.count));
     job->steps.push_back(std::move(step));
   }
@@ -185,14 +192,12 @@
   Finish(state, job, JobState::kCancelled, now);
 }
 
-void StopRuns(State* state, Job* job, std::optional<int> step, Time now) {
+void StopRuns(State* state, Job* job, std::optional<int> step, Time at) {
   if (job->active_runs == 0) return;
   for (auto& [id, worker] : state->workers) {
     for (auto& [name, run] : worker.runs) {
       if (run.job != job || (step && name.step != *step)) continue;
-      if (run.state == RunState::kStopping) continue;
-      run.state = RunState::kStopping;
-      run.stop_again = now;
+      if (run.state != RunState::kStopping) OweStop(&worker, &run, at);
     }
   }
 }
--- a/quetzal/cell/internal/work.h
+++ b/quetzal/cell/internal/work.h
@@ -22,7 +22,7 @@
 JobProgress ProgressOf(const Job& job);
 bool HasWaitingTasks(const Step& step);
 // Orders the stop of every run of the job, or of one step of it.
-void StopRuns(State* state, Job* job, std::optional<int> step, Time now);
+void StopRuns(State* state, Job* job, std::optional<int> step, Time at);
 
 }  // namespace quetzal::cell
 
--- a/quetzal/http_client/http_client.cc
+++ b/quetzal/http_client/http_client.cc
@@ -1,21 +1,28 @@
 #include "quetzal/http_client/http_client.h"
 
 #include <curl/curl.h>
-#include <glib-unix.h>
 #include <glib.h>
 #include <glog/logging.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/epoll.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <cerrno>
 #include <unordered_set>
 #include <utility>
 
+#include "quetzal/http_client/internal/ready_source.h"
+#include "quetzal/http_client/internal/socket_set.h"
+
 namespace quetzal {
 namespace {
 
+using http_client_internal::ReadySource;
+using http_client_internal::SocketSet;
+
 // libcurl's variadic options take this type.
 using CurlNumber = long;  // NOLINT(google-runtime-int)
 
@@ -67,7 +74,9 @@
 class CurlClient : public HttpClient {
  public:
   explicit CurlClient(const HttpClientLimits& limits)
-      : multi_(curl_multi_init()) {
+      : multi_(curl_multi_init()),
+        source_(std::make_unique<ReadySource>(
+            sockets_.descriptor(), [this](bool is_due) { OnReady(is_due); })) {
     curl_multi_setopt(multi_, CURLMOPT_SOCKETFUNCTION, &OnSocketWanted);
     curl_multi_setopt(multi_, CURLMOPT_SOCKETDATA, this);
     curl_multi_setopt(multi_, CURLMOPT_TIMERFUNCTION, &OnTimerWanted);
@@ -81,7 +90,6 @@
       curl_multi_remove_handle(multi_, transfer->easy);
       Free(transfer);
     }
-    if (timer_ != 0) g_source_remove(timer_);
     curl_multi_cleanup(multi_);
     for (CURL* const easy : idle_) curl_easy_cleanup(easy);
   }
@@ -98,12 +106,6 @@
   }
 
  private:
-  struct Watch {
-    CurlClient* client = nullptr;
-    curl_socket_t descriptor = -1;
-    guint source = 0;
-  };
-
   CURL* TakeEasy() {
     if (idle_.empty()) return curl_easy_init();
     CURL* const easy = idle_.back();
@@ -111,7 +113,7 @@
     return easy;
   }
 
-  static void Prepare(const HttpClientCall& call, Transfer* transfer) {
+  void Prepare(const HttpClientCall& call, Transfer* transfer) {
     CURL* const easy = transfer->easy;
     for (const std::string& header : call.headers) {
       transfer->headers = curl_slist_append(transfer->headers, header.c_str());
@@ -139,72 +141,54 @@
                      std::min(kConnectTimeoutMs, TimeoutMs(call)));
     curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
     curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &SetSocketOptions);
+    curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &OnSocketClosed);
+    curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, this);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &Append);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer);
     curl_easy_setopt(easy, CURLOPT_PRIVATE, transfer);
   }
 
   static int OnSocketWanted(CURL* /*easy*/, curl_socket_t descriptor, int what,
-                            void* self, void* watch_data) {
-    auto* const client = static_cast<CurlClient*>(self);
-    auto* watch = static_cast<Watch*>(watch_data);
-    if (watch != nullptr && watch->source != 0) {
-      g_source_remove(watch->source);
-      watch->source = 0;
-    }
-    if (what == CURL_POLL_REMOVE) {
-      delete watch;
-      curl_multi_assign(client->multi_, descriptor, nullptr);
-      return 0;
-    }
-    if (watch == nullptr) {
-      watch = new Watch{.client = client, .descriptor = descriptor};
-      curl_multi_assign(client->multi_, descriptor, watch);
-    }
-    unsigned condition = G_IO_ERR | G_IO_HUP;
-    if (what != CURL_POLL_OUT) condition |= G_IO_IN;
-    if (what != CURL_POLL_IN) condition |= G_IO_OUT;
-    watch->source =
-        g_unix_fd_add(descriptor, static_cast<GIOCondition>(condition),
-                      &OnSocketReady, watch);
+                            void* self, void* /*socket_data*/) {
+    uint32_t events = 0;
+    if (what == CURL_POLL_IN || what == CURL_POLL_INOUT) events |= EPOLLIN;
+    if (what == CURL_POLL_OUT || what == CURL_POLL_INOUT) events |= EPOLLOUT;
+    static_cast<CurlClient*>(self)->sockets_.Want(descriptor, events);
     return 0;
   }
 
-  static gboolean OnSocketReady(gint descriptor, GIOCondition condition,
-                                gpointer data) {
-    CurlClient* const client = static_cast<Watch*>(data)->client;
-    int events = 0;
-    if ((condition & G_IO_IN) != 0) events |= CURL_CSELECT_IN;
-    if ((condition & G_IO_OUT) != 0) events |= CURL_CSELECT_OUT;
-    if ((condition & (G_IO_ERR | G_IO_HUP)) != 0) events |= CURL_CSELECT_ERR;
-    client->Act(descriptor, events);
-    // libcurl removed or replaced this source if it wanted to.
-    return G_SOURCE_CONTINUE;
+  static int OnSocketClosed(void* self, curl_socket_t descriptor) {
+    static_cast<CurlClient*>(self)->sockets_.Forget(descriptor);
+    return close(descriptor);
   }
 
   static int OnTimerWanted(CURLM* /*multi*/, CurlNumber timeout_ms,
                            void* self) {
-    auto* const client = static_cast<CurlClient*>(self);
-    if (client->timer_ != 0) g_source_remove(client->timer_);
-    client->timer_ = 0;
-    if (timeout_ms >= 0) {
-      client->timer_ =
-          g_timeout_add(static_cast<guint>(timeout_ms), &OnTimer, client);
-    }
+    static_cast<CurlClient*>(self)->source_->WakeIn(Milliseconds(timeout_ms),
+                                                    /*ever=*/timeout_ms >= 0);
     return 0;
   }
 
-  static gboolean OnTimer(gpointer self) {
-    auto* const client = static_cast<CurlClient*>(self);
-    client->timer_ = 0;
-    client->Act(CURL_SOCKET_TIMEOUT, 0);
-    return G_SOURCE_REMOVE;
+  // Serves all sockets that are ready, and timeouts.
+  void OnReady(bool is_due) {
+    for (const SocketSet::Ready& ready : sockets_.TakeReady()) {
+      int events = 0;
+      if ((ready.events & EPOLLIN) != 0) events |= CURL_CSELECT_IN;
+      if ((ready.events & EPOLLOUT) != 0) events |= CURL_CSELECT_OUT;
+      if ((ready.events & (EPOLLERR | EPOLLHUP)) != 0) {
+        events |= CURL_CSELECT_ERR;
+      }
+      // An earlier one of this round may have closed it.
+      if (!sockets_.IsWanted(ready.descriptor)) continue;
+      Act(ready.descriptor, events);
+    }
+    if (is_due) Act(CURL_SOCKET_TIMEOUT, 0);
+    FinishTransfers();
   }
 
   void Act(curl_socket_t descriptor, int events) {
     int running = 0;
     curl_multi_socket_action(multi_, descriptor, events, &running);
-    FinishTransfers();
   }
 
   void FinishTransfers() {
@@ -245,7 +229,8 @@
   }
 
   CURLM* multi_;
-  guint timer_ = 0;
+  SocketSet sockets_;
+  std::unique_ptr<ReadySource> source_;
   std::unordered_set<Transfer*> transfers_;
   std::vector<CURL*> idle_;  // handles are costly to make
 };
--- a/quetzal/http_client/http_client_test.cc
+++ b/quetzal/http_client/http_client_test.cc
@@ -28,6 +28,7 @@
   CPPUNIT_TEST(NoAnswerInTime);
   CPPUNIT_TEST(EndsWithCallsOpen);
   CPPUNIT_TEST(SendsFromWithinAnAnswer);
+  CPPUNIT_TEST(ATimeoutIsKeptBesideOtherCalls);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -57,6 +58,23 @@
     CPPUNIT_ASSERT_EQUAL(std::string("GET  n"), BodyOf("GET", ""));
   }
 
+  void ATimeoutIsKeptBesideOtherCalls() {
+    std::optional<HttpAnswer> silent;
+    client_->Send({.url = Url("/silent"), .timeout = Milliseconds(200)},
+                  [&](const HttpAnswer& answer) { silent = answer; });
+    int answered = 0;
+    std::function<void()> ask_again = [&] {
+      client_->Send({.url = Url("/x")}, [&](const HttpAnswer&) {
+        ++answered;
+        if (!silent) ask_again();
+      });
+    };
+    ask_again();
+    CPPUNIT_ASSERT(RunUntil([&] { return silent.has_value(); }));
+    CPPUNIT_ASSERT(silent->kind == HttpAnswer::Kind::kNoAnswer);
+    CPPUNIT_ASSERT(answered > 0);
+  }
+
   void ManyCallsAtATimeAreAnsweredEachOnce() {
     constexpr int kCalls = 300;
     int answered = 0;
--- /dev/null
+++ b/quetzal/http_client/internal/socket_set.cc
@@ -0,0 +1,75 @@
+#include "quetzal/http_client/internal/socket_set.h"
+
+#include <glib.h>
+#include <glog/logging.h>
+#include <sys/epoll.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+
+namespace quetzal::http_client_internal {
+namespace {
+
+constexpr size_t kMostReady = 256;  // in one round; others come in the next
+
+}  // namespace
+
+SocketSet::SocketSet() : epoll_(epoll_create1(EPOLL_CLOEXEC)) {
+  PCHECK(epoll_ >= 0) << "epoll isn't available";
+}
+
+SocketSet::~SocketSet() { close(epoll_); }
+
+void SocketSet::Want(int descriptor, uint32_t events) {
+  Socket& socket = sockets_[descriptor];
+  socket.wanted = events;
+  if (events != 0 && events != socket.registered) {
+    Register(descriptor, &socket, events);
+  }
+}
+
+void SocketSet::Register(int descriptor, Socket* socket, uint32_t events) {
+  epoll_event event{};
+  event.events = events;
+  event.data.fd = descriptor;
+  int operation = EPOLL_CTL_MOD;
+  if (socket->registered == 0) operation = EPOLL_CTL_ADD;
+  if (events == 0) operation = EPOLL_CTL_DEL;
+  if (epoll_ctl(epoll_, operation, descriptor, &event) != 0) {
+    LOG(WARNING) << "a socket can't be watched: " << g_strerror(errno);
+  }
+  socket->registered = events;
+}
+
+bool SocketSet::IsWanted(int descriptor) const {
+  const auto found = sockets_.find(descriptor);
+  return found != sockets_.end() && found->second.wanted != 0;
+}
+
+void SocketSet::Forget(int descriptor) {
+  const auto found = sockets_.find(descriptor);
+  if (found == sockets_.end()) return;
+  if (found->second.registered != 0) Register(descriptor, &found->second, 0);
+  sockets_.erase(found);
+}
+
+std::vector<SocketSet::Ready> SocketSet::TakeReady() {
+  std::array<epoll_event, kMostReady> events;
+  const int count = epoll_wait(epoll_, events.data(), kMostReady, 0);
+  std::vector<Ready> ready;
+  for (int i = 0; i < count; ++i) {
+    const int descriptor = events[static_cast<size_t>(i)].data.fd;
+    Socket& socket = sockets_[descriptor];
+    if (socket.wanted == 0) {
+      // An idle connection that its peer closed, or that has turned ready for
+      // nobody: it would be reported again and again.
+      Register(descriptor, &socket, 0);
+      continue;
+    }
+    ready.push_back({descriptor, events[static_cast<size_t>(i)].events});
+  }
+  return ready;
+}
+
+}  // namespace quetzal::http_client_internal
--- /dev/null
+++ b/quetzal/http_client/internal/socket_set.h
@@ -0,0 +1,47 @@
+// The sockets of one client in an epoll set, so that the main loop polls one
+// descriptor instead of hundreds.
+#ifndef QUETZAL_HTTP_CLIENT_INTERNAL_SOCKET_SET_H_
+#define QUETZAL_HTTP_CLIENT_INTERNAL_SOCKET_SET_H_
+
+#include <cstdint>
+#include <unordered_map>
+#include <vector>
+
+namespace quetzal::http_client_internal {
+
+class SocketSet {
+ public:
+  struct Ready {
+    int descriptor = -1;
+    uint32_t events = 0;
+  };
+
+  SocketSet();
+  ~SocketSet();
+  SocketSet(const SocketSet&) = delete;
+  SocketSet& operator=(const SocketSet&) = delete;
+
+  int descriptor() const { return epoll_; }
+  // `events` of epoll; 0: none for now. A socket that is wanted no more stays
+  // in the set until something happens to it, as it is mostly used again.
+  void Want(int descriptor, uint32_t events);
+  bool IsWanted(int descriptor) const;
+  // Must be told before the descriptor is closed, as its number is used again.
+  void Forget(int descriptor);
+  // What is ready now, at most once each.
+  std::vector<Ready> TakeReady();
+
+ private:
+  struct Socket {
+    uint32_t wanted = 0;
+    uint32_t registered = 0;
+  };
+  void Register(int descriptor, Socket* socket, uint32_t events);
+
+  int epoll_;
+  std::unordered_map<int, Socket> sockets_;
+};
+
+}  // namespace quetzal::http_client_internal
+
+#endif  // QUETZAL_HTTP_CLIENT_INTERNAL_SOCKET_SET_H_
--- a/quetzal/program/program.cc
+++ b/quetzal/program/program.cc
@@ -11,6 +11,8 @@
 #include <random>
 #include <utility>
 
+#include "quetzal/program/internal/timer_queue.h"
+
 namespace quetzal {
 namespace {
 
@@ -31,11 +33,6 @@
   return G_SOURCE_CONTINUE;
 }
 
-gboolean CallOnce(gpointer data) {
-  (*static_cast<std::function<void()>*>(data))();
-  return G_SOURCE_REMOVE;
-}
-
 void Free(gpointer data) { delete static_cast<std::function<void()>*>(data); }
 
 gboolean OnSignal(gpointer data) {
@@ -105,9 +102,8 @@
 }
 
 void After(Milliseconds delay, std::function<void()> function) {
-  auto* const owned = new std::function<void()>(std::move(function));
-  g_timeout_add_full(G_PRIORITY_DEFAULT, static_cast<guint>(delay.count()),
-                     &CallOnce, owned, &Free);
+  program_internal::TimerQueue::Instance().Add(Now() + delay,
+                                               std::move(function));
 }
 
 std::string NameOfThisStart(const std::string& name) {
