The placer keeps most of its descriptors for connections to workers

Ruled out: workers that close idle connections (the stand-in's don't; sockets stood at the limit). Change: three quarters of the machine's descriptors, a setting from the platform.

--- a/programs/cell_placer/main.cc
+++ b/programs/cell_placer/main.cc
@@ -28,6 +28,12 @@
 constexpr double kAmpleCores = 0.5;
 constexpr double kHandicapMsPerMissingCore = 600;
 constexpr Milliseconds kResignTimeout{800};
+// Of the descriptors: starts come in clumps, each on a connection of its own,
+// and a new connection to a far worker costs a round trip. The rest is for
+// connections that can't be told to be idle, and for files.
+constexpr int64_t kPercentForWorkers = 75;
+constexpr int64_t kPercent = 100;
+constexpr int64_t kLeastIdleConnections = 256;
 
 // By how much the suspended time of this machine grew; the steady clock
 // doesn't count it.
@@ -46,7 +52,10 @@
       : settings_(std::move(settings)),
         log_("placer@" + settings_.machine,
              {.lines_per_second = settings_.log_lines_per_second}),
-        http_client_(HttpClient::Create({.most_idle_connections = 1'024})),
+        http_client_(HttpClient::Create(
+            {.most_idle_connections = static_cast<int>(std::max(
+                 kLeastIdleConnections, settings_.file_descriptors *
+                                            kPercentForWorkers / kPercent))})),
         store_(platform::MakeStoreClient(settings_.store_address,
                                          http_client_.get())),
         workers_(platform::MakeWorkerClient(http_client_.get(), {})),
--- a/programs/cell_settings/cell_settings.cc
+++ b/programs/cell_settings/cell_settings.cc
@@ -66,6 +66,8 @@
   settings.first_internal_port = static_cast<int>(
       reader.Integer("first_internal_port", {.least = 1, .most = kMostPort}));
   settings.processor_share = Decimal(&reader, "processor_share", "cores", "1");
+  settings.file_descriptors =
+      reader.Integer("file_descriptors", {.least = 64, .fallback = 1'024});
   settings.grace = Seconds(&reader, "grace_s");
   settings.cell.most_lease = Duration(&reader, "most_lease_ms");
   settings.cell.worker_beat = Duration(&reader, "worker_beat_ms");
--- a/programs/cell_settings/cell_settings.h
+++ b/programs/cell_settings/cell_settings.h
@@ -24,7 +24,8 @@
   std::string readiness_address;
   int first_internal_port = 0;
   double processor_share = 1;
-  Milliseconds grace{6'000};  // from SIGTERM to SIGKILL
+  int64_t file_descriptors = 0;  // that each process of the machine may open
+  Milliseconds grace{6'000};     // from SIGTERM to SIGKILL
   CellSettings cell;
   int64_t log_lines_per_second = 0;
 
