--- a/standins/users_platform/main.cc
+++ b/standins/users_platform/main.cc
@@ -1,8 +1,9 @@
 // standin-users-platform: the store, the workers, the advice service and the
 // operator of the users' platform, for tests and demos on one machine.
 //
-// GET /judgement on the control address tells what the workers saw; POST /down
-// and POST /up stop and resume the store.
+// GET /judgement on the control address tells what the workers saw, GET
+// /started which tasks they started; POST /down and POST /up stop and resume
+// the store.
 #include <nlohmann/json.hpp>
 
 #include "quetzal/program/program.h"
@@ -135,6 +136,8 @@
                         {"over_capacity", judgement_.over_capacity},
                         {"fenced", judgement_.fenced}}
                        .dump()});
+    } else if (request.path == "/started") {
+      control_->Reply(call, {.body = Json(judgement_.started).dump()});
     } else if (request.path == "/down" || request.path == "/up") {
       store_.SetDown(request.path == "/down");
       control_->Reply(call, {});
--- a/tests/support/cell_cluster.cc
+++ b/tests/support/cell_cluster.cc
@@ -26,6 +26,7 @@
 constexpr int kReadinessPort = 1;
 constexpr int kInternalPort = 2;
 constexpr int kPlacerMetricsPort = 4;
+constexpr int kStoreLinkPort = 6;
 constexpr int kStorePort = 0;
 constexpr int kAdvicePort = 1;
 constexpr int kControlPort = 2;
@@ -69,8 +70,8 @@
   return "127.0.0.1:" + std::to_string(port);
 }
 
-CellCluster::CellCluster(int machines)
-    : machines_(machines), client_(HttpClient::Create({})) {
+CellCluster::CellCluster(int machines, LinkKind links)
+    : machines_(machines), links_(links), client_(HttpClient::Create({})) {
   std::string pattern =
       (std::filesystem::temp_directory_path() / "quetzal-cell-XXXXXX").string();
   folder_ = mkdtemp(pattern.data());
@@ -107,7 +108,9 @@
   const std::string file = WriteSettings(
       "vm-" + number, {{"machine", "vm-" + number},
                        {"ip", "127.0.0.1"},
-                       {"store_address", Address(first_port_ + kStorePort)},
+                       {"store_address", Address(links_ == LinkKind::kDirect
+                                                     ? StorePort()
+                                                     : StoreLinkPort(index))},
                        {"advice_address", Address(first_port_ + kAdvicePort)},
                        {"callers_address", Address(first + kCallersPort)},
                        {"readiness_address", Address(first + kReadinessPort)},
@@ -222,6 +225,24 @@
   return nlohmann::json::parse(answer.body, nullptr, false);
 }
 
+std::set<std::string> CellCluster::StartedJobs() {
+  const HttpAnswer answer = Send(
+      {.url = "http://" + Address(first_port_ + kControlPort) + "/started"});
+  std::set<std::string> jobs;
+  for (const nlohmann::json& task :
+       nlohmann::json::parse(answer.body, nullptr, false)) {
+    const std::string name = task.get<std::string>();
+    jobs.insert(name.substr(0, name.find('.')));
+  }
+  return jobs;
+}
+
+int CellCluster::StorePort() const { return first_port_ + kStorePort; }
+
+int CellCluster::StoreLinkPort(int machine) const {
+  return first_port_ + (machine + 1) * kPortsOfMachine + kStoreLinkPort;
+}
+
 void CellCluster::SetStoreDown(bool down) {
   Send({.method = "POST",
         .url = "http://" + Address(first_port_ + kControlPort) +
--- a/tests/support/cell_cluster.h
+++ b/tests/support/cell_cluster.h
@@ -14,6 +14,7 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -21,9 +22,13 @@
 
 namespace quetzal::testing {
 
+// How machines reach the store: directly, or at a port of their own where the
+// test has something listen that passes it on.
+enum class LinkKind { kDirect, kThroughProxies };
+
 class CellCluster {
  public:
-  explicit CellCluster(int machines);
+  explicit CellCluster(int machines, LinkKind links = LinkKind::kDirect);
   ~CellCluster();
 
   // True once every entry is ready and a placer leads.
@@ -43,7 +48,12 @@
   bool WaitForState(int machine, const std::string& id,
                     const std::string& state, int seconds);
   bool WaitReady(int machine, int seconds);
+  bool WaitFor(int seconds, const std::function<bool()>& condition);
   nlohmann::json Judgement();
+  // Ids of jobs of which some task was started.
+  std::set<std::string> StartedJobs();
+  int StorePort() const;
+  int StoreLinkPort(int machine) const;
   void SetStoreDown(bool down);
   // Machine whose placer leads; -1 if none says so.
   int Leader();
@@ -56,13 +66,13 @@
   };
 
   HttpAnswer Send(const HttpClientCall& call);
-  bool WaitFor(int seconds, const std::function<bool()>& condition);
   void AddMachine(int index);
   std::string WriteSettings(const std::string& name,
                             const nlohmann::json& settings);
   static std::string Address(int port);
 
   int machines_;
+  LinkKind links_;
   std::string folder_;
   int first_port_;
   std::map<std::string, Process> processes_;
