An entry that the store doesn't answer tells its callers at once

Ruled out: readiness (the platform takes a machine out after two misses; open connections stay). Change: after 850 ms without any answer to its commits (three tries) an entry tells that it is unsure, which has callers send the same id elsewhere, and refuses new jobs until the store answers a read. ASilentStoreIsToldAtOnceNotAtTheDeadline fails without it.

--- a/programs/job_entry/main.cc
+++ b/programs/job_entry/main.cc
@@ -27,6 +27,7 @@
 // Of a watch, before it is checked by a listing; as many entries would list
 // at once, later than the placer does.
 constexpr Milliseconds kSilence{900};
+constexpr Milliseconds kProbeEvery{100};
 constexpr int kOk = 200;
 constexpr int kUnavailable = 503;
 constexpr int kNotFound = 404;
@@ -72,6 +73,9 @@
                                             : Plain(kNotFound, "/metrics\n"));
                             });
     if (!callers_ || !readiness_ || !metrics_server_) return false;
+    intake_.OnSilence([this] {
+      if (!std::exchange(probing_, true)) Probe();
+    });
     FollowConfiguration();
     FollowJobs();
     return settings_.advice_address.empty() || helper_.Start();
@@ -122,6 +126,20 @@
               {{"open_jobs", static_cast<int64_t>(intake_.open_jobs())}});
   }
 
+  // Commits go unanswered: new jobs are refused until the store answers a read.
+  void Probe() {
+    SetStoreReached(false);
+    store_->Read(SeatKey(), [this](const ReadAnswer& answer) {
+      if (answer.outcome == StoreOutcome::kDone ||
+          answer.outcome == StoreOutcome::kMissing) {
+        probing_ = false;
+        SetStoreReached(true);
+      } else {
+        After(kProbeEvery, [this] { Probe(); });
+      }
+    });
+  }
+
   void FollowConfiguration() {
     configuration_ = std::make_unique<StoreFollower>(
         store_.get(), platform::kConfigurationKey, FollowerTiming{},
@@ -196,6 +214,7 @@
   std::unique_ptr<StoreFollower> configuration_;
   std::unique_ptr<StoreFollower> jobs_;
   bool store_reached_ = false;
+  bool probing_ = false;
   bool stopping_ = false;
   Time stop_asked_;
 };
--- a/quetzal/job_intake/job_intake.cc
+++ b/quetzal/job_intake/job_intake.cc
@@ -15,6 +15,9 @@
 constexpr int kMostRefusals = 3;
 constexpr Milliseconds kAfterRefusal{70};
 constexpr Milliseconds kAfterNoAnswer{20};
+// Three tries without an answer, at a store that usually answers within a tenth
+// of it: another entry may reach it, and the caller has time to ask.
+constexpr Milliseconds kSilence{850};
 
 }  // namespace
 
@@ -60,13 +63,17 @@
   }
   ++in_flight_;
   const Time sent = clock_();
+  if (!unanswered_since_) unanswered_since_ = sent;
   auto settled = std::make_shared<bool>(false);
   store_->Apply(
       commit, [this, batch, sent, settled](const CommitAnswer& answer) {
         const Milliseconds took = clock_() - sent;
         metrics_->Observe("quetzal_store_commit_ms", {{"what", "accept"}},
                           static_cast<double>(took.count()));
-        if (answer.outcome != StoreOutcome::kUnknown) patience_.Observe(took);
+        if (answer.outcome != StoreOutcome::kUnknown) {
+          patience_.Observe(took);
+          unanswered_since_.reset();
+        }
         if (std::exchange(*settled, true)) {
           OnLateAnswer(batch, answer);
           return;
@@ -145,13 +152,16 @@
 // The condition makes a second try harmless: it conflicts if the first was
 // carried out, or will be before it.
 void JobIntake::OnUnknown(const Batch& batch) {
+  const bool is_silent =
+      unanswered_since_ && clock_() - *unanswered_since_ >= kSilence;
+  if (is_silent && on_silence_) on_silence_();
   Batch rest;
   for (const JobId& id : batch) {
     const auto found = open_.find(id);
     if (found == open_.end()) continue;
     Open& open = found->second;
     open.may_be_written = true;
-    if (clock_() + kAfterNoAnswer > open.deadline) {
+    if (is_silent || clock_() + kAfterNoAnswer > open.deadline) {
       Finish(id, IntakeOutcome::kUnsure);
     } else {
       rest.push_back(id);
--- a/quetzal/job_intake/job_intake.h
+++ b/quetzal/job_intake/job_intake.h
@@ -4,14 +4,16 @@
 //
 // A job is written under its own key on the condition that the key is absent,
 // so that it is accepted once, whichever entries it was sent to and however
-// often. `kUnsure` is told when the store gave no answer in time: the job may
-// be or become accepted.
+// often. `kUnsure` is told when the store gave no answer in time, or has given
+// none to anything for a while: the job may be or become accepted, and its
+// caller does best to send it again to another entry.
 #ifndef QUETZAL_JOB_INTAKE_JOB_INTAKE_H_
 #define QUETZAL_JOB_INTAKE_JOB_INTAKE_H_
 
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -36,6 +38,10 @@
   // A job that is already being written is not written twice; both callers
   // are answered.
   void Submit(const AcceptedJob& job, Time deadline, Callback done);
+  // Called when the store has answered nothing for a while.
+  void OnSilence(std::function<void()> on_silence) {
+    on_silence_ = std::move(on_silence);
+  }
   size_t open_jobs() const { return open_.size(); }
 
  private:
@@ -68,6 +74,9 @@
   std::deque<JobId> queue_;
   int in_flight_ = 0;
   Patience patience_;
+  // When the first commit was sent that no answer came after.
+  std::optional<Time> unanswered_since_;
+  std::function<void()> on_silence_;
 };
 
 }  // namespace quetzal
--- a/quetzal/job_intake/job_intake_test.cc
+++ b/quetzal/job_intake/job_intake_test.cc
@@ -28,6 +28,7 @@
   CPPUNIT_TEST(ARefusalMeansNotAccepted);
   CPPUNIT_TEST(ARefusalAfterALostAnswerIsUnsure);
   CPPUNIT_TEST(AnAnswerThatNeverComesIsMissedSoon);
+  CPPUNIT_TEST(ASilentStoreIsToldAtOnceNotAtTheDeadline);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -123,6 +124,18 @@
     }
   }
 
+  // This machine is cut off: the caller has 3 s, and others reach the store.
+  void ASilentStoreIsToldAtOnceNotAtTheDeadline() {
+    bool told = false;
+    intake_.OnSilence([&] { told = true; });
+    for (int i = 0; i < 10; ++i) store_.LoseNextCommit(false);
+    const auto outcome = Submit("a");
+    clock_.Pass(Milliseconds(1'000));
+    CPPUNIT_ASSERT(outcome->has_value());
+    CPPUNIT_ASSERT(**outcome == IntakeOutcome::kUnsure);
+    CPPUNIT_ASSERT(told);
+  }
+
  private:
   std::shared_ptr<std::optional<IntakeOutcome>> Submit(const std::string& id) {
     auto outcome = std::make_shared<std::optional<IntakeOutcome>>();
