--- a/quetzal/cell/cell.cc
+++ b/quetzal/cell/cell.cc
@@ -6,6 +6,7 @@
 #include "quetzal/cell/internal/asking.h"
 #include "quetzal/cell/internal/fleet.h"
 #include "quetzal/cell/internal/gathering.h"
+#include "quetzal/cell/internal/orders.h"
 #include "quetzal/cell/internal/placing.h"
 #include "quetzal/cell/internal/state.h"
 #include "quetzal/cell/internal/work.h"
--- a/quetzal/cell/internal/fleet.cc
+++ b/quetzal/cell/internal/fleet.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "quetzal/cell/internal/accounting.h"
+#include "quetzal/cell/internal/orders.h"
 #include "quetzal/cell/internal/work.h"
 
 namespace quetzal::cell {
@@ -14,9 +15,6 @@
 constexpr Milliseconds kHoldWhileStoring{400};
 // Between tries to reach a worker that didn't answer.
 constexpr Milliseconds kHoldRetry{200};
-constexpr Milliseconds kStopRetry{300};
-// News of an accepted job takes a watch's round trip, or a new listing.
-constexpr Milliseconds kOrphanPatience{2'000};
 // A worker whose entry is gone may be back within about two seconds of the
 // store's return; its leases are extended so long, and no longer.
 constexpr Milliseconds kUnlistedGrace{2'500};
@@ -25,18 +23,12 @@
 constexpr Milliseconds kStandstill{1'400};
 constexpr int kAllPercent = 100;
 constexpr Milliseconds kAvoidAfterStandstill{3'000};
-// A worker that refused an order for no lasting reason.
-constexpr Milliseconds kAvoidAfterRefusal{500};
 // Failures above this rate have a worker passed over for a while.
 constexpr double kSuspectFailureRate = 0.5;
 // Two failures in a row are rare on a sound worker.
 constexpr double kFailureSmoothing = 0.35;
 constexpr Milliseconds kAvoidAfterFailures{4'000};
 
-void Resign(State* state, const std::string& reason) {
-  state->actions.emplace_back(ResignAction{reason});
-}
-
 // Removes a run and applies what became of it.
 void EndRun(State* state, Worker* worker, const TaskName& name, int64_t number,
             EndKind how, const std::string& checkpoint, Time now) {
@@ -173,14 +165,6 @@
   }
 }
 
-// Gangs miss a member: the others would only wait for it.
-void BreakGang(State* state, Job* job, int index, Time now) {
-  Step& step = job->steps[static_cast<size_t>(index)];
-  if (!step.spec->gang || step.gang_done || step.gang_broken) return;
-  step.gang_broken = true;
-  StopRuns(state, job, index, now);
-}
-
 // A worker may let everything stand still and still answer. Its runs are
 // stopped, so that they start elsewhere, and it is passed over for a while.
 void WatchProgress(State* state, Worker* worker, const RunningTask& row,
@@ -262,51 +246,6 @@
   state->actions.emplace_back(HoldAction{worker->entry, request});
 }
 
-void SendStop(State* state, Worker* worker, Run* run, Time now) {
-  run->stop_in_flight = true;
-  run->stop_again = now + kStopRetry;
-  state->actions.emplace_back(StopAction{
-      worker->entry,
-      {.task = run->task, .run = run->number, .fence = state->fence}});
-}
-
-void ReturnTask(State* state, Worker* worker, const StartOrder& order,
-                Time now) {
-  const auto found = worker->runs.find(order.task);
-  if (found == worker->runs.end() || found->second.number != order.run) return;
-  Job* const job = found->second.job;
-  RemoveRun(state, worker, order.task);
-  if (job == nullptr) return;
-  BreakGang(state, job, order.task.step, now);
-  UpdateReadiness(state, job, now);
-}
-
-const char* NameOf(OrderOutcome outcome) {
-  switch (outcome) {
-    case OrderOutcome::kDone:
-      return "done";
-    case OrderOutcome::kFenced:
-      return "fenced";
-    case OrderOutcome::kOldRun:
-      return "old_run";
-    case OrderOutcome::kTooLate:
-      return "too_late";
-    case OrderOutcome::kNoRoom:
-      return "no_room";
-    case OrderOutcome::kNoTicket:
-      return "no_ticket";
-    case OrderOutcome::kOtherLife:
-      return "other_incarnation";
-    case OrderOutcome::kNotDone:
-      return "not_done";
-    case OrderOutcome::kRefused:
-      return "connection_refused";
-    case OrderOutcome::kUnknown:
-      return "no_answer";
-  }
-  return "?";
-}
-
 bool TakesWork(const Worker& worker, Time now) {
   return worker.listed && worker.reached && worker.covered && !worker.silent &&
          !worker.entry.draining && worker.orphans == 0 &&
@@ -458,109 +397,12 @@
   if (!worker->unseen.empty()) worker->next_hold = now + kHoldWhileStoring;
 }
 
-void ApplyStart(State* state, Worker* worker, const StartOrder& order,
-                const OrderAnswer& answer, Time now) {
-  if (answer.outcome != OrderOutcome::kDone) {
-    state->metrics->Count("quetzal_starts_failed_total",
-                          {{"reason", NameOf(answer.outcome)}});
-    state->log->Line("start_failed", {{"worker", worker->entry.id.text()},
-                                      {"job", order.task.job.text()},
-                                      {"step", order.task.step},
-                                      {"task", order.task.index},
-                                      {"run", order.run},
-                                      {"how", NameOf(answer.outcome)}});
-  }
-  const auto found = worker->runs.find(order.task);
-  const bool present =
-      found != worker->runs.end() && found->second.number == order.run;
-  switch (answer.outcome) {
-    case OrderOutcome::kDone:
-      if (present) {
-        found->second.start_clock = answer.clock;
-        if (found->second.state == RunState::kStarting) {
-          found->second.state = RunState::kRunning;
-          found->second.progressed = now;
-        }
-      }
-      return;
-    case OrderOutcome::kFenced:
-      if (order.fence == state->fence) {
-        Resign(state, "a worker knows a higher fence");
-      }
-      return;
-    case OrderOutcome::kUnknown:
-      // It may be carried out yet: stopped first, then started elsewhere.
-      if (present) {
-        OweStop(worker, &found->second, now);
-        Job* const job = found->second.job;
-        if (job != nullptr) BreakGang(state, job, order.task.step, now);
-      }
-      return;
-    case OrderOutcome::kOldRun:
-    case OrderOutcome::kNoTicket:
-    case OrderOutcome::kTooLate:
-      break;
-    case OrderOutcome::kNoRoom:
-    case OrderOutcome::kOtherLife:
-    case OrderOutcome::kNotDone:
-    case OrderOutcome::kRefused:
-      worker->avoid_until = now + kAvoidAfterRefusal;
-      break;
-  }
-  if (!present) return;
-  Job* const job = found->second.job;
-  if (job != nullptr) {
-    Step& step = job->steps[static_cast<size_t>(order.task.step)];
-    if (answer.outcome == OrderOutcome::kNoTicket) {
-      step.permits.erase(worker->slot);
-    }
-    Task& task = step.tasks[static_cast<size_t>(order.task.index)];
-    task.progress.last_run = std::max(task.progress.last_run, order.run);
-  }
-  ReturnTask(state, worker, order, now);
-}
-
-void ApplyStop(State* state, Worker* worker, const StopOrder& order,
-               const OrderAnswer& answer, Time now) {
-  if (answer.outcome == OrderOutcome::kFenced && order.fence == state->fence) {
-    Resign(state, "a worker knows a higher fence");
-    return;
-  }
-  const auto found = worker->runs.find(order.task);
-  if (found == worker->runs.end() || found->second.number != order.run) return;
-  Run& run = found->second;
-  run.stop_in_flight = false;
-  run.stop_again = now + kStopRetry;
-  if (answer.outcome == OrderOutcome::kDone ||
-      answer.outcome == OrderOutcome::kOldRun) {
-    run.stop_clock = answer.clock;
-    // A hold made after it tells whether anything was there.
-    worker->next_hold = std::min(worker->next_hold, now);
-  }
-}
-
 void AcknowledgeStored(State* state, Time now) {
   for (auto& [id, worker] : state->workers) {
     AcknowledgeStored(state, &worker, now);
   }
 }
 
-void StopWhatIsOwed(State* state, Worker* worker, Time now) {
-  if (!worker->owes_stops && worker->orphans == 0) return;
-  worker->owes_stops = false;
-  for (auto& [name, run] : worker->runs) {
-    if (run.orphan_since && run.state == RunState::kRunning &&
-        now - *run.orphan_since > kOrphanPatience) {
-      OweStop(worker, &run, now);
-    }
-    if (run.state != RunState::kStopping) continue;
-    worker->owes_stops = true;
-    const bool is_due =
-        !run.stop_in_flight && !run.stop_clock && now >= run.stop_again;
-    if (is_due) SendStop(state, worker, &run, now);
-  }
-}
-
 void TendWorkers(State* state, Time now) {
   if (!state->had_majority && HoldsMajority(*state, kConfirmedWithin, now)) {
     state->had_majority = true;
--- a/quetzal/cell/internal/fleet.h
+++ b/quetzal/cell/internal/fleet.h
@@ -1,5 +1,4 @@
-// Workers under one placer: holds, what they say they run, leases that lapse,
-// orders whose answer is open.
+// Workers under one placer: holds, what they say they run, leases that lapse.
 #ifndef QUETZAL_CELL_INTERNAL_FLEET_H_
 #define QUETZAL_CELL_INTERNAL_FLEET_H_
 
@@ -11,10 +10,6 @@
 void ForgetEntry(State* state, const WorkerId& id, Time now);
 void ApplyHold(State* state, Worker* worker, const HoldRequest& request,
                Time sent, const HoldAnswer& answer, Time now);
-void ApplyStart(State* state, Worker* worker, const StartOrder& order,
-                const OrderAnswer& answer, Time now);
-void ApplyStop(State* state, Worker* worker, const StopOrder& order,
-               const OrderAnswer& answer, Time now);
 // Nothing runs there any more.
 void EndAllRuns(State* state, Worker* worker, const char* why, Time now);
 // Runs that were found before their job was known become the job's.
--- /dev/null
+++ b/quetzal/cell/internal/orders.cc
@@ -0,0 +1,169 @@
+#include "quetzal/cell/internal/orders.h"
+
+#include <algorithm>
+
+#include "quetzal/cell/internal/work.h"
+
+namespace quetzal::cell {
+namespace {
+
+constexpr Milliseconds kStopRetry{300};
+// A worker that refused an order for no lasting reason.
+constexpr Milliseconds kAvoidAfterRefusal{500};
+
+void SendStop(State* state, Worker* worker, Run* run, Time now) {
+  run->stop_in_flight = true;
+  run->stop_again = now + kStopRetry;
+  state->actions.emplace_back(StopAction{
+      worker->entry,
+      {.task = run->task, .run = run->number, .fence = state->fence}});
+}
+
+void ReturnTask(State* state, Worker* worker, const StartOrder& order,
+                Time now) {
+  const auto found = worker->runs.find(order.task);
+  if (found == worker->runs.end() || found->second.number != order.run) return;
+  Job* const job = found->second.job;
+  RemoveRun(state, worker, order.task);
+  if (job == nullptr) return;
+  BreakGang(state, job, order.task.step, now);
+  UpdateReadiness(state, job, now);
+}
+
+}  // namespace
+
+void Resign(State* state, const std::string& reason) {
+  state->actions.emplace_back(ResignAction{reason});
+}
+
+void BreakGang(State* state, Job* job, int index, Time now) {
+  Step& step = job->steps[static_cast<size_t>(index)];
+  if (!step.spec->gang || step.gang_done || step.gang_broken) return;
+  step.gang_broken = true;
+  StopRuns(state, job, index, now);
+}
+
+const char* NameOf(OrderOutcome outcome) {
+  switch (outcome) {
+    case OrderOutcome::kDone:
+      return "done";
+    case OrderOutcome::kFenced:
+      return "fenced";
+    case OrderOutcome::kOldRun:
+      return "old_run";
+    case OrderOutcome::kTooLate:
+      return "too_late";
+    case OrderOutcome::kNoRoom:
+      return "no_room";
+    case OrderOutcome::kNoTicket:
+      return "no_ticket";
+    case OrderOutcome::kOtherLife:
+      return "other_incarnation";
+    case OrderOutcome::kNotDone:
+      return "not_done";
+    case OrderOutcome::kRefused:
+      return "connection_refused";
+    case OrderOutcome::kUnknown:
+      return "no_answer";
+  }
+  return "?";
+}
+
+void StopWhatIsOwed(State* state, Worker* worker, Time now) {
+  if (!worker->owes_stops && worker->orphans == 0) return;
+  worker->owes_stops = false;
+  for (auto& [name, run] : worker->runs) {
+    if (run.orphan_since && run.state == RunState::kRunning &&
+        now - *run.orphan_since > kOrphanPatience) {
+      OweStop(worker, &run, now);
+    }
+    if (run.state != RunState::kStopping) continue;
+    worker->owes_stops = true;
+    const bool is_due =
+        !run.stop_in_flight && !run.stop_clock && now >= run.stop_again;
+    if (is_due) SendStop(state, worker, &run, now);
+  }
+}
+
+void ApplyStart(State* state, Worker* worker, const StartOrder& order,
+                const OrderAnswer& answer, Time now) {
+  if (answer.outcome != OrderOutcome::kDone) {
+    state->metrics->Count("quetzal_starts_failed_total",
+                          {{"reason", NameOf(answer.outcome)}});
+    state->log->Line("start_failed", {{"worker", worker->entry.id.text()},
+                                      {"job", order.task.job.text()},
+                                      {"step", order.task.step},
+                                      {"task", order.task.index},
+                                      {"run", order.run},
+                                      {"how", NameOf(answer.outcome)}});
+  }
+  const auto found = worker->runs.find(order.task);
+  const bool present =
+      found != worker->runs.end() && found->second.number == order.run;
+  switch (answer.outcome) {
+    case OrderOutcome::kDone:
+      if (present) {
+        found->second.start_clock = answer.clock;
+        if (found->second.state == RunState::kStarting) {
+          found->second.state = RunState::kRunning;
+          found->second.progressed = now;
+        }
+      }
+      return;
+    case OrderOutcome::kFenced:
+      if (order.fence == state->fence) {
+        Resign(state, "a worker knows a higher fence");
+      }
+      return;
+    case OrderOutcome::kUnknown:
+      // It may be carried out yet: stopped first, then started elsewhere.
+      if (present) {
+        OweStop(worker, &found->second, now);
+        Job* const job = found->second.job;
+        if (job != nullptr) BreakGang(state, job, order.task.step, now);
+      }
+      return;
+    case OrderOutcome::kOldRun:
+    case OrderOutcome::kNoTicket:
+    case OrderOutcome::kTooLate:
+      break;
+    case OrderOutcome::kNoRoom:
+    case OrderOutcome::kOtherLife:
+    case OrderOutcome::kNotDone:
+    case OrderOutcome::kRefused:
+      worker->avoid_until = now + kAvoidAfterRefusal;
+      break;
+  }
+  if (!present) return;
+  Job* const job = found->second.job;
+  if (job != nullptr) {
+    Step& step = job->steps[static_cast<size_t>(order.task.step)];
+    if (answer.outcome == OrderOutcome::kNoTicket) {
+      step.permits.erase(worker->slot);
+    }
+    Task& task = step.tasks[static_cast<size_t>(order.task.index)];
+    task.progress.last_run = std::max(task.progress.last_run, order.run);
+  }
+  ReturnTask(state, worker, order, now);
+}
+
+void ApplyStop(State* state, Worker* worker, const StopOrder& order,
+               const OrderAnswer& answer, Time now) {
+  if (answer.outcome == OrderOutcome::kFenced && order.fence == state->fence) {
+    Resign(state, "a worker knows a higher fence");
+    return;
+  }
+  const auto found = worker->runs.find(order.task);
+  if (found == worker->runs.end() || found->second.number != order.run) return;
+  Run& run = found->second;
+  run.stop_in_flight = false;
+  run.stop_again = now + kStopRetry;
+  if (answer.outcome == OrderOutcome::kDone ||
+      answer.outcome == OrderOutcome::kOldRun) {
+    run.stop_clock = answer.clock;
+    // A hold made after it tells whether anything was there.
+    worker->next_hold = std::min(worker->next_hold, now);
+  }
+}
+
+}  // namespace quetzal::cell
--- /dev/null
+++ b/quetzal/cell/testing/fake_fleet.h
@@ -0,0 +1,271 @@
+// A cell in virtual time against workers that do as they are told, for tests.
+//
+//   Fleet fleet(3);
+//   fleet.Recover();
+//   fleet.cell()->OnJob(Fleet::AJob("a", {Fleet::AStep(2)}), Revision{1},
+//                       std::nullopt, fleet.now());
+//   fleet.Run(Milliseconds(50));
+#ifndef QUETZAL_CELL_TESTING_FAKE_FLEET_H_
+#define QUETZAL_CELL_TESTING_FAKE_FLEET_H_
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "quetzal/cell/cell.h"
+
+namespace quetzal::testing {
+
+inline constexpr Fence kFence{7};
+inline constexpr int64_t kRunFloor = 16;
+
+// A worker that does as it is told, under its own clock.
+struct FakeWorker {
+  WorkerEntry entry;
+  int64_t clock_ms = 100'000;
+  int64_t next_end = 1;
+  bool silent = false;
+  std::optional<int> fixed_percent;
+  std::map<TaskName, int64_t> running;
+  std::vector<EndedTask> ended;
+  int64_t last_seen = 0;
+
+  void End(const TaskName& task, EndKind how) {
+    ended.push_back({next_end++, task, running.at(task), how, ""});
+    running.erase(task);
+  }
+};
+
+// Drives a cell in virtual time against fake workers; advice allows all.
+class Fleet {
+ public:
+  explicit Fleet(int workers, std::optional<AdviceTerms> advice = std::nullopt)
+      : advice_(advice) {
+    for (int i = 0; i < workers; ++i) {
+      FakeWorker worker;
+      worker.entry.id = WorkerId("w-" + std::to_string(i));
+      worker.entry.address = "10.0.0." + std::to_string(i) + ":1";
+      worker.entry.service = ServiceId("s");
+      worker.entry.capacity = {.cpu_milli = 4'000, .memory_mib = 4'000};
+      worker.entry.incarnation = Incarnation{1};
+      workers_[worker.entry.id] = worker;
+    }
+    NewTerm(kFence, kRunFloor);
+  }
+
+  // A placer takes over: all it knows comes from workers and from `stored`.
+  enum class Configuration { kKnown, kOnTheWay };
+
+  void NewTerm(Fence fence, int64_t run_floor,
+               Configuration configuration = Configuration::kKnown) {
+    cell_ = std::make_unique<Cell>(CellSettings{}, fence, run_floor, now_,
+                                   &log_, &metrics_);
+    actions_.clear();
+    if (configuration == Configuration::kKnown) Configure();
+    for (const auto& [id, worker] : workers_) {
+      if (!unlisted_.contains(id)) cell_->OnWorkerEntry(worker.entry, now_);
+    }
+    cell_->OnWorkersListed(now_);
+    cell_->OnRoster(roster_, now_);
+    cell_->OnAdvisers({AdviserId("vm-1")});
+  }
+  void Configure() { cell_->OnCatalog(MakeCatalog(), now_); }
+  void Recover() {
+    cell_->OnJobsListed(now_);
+    Run(Milliseconds(20));
+  }
+
+  std::shared_ptr<const Catalog> MakeCatalog() const {
+    Queue queue{.name = QueueId("q"),
+                .service = ServiceId("s"),
+                .most_attempts = 2,
+                .slack_factor = 2,
+                .latency_target = Milliseconds(1'000),
+                .advice = advice_};
+    Team team{.name = TeamId("t"), .weight = 100, .limit = limit_};
+    return std::make_shared<const Catalog>(1, std::vector{queue},
+                                           std::vector<ServiceTerms>{},
+                                           std::vector{team}, CatalogLimits{});
+  }
+  void SetLimit(Resources limit) {
+    limit_ = limit;
+    Configure();
+  }
+
+  static AcceptedJob AJob(const std::string& id, std::vector<StepSpec> steps) {
+    AcceptedJob job;
+    job.id = JobId(id);
+    job.team = TeamId("t");
+    job.queue = QueueId("q");
+    job.service = ServiceId("s");
+    job.spec.steps = std::move(steps);
+    return job;
+  }
+  static StepSpec AStep(int count, int64_t cpu = 1'000) {
+    return {.count = count,
+            .demand = {.cpu_milli = cpu, .memory_mib = 100},
+            .estimated_run_time = Milliseconds(500)};
+  }
+
+  void Run(Milliseconds span) {
+    const Time until = now_ + span;
+    while (now_ < until) {
+      now_ += Milliseconds(10);
+      for (auto& [id, worker] : workers_) worker.clock_ms += 10;
+      cell_->Decide(now_);
+      for (const CellAction& action : cell_->TakeActions()) Serve(action);
+      if (store_up_) Store();
+    }
+  }
+
+  // Writes are taken and answered at once unless the store is down.
+  void Store() {
+    if (const auto roster = cell_->TakeRosterWrite(now_)) {
+      if (stores_roster_) roster_ = *DecodeRoster(*roster);
+      cell_->OnRosterWritten(stores_roster_);
+    }
+    for (const ProgressWrite& write : cell_->TakeWrites(100)) {
+      stored_[write.job] = write;
+      cell_->OnStored(write.job, write.version);
+    }
+  }
+
+  void Serve(const CellAction& action) {
+    struct Visitor {
+      Fleet* fleet;
+      void operator()(const HoldAction& a) const { fleet->ServeHold(a); }
+      void operator()(const StartAction& a) const { fleet->ServeStart(a); }
+      void operator()(const StopAction& a) const { fleet->ServeStop(a); }
+      void operator()(const AskAction& a) const { fleet->ServeAsk(a); }
+      void operator()(const ResignAction&) const { ++fleet->resignations_; }
+    };
+    std::visit(Visitor{this}, action);
+  }
+
+  void ServeHold(const HoldAction& action) {
+    FakeWorker& worker = workers_.at(action.worker.id);
+    HoldAnswer answer;
+    if (!worker.silent) {
+      worker.last_seen = std::max(worker.last_seen, action.request.last_seen);
+      std::erase_if(worker.ended, [&](const EndedTask& ended) {
+        return ended.number <= worker.last_seen;
+      });
+      answer = {.outcome = OrderOutcome::kDone,
+                .clock = WorkerClock{worker.clock_ms},
+                .incarnation = worker.entry.incarnation,
+                .ended = worker.ended};
+      for (const auto& [task, run] : worker.running) {
+        const int percent = worker.fixed_percent.value_or(
+            static_cast<int>(worker.clock_ms % 97));
+        answer.running.push_back({task, run, "", percent});
+      }
+    }
+    cell_->OnHold(action.worker.id, action.request, now_, answer, now_);
+  }
+
+  void ServeStart(const StartAction& action) {
+    FakeWorker& worker = workers_.at(action.worker.id);
+    starts_.push_back(action);
+    OrderAnswer answer;
+    if (start_outcome_ == OrderOutcome::kDone && !worker.silent) {
+      worker.running[action.order.task] = action.order.run;
+      const Resources used =
+          size_ * static_cast<int64_t>(worker.running.size());
+      if (!used.FitsIn(worker.entry.capacity)) over_capacity_ = true;
+    }
+    if (!worker.silent) {
+      answer = {start_outcome_, WorkerClock{worker.clock_ms}};
+    }
+    cell_->OnStart(action.worker.id, action.order, answer, now_);
+  }
+
+  void ServeStop(const StopAction& action) {
+    FakeWorker& worker = workers_.at(action.worker.id);
+    ++stops_;
+    OrderAnswer answer;
+    if (!worker.silent) {
+      if (worker.running.contains(action.order.task)) {
+        worker.End(action.order.task, EndKind::kStopped);
+      }
+      answer = {OrderOutcome::kDone, WorkerClock{worker.clock_ms}};
+    }
+    cell_->OnStop(action.worker.id, action.order, answer, now_);
+  }
+
+  void ServeAsk(const AskAction& action) {
+    ++questions_;
+    AdviceAnswer answer{.kind = AdviceAnswer::Kind::kAnswered,
+                        .validity = Milliseconds(2'500)};
+    for (const WorkerId& worker : action.question.workers) {
+      if (!forbidden_.contains(worker)) answer.permits.push_back({worker, "p"});
+    }
+    cell_->OnAdvice(action.adviser, action.question, answer, now_);
+  }
+
+  size_t running() const {
+    size_t count = 0;
+    for (const auto& [id, worker] : workers_) count += worker.running.size();
+    return count;
+  }
+  FakeWorker& WorkerOf(const TaskName& task) {
+    for (auto& [id, worker] : workers_) {
+      if (worker.running.contains(task)) return worker;
+    }
+    CPPUNIT_FAIL("the task doesn't run");
+    throw std::logic_error("unreachable");
+  }
+  std::vector<TaskName> RunningTasks() const {
+    std::vector<TaskName> tasks;
+    for (const auto& [id, worker] : workers_) {
+      for (const auto& [task, run] : worker.running) tasks.push_back(task);
+    }
+    return tasks;
+  }
+  JobState StoredState(const std::string& id) const {
+    const auto found = stored_.find(JobId(id));
+    if (found == stored_.end()) return JobState::kQueued;
+    return DecodeState(found->second.value).value_or(JobState::kQueued);
+  }
+
+  Cell* cell() { return cell_.get(); }
+  Time now() const { return now_; }
+
+  std::map<WorkerId, FakeWorker> workers_;
+  RosterEntries roster_;
+  bool stores_roster_ = true;
+  std::set<WorkerId> unlisted_;  // not in the platform's list
+  std::map<JobId, ProgressWrite> stored_;
+  std::vector<StartAction> starts_;
+  std::set<WorkerId> forbidden_;
+  OrderOutcome start_outcome_ = OrderOutcome::kDone;
+  Resources size_{.cpu_milli = 1'000, .memory_mib = 100};
+  bool store_up_ = true;
+  bool over_capacity_ = false;
+  int stops_ = 0;
+  int questions_ = 0;
+  int resignations_ = 0;
+
+ private:
+  std::optional<AdviceTerms> advice_;
+  Resources limit_;
+  EventLog log_{"test", {.lines_per_second = 0}};
+  Metrics metrics_;
+  Time now_{Milliseconds(1'000'000)};
+  std::unique_ptr<Cell> cell_;
+  std::vector<CellAction> actions_;
+};
+
+inline TaskName Task(const std::string& job, int step, int index) {
+  return {JobId(job), 0, step, index};
+}
+
+}  // namespace quetzal::testing
+
+#endif  // QUETZAL_CELL_TESTING_FAKE_FLEET_H_
