--- a/bench/support/cell_report.cc
+++ b/bench/support/cell_report.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <cstddef>
 #include <functional>
 #include <utility>
 
@@ -21,7 +22,8 @@
   if (values.empty()) return Milliseconds(0);
   const auto at =
       static_cast<size_t>(part * static_cast<double>(values.size()));
-  std::nth_element(values.begin(), values.begin() + static_cast<long>(at),
+  std::nth_element(values.begin(),
+                   values.begin() + static_cast<std::ptrdiff_t>(at),
                    values.end());
   return values[at];
 }
--- a/bench/support/virtual_cell.cc
+++ b/bench/support/virtual_cell.cc
@@ -27,6 +27,7 @@
   cell_ = std::make_unique<Cell>(CellSettings{}, Fence{7}, 0, events_.now(),
                                  &log_, &metrics_);
   std::vector<Queue> queues;
+  queues.reserve(deployment_.classes.size());
   for (const JobClass& each : deployment_.classes) {
     queues.push_back({.name = QueueId(each.name),
                       .service = ServiceId("s"),
@@ -37,6 +38,7 @@
                       .advice = each.advice});
   }
   std::vector<Team> teams;
+  teams.reserve(static_cast<size_t>(deployment_.teams));
   for (int i = 0; i < static_cast<int>(deployment_.teams); ++i) {
     teams.push_back(
         {.name = TeamId("t" + std::to_string(i)), .weight = TeamWeight()});
@@ -155,6 +157,7 @@
     const double guess = Draw({1, job_class.estimate_off, 10});
     step.estimated_run_time = Milliseconds(static_cast<int64_t>(mean * guess));
     std::vector<Milliseconds> work;
+    work.reserve(static_cast<size_t>(step.count));
     for (int t = 0; t < step.count; ++t) {
       work.push_back(std::max(Milliseconds(20),
                               DrawMs({mean, job_class.uneven, 3 * mean})));
--- a/programs/cell_placer/term.cc
+++ b/programs/cell_placer/term.cc
@@ -155,8 +155,9 @@
                          auto decoded = DecodeRoster(a.items[0].value);
                          // Written by another version: leases that it covers
                          // can't be known.
-                         if (!decoded)
+                         if (!decoded) {
                            parts_.log->Line("roster_unreadable", {});
+                         }
                          entries = std::move(decoded).value_or(RosterEntries{});
                        }
                        cell_.OnRoster(entries, Now());
@@ -386,8 +387,9 @@
                     parts_.metrics->Observe("quetzal_store_commit_ms",
                                             {{"what", "progress"}},
                                             static_cast<double>(took.count()));
-                    if (a.outcome != StoreOutcome::kUnknown)
+                    if (a.outcome != StoreOutcome::kUnknown) {
                       patience_.Observe(took);
+                    }
                     if (!std::exchange(*settled, true)) OnWritten(writes, a);
                   }));
   Later(patience_.current(), [this, writes, settled] {
