Serve long-running jobs

Change: they are accepted. Their tasks are started again however they end, after a delay that grows for those that end soon after their starts (restart_backoff), without a limit of attempts and without a write for each end: run numbers are reserved in blocks. Best-effort tasks beside serving ones are paced by the reported response times (pacing). A start without an answer is no longer stopped if a poll showed meanwhile that it runs. Long-running runs aren't counted as capacity that becomes free for gangs, and their ends after they served don't count against their workers.

--- a/bench/support/virtual_cell.cc
+++ b/bench/support/virtual_cell.cc
@@ -260,6 +260,7 @@
     void operator()(const RequestAdviceAction& a) const {
       cell->RequestAdvice(a);
     }
+    void operator()(const PaceAction&) const {}
     void operator()(const ResignAction&) const {}
   };
   std::visit(Visitor{this}, action);
--- a/programs/cell_placer/term.cc
+++ b/programs/cell_placer/term.cc
@@ -307,6 +307,7 @@
     void operator()(const PollAction& poll) const { term->PollWorker(poll); }
     void operator()(const StartAction& start) const { term->StartTask(start); }
     void operator()(const StopAction& stop) const { term->StopTask(stop); }
+    void operator()(const PaceAction& pace) const { term->SetPace(pace); }
     void operator()(const RequestAdviceAction& ask) const {
       term->RequestAdvice(ask);
     }
@@ -362,6 +363,18 @@
                                   }));
 }
 
+void Term::SetPace(const PaceAction& action) {
+  const WorkerId id = action.worker.id;
+  const PaceOrder order = action.order;
+  dependencies_.workers->SetPace(
+      action.worker, order,
+      lifetime_.Guard<OrderAnswer>(
+          [this, id, order](const OrderAnswer& answer) {
+            cell_.OnPaceAnswer(id, order, answer);
+            ScheduleDecision();
+          }));
+}
+
 void Term::RequestAdvice(const RequestAdviceAction& action) {
   const HelperId helper = action.helper;
   const AdviceQuery query = action.query;
--- a/programs/cell_placer/term.h
+++ b/programs/cell_placer/term.h
@@ -68,6 +68,7 @@
   void PollWorker(const PollAction& action);
   void StartTask(const StartAction& action);
   void StopTask(const StopAction& action);
+  void SetPace(const PaceAction& action);
   void RequestAdvice(const RequestAdviceAction& action);
   void FlushWrites();
   void CommitWrites(const std::vector<ProgressWrite>& writes);
--- a/programs/job_entry/job_api.cc
+++ b/programs/job_entry/job_api.cc
@@ -143,7 +143,7 @@
   }
   if (IsUnsupportedKind(spec.value())) {
     Refuse(*call, kUnprocessable, "unsupported_kind",
-           "long-running and scheduled jobs aren't served yet");
+           "scheduled jobs aren't served yet");
     return;
   }
   if (!store_reachable_) {
--- a/quetzal/cell/cell.cc
+++ b/quetzal/cell/cell.cc
@@ -6,6 +6,7 @@
 #include "quetzal/cell/internal/advice_queries.h"
 #include "quetzal/cell/internal/jobs.h"
 #include "quetzal/cell/internal/orders.h"
+#include "quetzal/cell/internal/pace_orders.h"
 #include "quetzal/cell/internal/placement.h"
 #include "quetzal/cell/internal/reservations.h"
 #include "quetzal/cell/internal/state.h"
@@ -139,6 +140,13 @@
   cell::ApplyStopAnswer(&parts_->state, worker, order, answer, now);
 }
 
+void Cell::OnPaceAnswer(const WorkerId& id, const PaceOrder& order,
+                        const OrderAnswer& answer) {
+  cell::Worker* const worker = parts_->state.FindWorker(id);
+  if (worker == nullptr) return;
+  cell::ApplyPaceAnswer(&parts_->state, worker, order, answer);
+}
+
 void Cell::OnHelpers(const std::vector<HelperId>& helpers) {
   parts_->state.helpers.SetHelpers(helpers);
 }
@@ -168,6 +176,7 @@
   cell::State& state = parts_->state;
   cell::MaintainWorkers(&state, now);
   if (!state.recovered) return;
+  cell::SendPaceOrders(&state, now);
   cell::UpdateUsableWorkers(&state, now);
   const std::vector<cell::WaitingStep> order =
       cell::WaitingStepsInOrder(state, now);
--- a/quetzal/cell/cell.h
+++ b/quetzal/cell/cell.h
@@ -69,6 +69,10 @@
   WorkerEntry worker;
   StopOrder order;
 };
+struct PaceAction {
+  WorkerEntry worker;
+  PaceOrder order;
+};
 struct RequestAdviceAction {
   HelperId helper;
   AdviceQuery query;
@@ -78,7 +82,7 @@
 struct ResignAction {
   std::string reason;
 };
-using CellAction = std::variant<PollAction, StartAction, StopAction,
+using CellAction = std::variant<PollAction, StartAction, StopAction, PaceAction,
                                 RequestAdviceAction, ResignAction>;
 
 // A job's progress that must be stored.
@@ -136,6 +140,8 @@
                      const OrderAnswer& answer, Time now);
   void OnStopAnswer(const WorkerId& id, const StopOrder& order,
                     const OrderAnswer& answer, Time now);
+  void OnPaceAnswer(const WorkerId& id, const PaceOrder& order,
+                    const OrderAnswer& answer);
 
   void OnHelpers(const std::vector<HelperId>& helpers);
   void OnAdvice(const HelperId& helper, const AdviceQuery& query,
--- a/quetzal/cell/internal/jobs.cc
+++ b/quetzal/cell/internal/jobs.cc
@@ -76,7 +76,7 @@
 void ApplyGangEnd(State* state, Job* job, int index, int64_t run,
                   TaskOutcome how, Time now) {
   Step& step = job->steps[static_cast<size_t>(index)];
-  if (how == TaskOutcome::kDone) {
+  if (how == TaskOutcome::kDone && !step.spec->long_running) {
     // The members end together, so one member's end completes all.
     step.gang_done = true;
     for (Task& task : step.tasks) MarkDone(&step, &task);
@@ -90,6 +90,21 @@
   StopRuns(state, job, index, now);
 }
 
+// A long-running task is started again however it ends, and isn't limited in
+// its attempts. Nothing is stored, as a task may end often.
+void ApplyLongRunningEnd(State* state, Job* job, const TaskId& task_id,
+                         int64_t run, TaskOutcome how, Time now) {
+  Step& step = job->steps[static_cast<size_t>(task_id.step)];
+  Task& task = step.tasks[static_cast<size_t>(task_id.index)];
+  if (how == TaskOutcome::kDone || how == TaskOutcome::kFailed) {
+    task.backoff.OnEnded(now);
+  }
+  if (step.spec->gang) {
+    ApplyGangEnd(state, job, task_id.step, run, how, now);
+  }
+  UpdateReadiness(state, job, now);
+}
+
 }  // namespace
 
 void SetQueueConfig(Job* job, const Queue& config) {
@@ -172,6 +187,7 @@
       Step& step = job->steps[i];
       for (size_t j = 0; j < step.tasks.size(); ++j) {
         step.tasks[j].progress = progress->steps[i].tasks[j];
+        step.tasks[j].reserved_run = step.tasks[j].progress.last_run;
         if (step.tasks[j].progress.done) ++step.done;
         const std::string& checkpoint = step.tasks[j].progress.checkpoint;
         if (!checkpoint.empty()) step.gang_checkpoint = checkpoint;
@@ -222,6 +238,11 @@
     task.progress.checkpoint = checkpoint;
     step.gang_checkpoint = checkpoint;
   }
+  if (step.spec->long_running) {
+    if (IsFinal(job->state)) return;
+    ApplyLongRunningEnd(state, job, task_id, run, how, now);
+    return;
+  }
   // Workers report an end again until it is acknowledged, and a new placer may
   // receive the end of a later run first.
   auto& failed_runs = task.progress.failed_runs;
@@ -256,7 +277,11 @@
   progress.state = job.state;
   for (const Step& step : job.steps) {
     StepProgress stored;
-    for (const Task& task : step.tasks) stored.tasks.push_back(task.progress);
+    for (const Task& task : step.tasks) {
+      stored.tasks.push_back(task.progress);
+      int64_t& last_run = stored.tasks.back().last_run;
+      last_run = std::max(last_run, task.reserved_run);
+    }
     progress.steps.push_back(std::move(stored));
   }
   return progress;
--- a/quetzal/cell/internal/orders.cc
+++ b/quetzal/cell/internal/orders.cc
@@ -117,8 +117,8 @@
       return;
     case OrderOutcome::kUnknown:
       // The order may still be carried out, so the run is stopped before its
-      // task starts elsewhere.
-      if (present) {
+      // task starts elsewhere, unless a poll has shown meanwhile that it runs.
+      if (present && found->second.state == RunState::kStarting) {
         ScheduleStop(worker, &found->second, now);
         Job* const job = found->second.job;
         if (job != nullptr) BreakGang(state, job, order.task.step, now);
--- a/quetzal/cell/internal/placement.cc
+++ b/quetzal/cell/internal/placement.cc
@@ -8,6 +8,7 @@
 #include "quetzal/cell/internal/jobs.h"
 #include "quetzal/cell/internal/reservations.h"
 #include "quetzal/cell/internal/workers.h"
+#include "quetzal/pacing/pacing.h"
 #include "quetzal/waiting_order/waiting_order.h"
 
 namespace quetzal::cell {
@@ -30,6 +31,12 @@
       std::min<int64_t>(fits, std::numeric_limits<int>::max()));
 }
 
+// Long-running tasks end often without a write of their progress, so their run
+// numbers are reserved in blocks. The next block is reserved early enough that
+// it is stored before the current one is used up.
+constexpr int64_t kRunNumberBlock = 16;
+constexpr int64_t kRunNumbersLeft = 8;
+
 int RunsOfStepOn(const Worker& worker, const Job& job, int step) {
   int count = 0;
   for (const auto& [task_id, run] : worker.runs) {
@@ -64,6 +71,14 @@
       step.spec->preferred_rack != worker.entry.rack) {
     score += kOtherRackPenalty;
   }
+  // Best-effort tasks disturb serving tasks on their worker, and have to be
+  // paced down there.
+  constexpr double kDisturbancePenalty = 1e5;
+  if (step.spec->best_effort)
+    score += kDisturbancePenalty * worker.serving_runs;
+  if (IsServing(*step.spec)) {
+    score += kDisturbancePenalty * worker.best_effort_runs;
+  }
   constexpr double kFailurePenalty = 1e7;
   score += worker.failure_rate * kFailurePenalty;
   return score;
@@ -102,6 +117,16 @@
   return candidates;
 }
 
+void ReserveRunNumbers(State* state, Job* job, Task* task) {
+  if (task->reserved_run == 0) {
+    // The next term's floor is above this term's first block.
+    task->reserved_run = state->run_floor + kRunNumberBlock;
+  }
+  if (task->progress.last_run + kRunNumbersLeft <= task->reserved_run) return;
+  task->reserved_run = task->progress.last_run + kRunNumberBlock;
+  MarkProgressChanged(state, job);
+}
+
 void StartTask(State* state, Job* job, int step_index, int task_index,
                Worker* worker, int64_t run_number,
                const std::string& checkpoint, Time now) {
@@ -122,6 +147,10 @@
   ChargeReservations(worker, step, now);
   Task& task = step.tasks[static_cast<size_t>(task_index)];
   task.progress.last_run = std::max(task.progress.last_run, run_number);
+  if (step.spec->long_running) {
+    task.backoff.OnStarted(now);
+    ReserveRunNumbers(state, job, &task);
+  }
   AddRun(state, worker,
          {.task = task_id,
           .number = run_number,
@@ -129,7 +158,8 @@
           .job = job,
           .charge = step.charge,
           .ordered_at = now,
-          .checkpoint = checkpoint});
+          .checkpoint = checkpoint,
+          .pace = kFullPace});
   state->log->Line("start", {{"job", job->accepted.id.text()},
                              {"step", step_index},
                              {"task", task_index},
@@ -167,6 +197,7 @@
   for (size_t i = 0; i < step.tasks.size() && allowed > 0; ++i) {
     Task& task = step.tasks[i];
     if (task.progress.done || task.active_runs > 0) continue;
+    if (!task.backoff.MayStart(now)) continue;
     Candidate* const best = BestCandidate(&candidates);
     if (best == nullptr) return;
     StartTask(state, job, index, static_cast<int>(i), best->worker,
@@ -260,6 +291,24 @@
       std::min<int64_t>(fits, std::numeric_limits<int>::max()));
 }
 
+PlacementRank RankOf(const Job& job, size_t index, Time now) {
+  const Step& step = job.steps[index];
+  // A long-running task has value whenever it starts, and loses some with each
+  // second that it isn't at work.
+  if (step.spec->long_running) {
+    return {.priority = job.queue_config.priority,
+            .slack = Milliseconds(0),
+            .since = job.known_since};
+  }
+  const Milliseconds age = now - job.known_since;
+  const Milliseconds left = step.critical_path;
+  return {.timeliness = ExpectedTimeliness(age, left, job.objective),
+          .above_rate = job.above_rate,
+          .priority = job.queue_config.priority,
+          .slack = job.objective - age - left,
+          .since = job.known_since};
+}
+
 std::vector<WaitingStep> WaitingStepsInOrder(const State& state, Time now) {
   struct Entry {
     WaitingStep step;
@@ -271,14 +320,7 @@
     for (size_t i = 0; i < job->steps.size(); ++i) {
       if (!HasWaitingTasks(job->steps[i])) continue;
       const Milliseconds age = now - job->known_since;
-      const Milliseconds left = job->steps[i].critical_path;
-      entries.push_back(
-          {{job, static_cast<int>(i)},
-           {.timeliness = ExpectedTimeliness(age, left, job->objective),
-            .above_rate = job->above_rate,
-            .priority = job->queue_config.priority,
-            .slack = job->objective - age - left,
-            .since = job->known_since}});
+      entries.push_back({{job, static_cast<int>(i)}, RankOf(*job, i, now)});
     }
   }
   std::sort(entries.begin(), entries.end(), [](const Entry& a, const Entry& b) {
--- a/quetzal/cell/internal/reservations.cc
+++ b/quetzal/cell/internal/reservations.cc
@@ -42,6 +42,7 @@
 }
 
 bool EndsBefore(const Step& step, Time now, Time limit) {
+  if (step.spec->long_running) return false;
   const auto expected = Milliseconds(static_cast<int64_t>(
       static_cast<double>(step.spec->estimated_run_time.count()) *
       kEstimateMargin));
@@ -54,6 +55,10 @@
   for (const Reservation& r : worker.reservations) candidate.free -= r.amount;
   candidate.frees.reserve(worker.runs.size());
   for (const auto& [task_id, run] : worker.runs) {
+    if (run.job != nullptr && run.state != RunState::kStopping &&
+        run.job->steps[static_cast<size_t>(task_id.step)].spec->long_running) {
+      continue;
+    }
     candidate.frees.push_back({ExpectedTimeLeft(run, now), run.charge});
   }
   return candidate;
--- a/quetzal/cell/internal/state.cc
+++ b/quetzal/cell/internal/state.cc
@@ -31,6 +31,15 @@
   worker->may_need_stops = true;
 }
 
+bool IsServing(const StepSpec& spec) {
+  return spec.long_running && spec.latency_target.count() > 0;
+}
+
+bool IsBestEffort(const Run& run) {
+  return run.job != nullptr &&
+         run.job->steps[static_cast<size_t>(run.task.step)].spec->best_effort;
+}
+
 Resources ChargeOf(const StepSpec& spec) {
   Resources charge = spec.demand;
   if (spec.best_effort) charge.cpu_milli = 0;
@@ -51,7 +60,9 @@
     Step& step = job.steps[static_cast<size_t>(run.task.step)];
     if (step.spec->best_effort) {
       worker->best_effort_cpu_milli += step.spec->demand.cpu_milli;
+      ++worker->best_effort_runs;
     }
+    if (IsServing(*step.spec)) ++worker->serving_runs;
     state->team_usage[job.accepted.team] += step.spec->demand;
     ++step.tasks[static_cast<size_t>(run.task.index)].active_runs;
     ++job.active_runs;
@@ -80,7 +91,9 @@
     Step& step = job.steps[static_cast<size_t>(task.step)];
     if (step.spec->best_effort) {
       worker->best_effort_cpu_milli -= step.spec->demand.cpu_milli;
+      --worker->best_effort_runs;
     }
+    if (IsServing(*step.spec)) --worker->serving_runs;
     state->team_usage[job.accepted.team] -= step.spec->demand;
     --step.tasks[static_cast<size_t>(task.index)].active_runs;
     --job.active_runs;
--- a/quetzal/cell/internal/state.h
+++ b/quetzal/cell/internal/state.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "quetzal/cell/cell.h"
+#include "quetzal/restart_backoff/restart_backoff.h"
 #include "quetzal/waiting_order/waiting_order.h"
 
 namespace quetzal::cell {
@@ -52,6 +53,12 @@
   Time next_stop_at;
   std::optional<WorkerTime> stop_worker_time;  // in the answer to the stop
   std::string checkpoint;
+  Milliseconds response_tail{0};  // of a serving task, as last reported
+  // Of a best-effort run: the pace that was ordered last; unknown for a run
+  // that a former placer may have paced.
+  std::optional<int> pace;
+  bool pace_in_flight = false;
+  std::optional<Time> pace_ordered_at;
   // Set if a worker reported the run while its job wasn't known (yet).
   std::optional<Time> orphan_since;
 };
@@ -109,6 +116,9 @@
   // Runs of unknown jobs and size: with any the worker counts as full.
   int orphan_runs = 0;
   int64_t best_effort_cpu_milli = 0;  // processors wanted by best-effort runs
+  int best_effort_runs = 0;
+  int serving_runs = 0;   // of steps with a latency target
+  bool pace_due = false;  // it sent a run list since paces were last decided
   std::map<TaskId, Run> runs;
   std::vector<Reservation> reservations;  // in planning order
   // Gets no new work until then, after refusals, failures or stalls.
@@ -134,6 +144,10 @@
 struct Task {
   TaskProgress progress;
   int active_runs = 0;
+  // Only for long-running tasks. Run numbers up to `reserved_run` may be used
+  // without storing progress; a later term continues above it.
+  int64_t reserved_run = 0;
+  RestartBackoff backoff;
 };
 
 struct Step {
@@ -230,6 +244,11 @@
   Worker* FindOrAddWorker(const WorkerId& id);
 };
 
+// True if the step's tasks serve users within a latency target.
+bool IsServing(const StepSpec& spec);
+// True if the run is of a best-effort step of a known job.
+bool IsBestEffort(const Run& run);
+
 // What a run of the step takes from its worker.
 Resources ChargeOf(const StepSpec& spec);
 // How long a lease can last, on the placer's clock, after the order that
--- a/quetzal/cell/internal/workers.cc
+++ b/quetzal/cell/internal/workers.cc
@@ -16,6 +16,9 @@
 constexpr Milliseconds kPollWhileStoring{400};
 // Delay before a worker that didn't answer is tried again.
 constexpr Milliseconds kPollRetryDelay{200};
+// While best-effort runs may disturb serving ones. Response times cover the
+// last half second.
+constexpr Milliseconds kPollWaitWhilePacing{400};
 // A worker whose entry is gone may be back within about two seconds of the
 // store's return. Its leases are extended for this long, and no longer.
 constexpr Milliseconds kUnlistedGrace{2'500};
@@ -67,6 +70,18 @@
   worker->reached = false;
 }
 
+// Long-running tasks that served may end at any time, also on healthy workers.
+bool HasServed(const Worker& worker, const EndedTask& ended) {
+  const auto found = worker.runs.find(ended.task);
+  if (found == worker.runs.end() || found->second.number != ended.run) {
+    return false;
+  }
+  const Run& run = found->second;
+  return run.job != nullptr && run.percent >= kDonePercent &&
+         run.job->steps[static_cast<size_t>(ended.task.step)]
+             .spec->long_running;
+}
+
 void UpdateFailureRate(State* state, Worker* worker, TaskOutcome how,
                        Time now) {
   if (how != TaskOutcome::kDone && how != TaskOutcome::kFailed) return;
@@ -87,7 +102,9 @@
                     Time now) {
   if (ended.number <= worker->last_applied_end) return;
   worker->last_applied_end = ended.number;
-  UpdateFailureRate(state, worker, ended.how, now);
+  if (!HasServed(*worker, ended)) {
+    UpdateFailureRate(state, worker, ended.how, now);
+  }
   EndRun(state, worker, ended.task, ended.run, ended.how, ended.checkpoint,
          now);
   UnacknowledgedEnd report{
@@ -207,6 +224,7 @@
 void ApplyRunList(State* state, Worker* worker, const PollAnswer& answer,
                   Time now) {
   ++worker->run_lists;
+  worker->pace_due = true;
   for (const RunningTask& row : answer.running) {
     const auto found = worker->runs.find(row.task);
     if (found == worker->runs.end()) {
@@ -216,6 +234,7 @@
     Run& run = found->second;
     run.last_run_list = worker->run_lists;
     if (run.number != row.run) continue;
+    run.response_tail = row.response_tail;
     StopIfStalled(state, worker, row, &run, now);
     if (!row.checkpoint.empty()) run.checkpoint = row.checkpoint;
     if (run.state == RunState::kStarting) {
@@ -251,7 +270,13 @@
                    state->settings.max_lease.count()};
     worker->lease_extended_at = now;
     // With unacknowledged ends the worker would answer at once.
-    if (worker->unacked.empty()) request.wait = state->settings.poll_wait;
+    if (worker->unacked.empty()) {
+      const bool needs_pacing =
+          worker->best_effort_runs > 0 && worker->serving_runs > 0;
+      request.wait = needs_pacing ? std::min(kPollWaitWhilePacing,
+                                             state->settings.poll_wait)
+                                  : state->settings.poll_wait;
+    }
   }
   worker->poll_in_flight = true;
   state->actions.emplace_back(PollAction{worker->entry, request});
--- a/quetzal/cell/testing/fake_fleet.h
+++ b/quetzal/cell/testing/fake_fleet.h
@@ -36,6 +36,8 @@
   std::map<TaskId, int64_t> running;
   std::vector<EndedTask> ended;
   int64_t acknowledged_end = 0;
+  std::map<TaskId, int> paces;                    // as ordered
+  std::map<TaskId, Milliseconds> response_tails;  // of serving tasks
 
   void End(const TaskId& task, TaskOutcome how) {
     ended.push_back({next_end_number++, task, running.at(task), how, ""});
@@ -147,6 +149,7 @@
       void operator()(const PollAction& a) const { fleet->ServePoll(a); }
       void operator()(const StartAction& a) const { fleet->ServeStart(a); }
       void operator()(const StopAction& a) const { fleet->ServeStop(a); }
+      void operator()(const PaceAction& a) const { fleet->ServePace(a); }
       void operator()(const RequestAdviceAction& a) const {
         fleet->ServeAdvice(a);
       }
@@ -171,7 +174,11 @@
       for (const auto& [task, run] : worker.running) {
         const int percent = worker.fixed_percent.value_or(
             static_cast<int>(worker.clock_ms % 97));
-        answer.running.push_back({task, run, "", percent});
+        const auto tail = worker.response_tails.find(task);
+        answer.running.push_back({task, run, "", percent,
+                                  tail == worker.response_tails.end()
+                                      ? Milliseconds(0)
+                                      : tail->second});
       }
     }
     cell_->OnPollAnswer(action.worker.id, action.request, now_, answer, now_);
@@ -187,6 +194,7 @@
           task_size_ * static_cast<int64_t>(worker.running.size());
       if (!used.FitsIn(worker.entry.capacity)) over_capacity_ = true;
     }
+    if (lose_start_answers_) return;
     if (!worker.unresponsive) {
       answer = {start_outcome_, WorkerTime{worker.clock_ms}};
     }
@@ -206,6 +214,16 @@
     cell_->OnStopAnswer(action.worker.id, action.order, answer, now_);
   }
 
+  void ServePace(const PaceAction& action) {
+    FakeWorker& worker = workers_.at(action.worker.id);
+    OrderAnswer answer;
+    if (!worker.unresponsive) {
+      worker.paces[action.order.task] = action.order.percent;
+      answer = {OrderOutcome::kDone, WorkerTime{worker.clock_ms}};
+    }
+    cell_->OnPaceAnswer(action.worker.id, action.order, answer);
+  }
+
   void ServeAdvice(const RequestAdviceAction& action) {
     ++advice_queries_;
     AdviceAnswer answer{.kind = AdviceAnswer::Kind::kAnswered,
@@ -252,6 +270,8 @@
   std::vector<StartAction> starts_;
   std::set<WorkerId> denied_;
   OrderOutcome start_outcome_ = OrderOutcome::kDone;
+  // Starts are carried out, and the test reports their outcomes to the cell.
+  bool lose_start_answers_ = false;
   Resources task_size_{.cpu_milli = 1'000, .memory_mib = 100};
   bool store_up_ = true;
   bool over_capacity_ = false;
--- a/quetzal/job/job.cc
+++ b/quetzal/job/job.cc
@@ -1,8 +1,5 @@
 #include "quetzal/job/job.h"
 
-#include <algorithm>
-#include <numeric>
-
 namespace quetzal {
 namespace {
 
@@ -64,9 +61,7 @@
 }
 
 bool IsUnsupportedKind(const JobSpec& spec) {
-  return spec.schedule.repetitions > 0 ||
-         std::any_of(spec.steps.begin(), spec.steps.end(),
-                     [](const StepSpec& step) { return step.long_running; });
+  return spec.schedule.repetitions > 0;
 }
 
 }  // namespace quetzal
--- a/quetzal/job/job.h
+++ b/quetzal/job/job.h
@@ -99,7 +99,7 @@
 
 // Returns everything that makes the job impossible to run as specified.
 Problems ValidateJob(const JobSpec& spec);
-// True for long-running and scheduled jobs, which aren't supported yet.
+// True for scheduled jobs, which aren't supported yet.
 bool IsUnsupportedKind(const JobSpec& spec);
 
 std::string EncodeJob(const AcceptedJob& job);
--- a/quetzal/worker/worker.h
+++ b/quetzal/worker/worker.h
@@ -65,7 +65,11 @@
   TaskId task;
   int64_t run = 0;
   std::string checkpoint;
-  int percent = 0;  // of its work that is complete
+  // Of its work that is complete. A long-running task serves at 100.
+  int percent = 0;
+  // Tail of the response times of a serving task over about half a second.
+  // Meaningless for other tasks.
+  Milliseconds response_tail{0};
 };
 
 struct EndedTask {
@@ -121,6 +125,14 @@
   Fence fence{0};
 };
 
+// Lets a task work at a share of its full speed. Its memory stays in use.
+struct PaceOrder {
+  TaskId task;
+  int64_t run = 0;
+  int percent = 100;
+  Fence fence{0};
+};
+
 struct OrderAnswer {
   OrderOutcome outcome = OrderOutcome::kUnknown;
   WorkerTime clock{0};  // 0: unknown
@@ -135,6 +147,8 @@
                      std::function<void(const OrderAnswer&)> done) = 0;
   virtual void Stop(const WorkerEntry& worker, const StopOrder& order,
                     std::function<void(const OrderAnswer&)> done) = 0;
+  virtual void SetPace(const WorkerEntry& worker, const PaceOrder& order,
+                       std::function<void(const OrderAnswer&)> done) = 0;
 };
 
 // Asks which of `workers` may run a step.
