Register reused descriptors of the HTTP client's sockets anew

Cause: libcurl closes the sockets of failed connection attempts without the close callback. The socket set kept their registration, so a new socket with the same number was modified in the epoll set (ENOENT, logged as 'a socket can't be watched') or not registered at all, and its request timed out although the peer was healthy.

Change: each socket that is opened starts unregistered, by libcurl's open callback.

--- a/quetzal/http_client/http_client.cc
+++ b/quetzal/http_client/http_client.cc
@@ -146,6 +146,8 @@
                      std::min(kConnectTimeoutMs, TimeoutMs(request)));
     curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
     curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &SetSocketOptions);
+    curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, &OnSocketOpened);
+    curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, this);
     curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &OnSocketClosed);
     curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, this);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &AppendBody);
@@ -162,6 +164,20 @@
     return 0;
   }
 
+  // Not every socket that is opened is passed to `OnSocketClosed`: those of
+  // failed connection attempts aren't.
+  static curl_socket_t OnSocketOpened(void* self, curlsocktype /*purpose*/,
+                                      curl_sockaddr* address) {
+    const int descriptor = socket(
+        address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
+    if (descriptor < 0) {
+      LOG(WARNING) << "a socket can't be opened: " << g_strerror(errno);
+      return CURL_SOCKET_BAD;
+    }
+    static_cast<CurlClient*>(self)->sockets_.OnOpened(descriptor);
+    return descriptor;
+  }
+
   static int OnSocketClosed(void* self, curl_socket_t descriptor) {
     static_cast<CurlClient*>(self)->sockets_.Remove(descriptor);
     return close(descriptor);
--- a/quetzal/http_client/http_client_test.cc
+++ b/quetzal/http_client/http_client_test.cc
@@ -2,7 +2,11 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <glib.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
+#include <array>
 #include <optional>
 
 #include "quetzal/http/http.h"
@@ -20,6 +24,39 @@
   return condition();
 }
 
+// A port that answers no connection attempt: its queue of connections is full.
+class UnresponsivePort {
+ public:
+  UnresponsivePort() : listener_(socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(address);
+    auto* const generic = reinterpret_cast<sockaddr*>(&address);
+    CPPUNIT_ASSERT_EQUAL(0, bind(listener_, generic, size));
+    CPPUNIT_ASSERT_EQUAL(0, listen(listener_, 0));
+    CPPUNIT_ASSERT_EQUAL(0, getsockname(listener_, generic, &size));
+    port_ = ntohs(address.sin_port);
+    for (int& filler : fillers_) {
+      filler = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+      connect(filler, generic, size);
+    }
+  }
+  ~UnresponsivePort() {
+    for (const int filler : fillers_) close(filler);
+    close(listener_);
+  }
+  UnresponsivePort(const UnresponsivePort&) = delete;
+  UnresponsivePort& operator=(const UnresponsivePort&) = delete;
+
+  int port() const { return port_; }
+
+ private:
+  int listener_;
+  int port_ = 0;
+  std::array<int, 4> fillers_{};
+};
+
 class HttpClientTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(HttpClientTest);
   CPPUNIT_TEST(SendsMethodBodyAndHeaders);
@@ -29,6 +66,7 @@
   CPPUNIT_TEST(DestroyedWithRequestsPending);
   CPPUNIT_TEST(SendsFromWithinACallback);
   CPPUNIT_TEST(TimeoutFiresDespiteOtherTraffic);
+  CPPUNIT_TEST(ConnectionAttemptsThatTimedOutHarmNoLaterRequest);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -75,6 +113,36 @@
     CPPUNIT_ASSERT(answered > 0);
   }
 
+  // libcurl closes the sockets of attempts without calling back, and their
+  // descriptors' numbers are reused.
+  void ConnectionAttemptsThatTimedOutHarmNoLaterRequest() {
+    const UnresponsivePort unresponsive;
+    const std::string silent_url =
+        "http://127.0.0.1:" + std::to_string(unresponsive.port()) + "/";
+    constexpr int kRounds = 5;
+    constexpr int kCalls = 20;
+    for (int round = 0; round < kRounds; ++round) {
+      int finished = 0;
+      int answered = 0;
+      for (int i = 0; i < kCalls; ++i) {
+        client_->Send(
+            {.url = silent_url, .timeout = Milliseconds(100)},
+            [&](const HttpClientResult& answer) {
+              ++finished;
+              CPPUNIT_ASSERT(answer.kind == HttpClientResult::Kind::kNotSent);
+              client_->Send(
+                  {.url = Url("/close"), .timeout = Milliseconds(1'000)},
+                  [&](const HttpClientResult& second) {
+                    ++finished;
+                    if (second.ok()) ++answered;
+                  });
+            });
+      }
+      CPPUNIT_ASSERT(RunUntil([&] { return finished == 2 * kCalls; }));
+      CPPUNIT_ASSERT_EQUAL(kCalls, answered);
+    }
+  }
+
   void ConcurrentRequestsAreEachAnsweredOnce() {
     constexpr int kCalls = 300;
     int answered = 0;
--- a/quetzal/http_client/internal/socket_set.cc
+++ b/quetzal/http_client/internal/socket_set.cc
@@ -47,6 +47,17 @@
   return found != sockets_.end() && found->second.requested != 0;
 }
 
+void SocketSet::OnOpened(int descriptor) {
+  const auto found = sockets_.find(descriptor);
+  if (found == sockets_.end()) return;
+  // The kernel dropped the registration when the earlier socket was closed.
+  found->second.registered = 0;
+  // libcurl doesn't ask again for the events that it asked for last.
+  if (found->second.requested != 0) {
+    Register(descriptor, &found->second, found->second.requested);
+  }
+}
+
 void SocketSet::Remove(int descriptor) {
   const auto found = sockets_.find(descriptor);
   if (found == sockets_.end()) return;
--- a/quetzal/http_client/internal/socket_set.h
+++ b/quetzal/http_client/internal/socket_set.h
@@ -26,7 +26,10 @@
   // registered until its next event, since most sockets are reused.
   void SetEvents(int descriptor, uint32_t events);
   bool IsWatched(int descriptor) const;
-  // Must be called before the descriptor is closed, as its number is reused.
+  // A new socket got the descriptor. It isn't registered, even if an earlier
+  // socket with the same number was closed without `Remove`.
+  void OnOpened(int descriptor);
+  // Should be called before the descriptor is closed, as its number is reused.
   void Remove(int descriptor);
   // Returns the sockets that are ready now, each at most once.
   std::vector<Ready> TakeReady();
