Keep requests and progress apart from the records that entries follow

Cause: every entry followed all keys of all jobs: the whole request of each (up to 5 KB) and its progress at each end of a task.

Change: an accepted job is a record of about 60 bytes under cell/, which every entry follows, and its request under work/, which only the active placer follows. Progress is under work/ too; the record gets the job's state when it starts and when it ends. A first progress write is conditional on the request, so that it can't be carried out after the job's end. Requests and progress of the earlier layout are read; earlier versions don't run jobs of this layout.

The case that a long-running job is refused became one that a scheduled job is.

--- a/programs/cell_placer/term.cc
+++ b/programs/cell_placer/term.cc
@@ -27,16 +27,16 @@
 constexpr Milliseconds kMaxJobAge{60'000};
 constexpr Milliseconds kRetryDelay{100};
 constexpr Milliseconds kRemovalInterval{2'000};
-// One condition on the leader key; for each job a condition, a put and, when it
-// ended, a removal.
-constexpr size_t kMaxJobsPerTransaction = (kMaxTransactionEntries - 1) / 3;
+// For each job: of its progress and its request conditions and either two puts
+// or two removals; of its record a put.
+constexpr size_t kMaxEntriesPerJob = 4;
 // Minimum time between two flushes: each commit has a cost, and many tasks end
 // within this time.
 constexpr Milliseconds kMinFlushInterval{20};
 // Sustains the rate at which tasks end over the round trip to a distant store.
 constexpr int kMaxTransactionsInFlight = 6;
-// Three removals for each job, and the condition on the leader key.
-constexpr size_t kMaxExpiredPerTransaction = 8;
+// Four removals for each job, and the condition on the leader key.
+constexpr size_t kMaxExpiredPerTransaction = (kMaxTransactionEntries - 1) / 4;
 
 // When a job was accepted, possibly in an earlier term, on this process's
 // clock. Wall clocks of machines differ and jump, so its age is clamped.
@@ -140,16 +140,22 @@
 }
 
 void Term::WatchCell() {
-  job_watcher_ = std::make_unique<StoreWatcher>(
-      dependencies_.store, CellPrefix(),
-      StoreWatcherTiming{.pause = kJobWatchPause,
-                         .relist_after_silence = kRelistAfterSilence},
-      StoreWatcherHandlers{
-          .on_put = [this](const StoreItem& item) { OnCellItem(item); },
-          .on_removed = [this](const std::string& key) { OnCellRemoved(key); },
-          .on_listed = [this] { OnCellListed(); }},
-      &RunAfter);
-  job_watcher_->Start();
+  const auto watch = [this](const std::string& prefix) {
+    auto watcher = std::make_unique<StoreWatcher>(
+        dependencies_.store, prefix,
+        StoreWatcherTiming{.pause = kJobWatchPause,
+                           .relist_after_silence = kRelistAfterSilence},
+        StoreWatcherHandlers{
+            .on_put = [this](const StoreItem& item) { OnCellItem(item); },
+            .on_removed =
+                [this](const std::string& key) { OnCellRemoved(key); },
+            .on_listed = [this] { OnListed(); }},
+        &RunAfter);
+    watcher->Start();
+    return watcher;
+  };
+  record_watcher_ = watch(CellPrefix());
+  work_watcher_ = watch(WorkPrefix());
 }
 
 void Term::ReadRoster() {
@@ -210,20 +216,31 @@
   const JobId id(key.name);
   switch (key.kind) {
     case CellKeyKind::kJob:
-      if (job_watcher_->is_listed()) {
-        AddJob(id, item);
+      if (IsListed()) {
+        AddRecord(id, item);
+      } else {
+        listed_records_[id] = item;
+      }
+      break;
+    case CellKeyKind::kRequest:
+      request_revisions_[id] = item.revision;
+      if (IsListed()) {
+        AddRequest(id, item);
       } else {
-        listed_jobs_[id] = item;
+        listed_requests_[id] = item;
       }
       break;
     case CellKeyKind::kProgress: {
       Revision& recorded = progress_revisions_[id];
       if (item.revision > recorded) recorded = item.revision;
-      if (!job_watcher_->is_listed()) listed_progress_[id] = item.value;
+      if (!IsListed()) listed_progress_[id] = item.value;
       break;
     }
+    case CellKeyKind::kFormerProgress:
+      if (!IsListed()) listed_progress_.try_emplace(id, item.value);
+      break;
     case CellKeyKind::kCancel:
-      if (job_watcher_->is_listed()) {
+      if (IsListed()) {
         cell_.OnCancel(id, Now());
       } else {
         listed_cancellations_.insert(id);
@@ -241,15 +258,32 @@
   const CellKey parsed = ParseCellKey(key);
   if (parsed.kind == CellKeyKind::kProgress) {
     progress_revisions_.erase(JobId(parsed.name));
+  } else if (parsed.kind == CellKeyKind::kRequest) {
+    request_revisions_.erase(JobId(parsed.name));
+  } else if (parsed.kind == CellKeyKind::kJob) {
+    running_records_.erase(JobId(parsed.name));
   }
 }
 
-void Term::AddJob(const JobId& id, const StoreItem& item) {
-  if (DecodeState(item.value)) {
+bool Term::IsListed() const {
+  return record_watcher_ && record_watcher_->is_listed() && work_watcher_ &&
+         work_watcher_->is_listed();
+}
+
+void Term::AddRecord(const JobId& id, const StoreItem& item) {
+  const std::optional<JobState> state = DecodeState(item.value);
+  if (state && IsFinal(*state)) {
     // Ended, in this term or an earlier one.
+    running_records_.erase(id);
     cell_.OnEndedJob(id, Now());
-    return;
+  } else if (state) {
+    running_records_.insert(id);
+  } else if (HoldsRequest(item.value)) {
+    AddRequest(id, item);
   }
+}
+
+void Term::AddRequest(const JobId& id, const StoreItem& item) {
   const auto job = DecodeJob(id, item.value);
   if (!job) {
     dependencies_.log->Line(
@@ -272,10 +306,13 @@
   cell_.OnJob(job.value(), item.created, progress, AcceptanceTime(job.value()));
 }
 
-void Term::OnCellListed() {
-  for (const auto& [id, item] : listed_jobs_) AddJob(id, item);
+void Term::OnListed() {
+  if (!IsListed()) return;
+  for (const auto& [id, item] : listed_requests_) AddRequest(id, item);
+  for (const auto& [id, item] : listed_records_) AddRecord(id, item);
   for (const JobId& id : listed_cancellations_) cell_.OnCancel(id, Now());
-  listed_jobs_.clear();
+  listed_records_.clear();
+  listed_requests_.clear();
   listed_cancellations_.clear();
   listed_progress_.clear();
   cell_.OnJobsListed(Now());
@@ -401,16 +438,22 @@
   next_flush_ = now + kMinFlushInterval;
   while (cell_.has_progress_writes() &&
          writes_in_flight_ < kMaxTransactionsInFlight) {
-    CommitWrites(cell_.TakeProgressWrites(kMaxJobsPerTransaction));
+    CommitWrites();
   }
 }
 
-void Term::CommitWrites(const std::vector<ProgressWrite>& writes) {
-  if (writes.empty()) return;
+void Term::CommitWrites() {
   Transaction transaction;
   transaction.conditions.push_back(
       {LeaderKey(), Revision{static_cast<uint64_t>(fence_)}});
-  for (const ProgressWrite& write : writes) AddWrite(write, &transaction);
+  std::vector<ProgressWrite> writes;
+  while (transaction.size() + kMaxEntriesPerJob <= kMaxTransactionEntries) {
+    std::vector<ProgressWrite> next = cell_.TakeProgressWrites(1);
+    if (next.empty()) break;
+    AddWrite(next[0], &transaction);
+    writes.push_back(std::move(next[0]));
+  }
+  if (writes.empty()) return;
   ++writes_in_flight_;
   const Time sent = Now();
   auto handled = std::make_shared<bool>(false);
@@ -439,12 +482,28 @@
   const Revision revision =
       found == progress_revisions_.end() ? kAbsent : found->second;
   transaction->conditions.push_back({key, revision});
-  if (!write.final) {
-    transaction->puts.push_back({.key = key, .value = write.value});
+  const auto request = request_revisions_.find(write.job);
+  if (write.final) {
+    transaction->puts.push_back(
+        {.key = JobKey(write.job), .value = write.record});
+    if (request != request_revisions_.end()) {
+      transaction->removes.push_back(RequestKey(write.job));
+    }
+    if (revision != kAbsent) transaction->removes.push_back(key);
     return;
   }
-  transaction->puts.push_back({.key = JobKey(write.job), .value = write.value});
-  if (revision != kAbsent) transaction->removes.push_back(key);
+  transaction->puts.push_back({.key = key, .value = write.value});
+  // An earlier version stored the request in the record.
+  if (request == request_revisions_.end()) return;
+  // Fails if this commit is carried out late, after the job's end.
+  if (revision == kAbsent) {
+    transaction->conditions.push_back({RequestKey(write.job), request->second});
+  }
+  if (write.state == JobState::kRunning &&
+      !running_records_.contains(write.job)) {
+    transaction->puts.push_back(
+        {.key = JobKey(write.job), .value = write.record});
+  }
 }
 
 void Term::OnWritten(const std::vector<ProgressWrite>& writes,
@@ -454,8 +513,13 @@
     for (const ProgressWrite& write : writes) {
       if (write.final) {
         progress_revisions_.erase(write.job);
+        request_revisions_.erase(write.job);
+        running_records_.erase(write.job);
       } else {
         progress_revisions_[write.job] = answer.revision;
+        if (write.state == JobState::kRunning) {
+          running_records_.insert(write.job);
+        }
       }
       cell_.OnProgressStored(write.job, write.version);
     }
@@ -507,6 +571,7 @@
         {LeaderKey(), Revision{static_cast<uint64_t>(fence_)}});
     for (const JobId& id : expired) {
       transaction.removes.push_back(JobKey(id));
+      transaction.removes.push_back(RequestKey(id));
       transaction.removes.push_back(ProgressKey(id));
       transaction.removes.push_back(CancelKey(id));
     }
--- a/programs/cell_placer/term.h
+++ b/programs/cell_placer/term.h
@@ -61,8 +61,12 @@
   void OnRosterWritten(const TransactionAnswer& answer);
   void OnCellItem(const StoreItem& item);
   void OnCellRemoved(const std::string& key);
-  void OnCellListed();
-  void AddJob(const JobId& id, const StoreItem& item);
+  void OnListed();
+  // A job's record: tells of jobs that ended in an earlier term. Holds the
+  // whole request if an earlier version accepted the job.
+  void AddRecord(const JobId& id, const StoreItem& item);
+  void AddRequest(const JobId& id, const StoreItem& item);
+  bool IsListed() const;
   void DecidePeriodically();
   void Execute(const CellAction& action);
   void PollWorker(const PollAction& action);
@@ -71,7 +75,7 @@
   void SetPace(const PaceAction& action);
   void RequestAdvice(const RequestAdviceAction& action);
   void FlushWrites();
-  void CommitWrites(const std::vector<ProgressWrite>& writes);
+  void CommitWrites();
   void AddWrite(const ProgressWrite& write, Transaction* transaction) const;
   void OnWritten(const std::vector<ProgressWrite>& writes,
                  const TransactionAnswer& answer);
@@ -88,14 +92,19 @@
   Lifetime lifetime_;
   std::unique_ptr<StoreWatcher> configuration_watcher_;
   std::unique_ptr<StoreWatcher> worker_watcher_;
-  std::unique_ptr<StoreWatcher> job_watcher_;
+  std::unique_ptr<StoreWatcher> record_watcher_;
+  std::unique_ptr<StoreWatcher> work_watcher_;
   CurrentCatalog catalogs_;
-  // What the initial listing has returned so far. A job is passed to the cell
-  // once the listing is complete, as its progress may come after it.
-  std::unordered_map<JobId, StoreItem> listed_jobs_;
+  // What the initial listings have returned so far. A job is passed to the cell
+  // once they are complete, as its progress may come after it.
+  std::unordered_map<JobId, StoreItem> listed_records_;
+  std::unordered_map<JobId, StoreItem> listed_requests_;
   std::unordered_map<JobId, std::string> listed_progress_;
   std::unordered_set<JobId> listed_cancellations_;
   std::unordered_map<JobId, Revision> progress_revisions_;
+  std::unordered_map<JobId, Revision> request_revisions_;
+  // Open jobs whose records say that they run.
+  std::unordered_set<JobId> running_records_;
   Revision roster_revision_ = kAbsent;
   bool decision_pending_ = false;
   bool flush_pending_ = false;
--- a/programs/job_entry/job_api.cc
+++ b/programs/job_entry/job_api.cc
@@ -2,6 +2,7 @@
 
 #include <glib.h>
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -189,8 +190,9 @@
   // Another entry may have accepted the job a moment ago.
   store_->Read(JobKey(call->id), [this, call](const ReadAnswer& answer) {
     if (answer.outcome == StoreOutcome::kDone) {
-      const auto state =
-          job_index_->StateOf(call->id).value_or(JobState::kQueued);
+      const JobState stored =
+          DecodeState(answer.items[0].value).value_or(JobState::kQueued);
+      const JobState state = job_index_->StateOf(call->id).value_or(stored);
       call->answer({.status = kOk, .body = platform::EncodeJobState(state)});
     } else if (answer.outcome == StoreOutcome::kMissing) {
       call->answer(ErrorResponse(kGone, "no_such_job", "check the id"));
@@ -214,6 +216,12 @@
   }
   store_->Read(JobKey(call->id), [this, call](const ReadAnswer& answer) {
     if (answer.outcome == StoreOutcome::kDone) {
+      const auto stored = DecodeState(answer.items[0].value);
+      if (stored && IsFinal(*stored)) {
+        call->answer(
+            {.status = kOk, .body = platform::EncodeJobState(*stored)});
+        return;
+      }
       WriteCancel(call, answer.items[0].revision);
     } else if (answer.outcome == StoreOutcome::kMissing) {
       call->answer(ErrorResponse(kGone, "no_such_job", "check the id"));
@@ -231,7 +239,19 @@
                       {CancelKey(call->id), kAbsent}},
        .puts = {{.key = CancelKey(call->id), .value = "{}"}}},
       [this, call](const TransactionAnswer& answer) {
-        const bool was_cancelled = answer.outcome == StoreOutcome::kConflict;
+        const bool was_cancelled =
+            answer.outcome == StoreOutcome::kConflict &&
+            std::any_of(answer.current.begin(), answer.current.end(),
+                        [&](const StoreItem& item) {
+                          return item.key == CancelKey(call->id) &&
+                                 item.revision != kAbsent;
+                        });
+        if (answer.outcome == StoreOutcome::kConflict && !was_cancelled &&
+            Now() < call->deadline) {
+          // The record changed meanwhile: the job started or ended.
+          Cancel(call);
+          return;
+        }
         if (answer.outcome == StoreOutcome::kDone || was_cancelled) {
           log_->Line("cancelled",
                      {{"job", call->id.text()}, {"team", call->team.text()}});
--- a/quetzal/cell/cell.cc
+++ b/quetzal/cell/cell.cc
@@ -201,13 +201,14 @@
     if (job == nullptr) continue;
     job->dirty = false;
     job->write_in_flight = true;
-    writes.push_back(
-        {.job = id,
-         .version = job->version,
-         .final = IsFinal(job->state),
-         .value = IsFinal(job->state)
-                      ? EncodeEndedJob(job->accepted.queue, job->state)
-                      : EncodeProgress(ProgressOf(*job))});
+    ProgressWrite write{
+        .job = id,
+        .version = job->version,
+        .final = IsFinal(job->state),
+        .state = job->state,
+        .record = EncodeJobRecord(job->accepted.queue, job->state)};
+    write.value = write.final ? write.record : EncodeProgress(ProgressOf(*job));
+    writes.push_back(std::move(write));
   }
   return writes;
 }
--- a/quetzal/cell/cell.h
+++ b/quetzal/cell/cell.h
@@ -89,10 +89,11 @@
 struct ProgressWrite {
   JobId job;
   uint64_t version = 0;
-  // True if the job ended: `value` then replaces the record of its acceptance,
-  // and its stored progress is deleted. Otherwise `value` is its progress.
+  // True if the job ended: its request and progress are then deleted.
   bool final = false;
-  std::string value;
+  JobState state = JobState::kQueued;
+  std::string record;  // `EncodeJobRecord` of the job's state
+  std::string value;   // its progress; the record of an ended job
 };
 
 class Cell {
--- a/quetzal/job/job.h
+++ b/quetzal/job/job.h
@@ -108,13 +108,16 @@
 // A text whose steps and tasks don't match those of `spec` is a problem.
 Checked<JobProgress> DecodeProgress(const JobSpec& spec,
                                     const std::string& text);
-// The stored form of an ended job. It is small, as thousands of them are read
-// at a takeover, but enough to answer queries about the job's state and to
-// recognise its id when it is submitted again.
-std::string EncodeEndedJob(const QueueId& queue, JobState state);
-// The state in an encoded progress or ended job; nothing for an accepted job.
+// A job's record. It is small, as every entry receives each of them, and
+// thousands are read at a takeover, but enough to answer queries about the
+// job's state and to recognise its id when it is submitted again.
+std::string EncodeJobRecord(const QueueId& queue, JobState state);
+// True for an encoded job, which an earlier version stored as its record.
+bool HoldsRequest(const std::string& text);
+// The state in an encoded record or progress; nothing for a job that is only
+// accepted.
 std::optional<JobState> DecodeState(const std::string& text);
-// The queue of an encoded accepted or ended job.
+// The queue in an encoded record or accepted job.
 std::optional<QueueId> DecodeQueue(const std::string& text);
 
 }  // namespace quetzal
--- a/quetzal/job/job_codec.cc
+++ b/quetzal/job/job_codec.cc
@@ -187,11 +187,18 @@
   }
 }
 
-std::string EncodeEndedJob(const QueueId& queue, JobState state) {
-  return Json{{"schema", kSchemaVersion},
-              {"queue", queue.text()},
-              {"state", kStateNames[static_cast<size_t>(state)]}}
-      .dump(-1, ' ', false, Json::error_handler_t::replace);
+std::string EncodeJobRecord(const QueueId& queue, JobState state) {
+  Json json = {{"schema", kSchemaVersion}, {"queue", queue.text()}};
+  // Earlier versions take any record with a state for that of an ended job.
+  if (state != JobState::kQueued) {
+    json["state"] = kStateNames[static_cast<size_t>(state)];
+  }
+  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+bool HoldsRequest(const std::string& text) {
+  const Json json = Json::parse(text, nullptr, false);
+  return json.is_object() && json.contains("steps");
 }
 
 std::optional<QueueId> DecodeQueue(const std::string& text) {
--- a/quetzal/job_index/job_index.cc
+++ b/quetzal/job_index/job_index.cc
@@ -9,15 +9,15 @@
     case CellKeyKind::kJob: {
       const std::optional<QueueId> queue = DecodeQueue(item.value);
       if (!queue) return false;
-      const std::optional<JobState> ended = DecodeState(item.value);
+      const std::optional<JobState> state = DecodeState(item.value);
       JobStatus& status = jobs_[id];
       status.accepted = true;
       status.queue = *queue;
-      if (ended) status.progress = *ended;
+      if (state) status.progress = *state;
       UpdatePendingCount(&status);
       return true;
     }
-    case CellKeyKind::kProgress: {
+    case CellKeyKind::kFormerProgress: {
       const std::optional<JobState> state = DecodeState(item.value);
       if (!state) return false;
       JobStatus& status = jobs_[id];
@@ -32,6 +32,8 @@
       UpdatePendingCount(&status);
       return true;
     }
+    case CellKeyKind::kRequest:
+    case CellKeyKind::kProgress:
     case CellKeyKind::kLeader:
     case CellKeyKind::kHelper:
     case CellKeyKind::kOther:
@@ -42,8 +44,6 @@
 
 void JobIndex::OnRemoved(const std::string& text) {
   const CellKey key = ParseCellKey(text);
-  // The progress key is removed when a job ends; only the job's own key tells
-  // whether the job still exists.
   if (key.kind != CellKeyKind::kJob) return;
   const auto found = jobs_.find(JobId(key.name));
   if (found == jobs_.end()) return;
--- a/quetzal/job_intake/job_intake.cc
+++ b/quetzal/job_intake/job_intake.cc
@@ -7,8 +7,8 @@
 namespace quetzal {
 namespace {
 
-// Each job takes a condition and a put.
-constexpr size_t kMaxBatchSize = kMaxTransactionEntries / 2 - 1;
+// Each job takes a condition and two puts.
+constexpr size_t kMaxBatchSize = kMaxTransactionEntries / 3;
 // Transactions in flight at a time: enough to cover the round trip to a distant
 // store.
 constexpr int kMaxInFlight = 4;
@@ -43,7 +43,16 @@
   open.callbacks.push_back(std::move(done));
   open_.emplace(job.id, std::move(open));
   queue_.push_back(job.id);
-  Flush();
+  if (in_flight_ == 0) {
+    Flush();
+    return;
+  }
+  // Jobs that arrive together share a transaction.
+  if (std::exchange(flush_pending_, true)) return;
+  after_(Milliseconds(0), [this] {
+    flush_pending_ = false;
+    Flush();
+  });
 }
 
 void JobIntake::Flush() {
@@ -62,8 +71,11 @@
   for (const JobId& id : batch) {
     const std::string key = JobKey(id);
     transaction.conditions.push_back({key, kAbsent});
+    const AcceptedJob& job = open_.at(id).job;
+    transaction.puts.push_back(
+        {.key = key, .value = EncodeJobRecord(job.queue, JobState::kQueued)});
     transaction.puts.push_back(
-        {.key = key, .value = EncodeJob(open_.at(id).job)});
+        {.key = RequestKey(id), .value = EncodeJob(job)});
   }
   ++in_flight_;
   const Time sent = clock_();
--- a/quetzal/job_intake/job_intake.h
+++ b/quetzal/job_intake/job_intake.h
@@ -74,6 +74,7 @@
   std::unordered_map<JobId, OpenJob> open_;
   std::deque<JobId> queue_;
   int in_flight_ = 0;
+  bool flush_pending_ = false;
   AdaptiveTimeout answer_timeout_;
   // When the earliest transaction since the store's last answer was sent.
   std::optional<Time> unanswered_since_;
--- a/quetzal/job_intake/job_intake_test.cc
+++ b/quetzal/job_intake/job_intake_test.cc
@@ -29,6 +29,7 @@
   CPPUNIT_TEST(ARefusalAfterALostAnswerIsUnknown);
   CPPUNIT_TEST(AMissingAnswerIsRetriedSoon);
   CPPUNIT_TEST(AnUnresponsiveStoreIsReportedBeforeTheDeadline);
+  CPPUNIT_TEST(WhatEveryEntryFollowsIsSmall);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -40,6 +41,33 @@
     CPPUNIT_ASSERT(store_.Find(JobKey(JobId("a"))) != nullptr);
   }
 
+  // Guards against teams that submit many times their usual rate: each entry
+  // receives each change of the cell's records, also one with a slow link.
+  void WhatEveryEntryFollowsIsSmall() {
+    constexpr size_t kJobs = 400;
+    constexpr size_t kLargestSpecification = 4'000;
+    constexpr size_t kMaxRecordBytes = 100;
+    for (size_t i = 0; i < kJobs; ++i) {
+      Submit("j" + std::to_string(i), std::string(kLargestSpecification, 'x'));
+    }
+    clock_.Advance(Milliseconds(1'000));
+    size_t bytes = 0;
+    size_t records = 0;
+    store_.Range(CellPrefix(), "", [&](const ReadAnswer& answer) {
+      records = answer.items.size();
+      for (const StoreItem& item : answer.items) bytes += item.value.size();
+    });
+    clock_.Advance(Milliseconds(10));
+    CPPUNIT_ASSERT_EQUAL(kJobs, records);
+    CPPUNIT_ASSERT(bytes <= kJobs * kMaxRecordBytes);
+    const StoreItem* const request = store_.Find(RequestKey(JobId("j0")));
+    CPPUNIT_ASSERT(request != nullptr);
+    const auto job = DecodeJob(JobId("j0"), request->value);
+    CPPUNIT_ASSERT(job);
+    CPPUNIT_ASSERT_EQUAL(kLargestSpecification,
+                         job.value().spec.specification.size());
+  }
+
   void ManyJobsShareTransactions() {
     constexpr size_t kJobs = 100;
     std::vector<std::shared_ptr<std::optional<IntakeOutcome>>> outcomes(kJobs);
@@ -139,9 +167,12 @@
   }
 
  private:
-  std::shared_ptr<std::optional<IntakeOutcome>> Submit(const std::string& id) {
+  std::shared_ptr<std::optional<IntakeOutcome>> Submit(
+      const std::string& id, const std::string& specification = "") {
     auto outcome = std::make_shared<std::optional<IntakeOutcome>>();
-    intake_.Submit(MakeJob(id), clock_.now() + Milliseconds(2'000),
+    AcceptedJob job = MakeJob(id);
+    if (!specification.empty()) job.spec.specification = specification;
+    intake_.Submit(job, clock_.now() + Milliseconds(2'000),
                    [outcome](IntakeOutcome given) { *outcome = given; });
     return outcome;
   }
--- a/quetzal/store/store.h
+++ b/quetzal/store/store.h
@@ -81,6 +81,10 @@
   std::vector<StoreCondition> conditions;
   std::vector<StorePut> puts;
   std::vector<std::string> removes;
+
+  size_t size() const {
+    return conditions.size() + puts.size() + removes.size();
+  }
 };
 // Limit for the conditions, puts and removes together.
 inline constexpr size_t kMaxTransactionEntries = 32;
@@ -121,17 +125,35 @@
 // Keys and prefixes of Quetzal's durable state.
 std::string LeaderKey();
 std::string JobPrefix();
+// Of the small records that every entry follows: the jobs' records and
+// cancels.
+std::string CellPrefix();
+// The job's record (`EncodeJobRecord`). Exists from the job's acceptance until
+// its ended state is no longer kept.
 std::string JobKey(const JobId& id);
-std::string ProgressKey(const JobId& id);
 std::string CancelKey(const JobId& id);
-std::string CellPrefix();
+// Of what only the active placer follows.
+std::string WorkPrefix();
+// The request as accepted (`EncodeJob`). Never changed; removed when the job
+// ends.
+std::string RequestKey(const JobId& id);
+std::string ProgressKey(const JobId& id);
 // Key of the roster. Not under the cell's prefix, as only a new placer reads
 // it.
 std::string RosterKey();
 std::string HelperPrefix();
 std::string HelperKey(const std::string& machine);
 
-enum class CellKeyKind { kLeader, kJob, kProgress, kCancel, kHelper, kOther };
+enum class CellKeyKind {
+  kLeader,
+  kJob,
+  kRequest,
+  kProgress,
+  kFormerProgress,  // written by an earlier version
+  kCancel,
+  kHelper,
+  kOther
+};
 struct CellKey {
   CellKeyKind kind = CellKeyKind::kOther;
   std::string name;  // of the job or machine
--- a/tests/cell_process_test.cc
+++ b/tests/cell_process_test.cc
@@ -44,6 +44,7 @@
   CPPUNIT_TEST(AGracefulStopHandsOverLeadership);
   CPPUNIT_TEST(ACancelledJobStartsNothingMore);
   CPPUNIT_TEST(BadInputGetsAClearErrorAndAffectsNoOtherJob);
+  CPPUNIT_TEST(ALongRunningJobRestartsUntilItIsCancelled);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -150,6 +151,28 @@
         kGone, cluster_->Call(1, "DELETE", "/quotes/" + IdOf(9)).status);
   }
 
+  void ALongRunningJobRestartsUntilItIsCancelled() {
+    const std::string path = "/quotes/" + IdOf(0);
+    CPPUNIT_ASSERT_EQUAL(
+        kOk, cluster_
+                 ->Call(0, "POST", path,
+                        R"({"specification":"150 fail","steps":[{"count":1,)"
+                        R"("cpu":1000,"task-memory-mb":100,)"
+                        R"("long-running":true,"miss-allowed":1}]})")
+                 .status);
+    // Several times as many runs as other tasks may fail.
+    g_usleep(4'000'000);
+    const HttpClientResult state = cluster_->Call(1, "GET", path);
+    CPPUNIT_ASSERT_EQUAL(std::string(R"({"state":"running"})"), state.body);
+    CPPUNIT_ASSERT_EQUAL(kOk, cluster_->Call(2, "DELETE", path).status);
+    g_usleep(1'000'000);
+    CPPUNIT_ASSERT_EQUAL(std::string(R"({"state":"cancelled"})"),
+                         cluster_->Call(0, "GET", path).body);
+    const nlohmann::json report = cluster_->StandinReport();
+    CPPUNIT_ASSERT_EQUAL(0, report.value("started_twice", -1));
+    CPPUNIT_ASSERT_EQUAL(0, report.value("over_capacity", -1));
+  }
+
   void BadInputGetsAClearErrorAndAffectsNoOtherJob() {
     const std::string path = "/quotes/" + IdOf(1);
     CPPUNIT_ASSERT_EQUAL(kBadRequest,
@@ -164,8 +187,19 @@
         kUnprocessable,
         cluster_
             ->Call(0, "POST", path,
-                   R"({"steps":[{"count":1,"long-running":true}]})")
+                   R"({"steps":[{"count":1}],"repetitions":3,"interval-ms":9})")
             .status);
+    // Steps that wait for themselves, for later ones, or for a number that a
+    // narrower type would take for an earlier one.
+    for (const std::string after : {"1", "2", "-1", "4294967296"}) {
+      CPPUNIT_ASSERT_EQUAL(
+          kBadRequest,
+          cluster_
+              ->Call(0, "POST", path,
+                     R"({"steps":[{"count":1},{"count":1,"after":[)" + after +
+                         "]}]}")
+              .status);
+    }
     CPPUNIT_ASSERT_EQUAL(kUnauthorized,
                          cluster_->Call(0, "GET", path, "", "wrong").status);
     CPPUNIT_ASSERT_EQUAL(kNotFound,
