Let pages of a listing take their time on slow links

Cause: a page (up to 1 MB) had 1.6 s in all.

Tests: ASlowResponseIsReadToItsEnd, AStalledResponseEndsBeforeItsTimeout. The second and the option are new; with one timeout only, either the first fails or the second does.

--- a/quetzal/http_client/http_client.cc
+++ b/quetzal/http_client/http_client.cc
@@ -33,6 +33,9 @@
 // three round trips between regions.
 constexpr CurlNumber kConnectTimeoutMs = 1'000;
 
+// Below this speed a response counts as stalled.
+constexpr CurlNumber kStallBytesPerSecond = 1;
+
 CurlNumber TimeoutMs(const HttpClientRequest& request) {
   return static_cast<CurlNumber>(request.timeout.count());
 }
@@ -142,6 +145,14 @@
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
     curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, TimeoutMs(request));
+    if (request.stall_timeout.count() > 0) {
+      curl_easy_setopt(easy, CURLOPT_LOW_SPEED_LIMIT, kStallBytesPerSecond);
+      curl_easy_setopt(
+          easy, CURLOPT_LOW_SPEED_TIME,
+          static_cast<CurlNumber>(
+              std::chrono::ceil<std::chrono::seconds>(request.stall_timeout)
+                  .count()));
+    }
     curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
                      std::min(kConnectTimeoutMs, TimeoutMs(request)));
     curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
--- a/quetzal/http_client/http_client.h
+++ b/quetzal/http_client/http_client.h
@@ -26,6 +26,10 @@
   std::vector<std::string> headers;  // "Name: value"
   std::string body;                  // sent as JSON if not empty
   Milliseconds timeout{1'000};       // from `Send` to the end of the response
+  // Ends the request earlier if hardly any bytes arrive for this long, rounded
+  // up to seconds. 0: never. Lets a large response take its time on a slow link
+  // without waiting as long for a peer that is gone.
+  Milliseconds stall_timeout{0};
 };
 
 struct HttpClientResult {
--- a/quetzal/http_client/http_client_test.cc
+++ b/quetzal/http_client/http_client_test.cc
@@ -7,7 +7,9 @@
 #include <unistd.h>
 
 #include <array>
+#include <chrono>
 #include <optional>
+#include <thread>
 
 #include "quetzal/http/http.h"
 
@@ -57,6 +59,56 @@
   std::array<int, 4> fillers_{};
 };
 
+// Answers one request with `bytes` of body, one each `interval`, but announces
+// `announced`.
+class SlowServer {
+ public:
+  SlowServer(int bytes, int announced, std::chrono::milliseconds interval) {
+    listener_ = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(address);
+    auto* const generic = reinterpret_cast<sockaddr*>(&address);
+    CPPUNIT_ASSERT_EQUAL(0, bind(listener_, generic, size));
+    CPPUNIT_ASSERT_EQUAL(0, listen(listener_, 1));
+    CPPUNIT_ASSERT_EQUAL(0, getsockname(listener_, generic, &size));
+    port_ = ntohs(address.sin_port);
+    thread_ = std::thread([this, bytes, announced, interval] {
+      const int connection = accept(listener_, nullptr, nullptr);
+      std::array<char, 4'096> request;
+      if (recv(connection, request.data(), request.size(), 0) <= 0) return;
+      const std::string head =
+          "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(announced) +
+          "\r\n\r\n";
+      send(connection, head.data(), head.size(), MSG_NOSIGNAL);
+      for (int i = 0; i < bytes; ++i) {
+        std::this_thread::sleep_for(interval);
+        send(connection, "x", 1, MSG_NOSIGNAL);
+      }
+      // Until the client closes the connection.
+      while (recv(connection, request.data(), request.size(), 0) > 0) {
+      }
+      close(connection);
+    });
+  }
+  ~SlowServer() {
+    thread_.join();
+    close(listener_);
+  }
+  SlowServer(const SlowServer&) = delete;
+  SlowServer& operator=(const SlowServer&) = delete;
+
+  std::string url() const {
+    return "http://127.0.0.1:" + std::to_string(port_) + "/";
+  }
+
+ private:
+  int listener_ = -1;
+  int port_ = 0;
+  std::thread thread_;
+};
+
 class HttpClientTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(HttpClientTest);
   CPPUNIT_TEST(SendsMethodBodyAndHeaders);
@@ -67,6 +119,8 @@
   CPPUNIT_TEST(SendsFromWithinACallback);
   CPPUNIT_TEST(TimeoutFiresDespiteOtherTraffic);
   CPPUNIT_TEST(ConnectionAttemptsThatTimedOutHarmNoLaterRequest);
+  CPPUNIT_TEST(ASlowResponseIsReadToItsEnd);
+  CPPUNIT_TEST(AStalledResponseEndsBeforeItsTimeout);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -143,6 +197,30 @@
     }
   }
 
+  void ASlowResponseIsReadToItsEnd() {
+    constexpr int kBytes = 30;
+    const SlowServer server(kBytes, kBytes, std::chrono::milliseconds(100));
+    const HttpClientResult answer =
+        Answer({.url = server.url(),
+                .timeout = Milliseconds(8'000),
+                .stall_timeout = Milliseconds(2'000)});
+    CPPUNIT_ASSERT(answer.ok());
+    CPPUNIT_ASSERT_EQUAL(size_t{kBytes}, answer.body.size());
+    client_.reset();
+  }
+
+  void AStalledResponseEndsBeforeItsTimeout() {
+    const SlowServer server(2, 30, std::chrono::milliseconds(10));
+    const HttpClientResult answer =
+        Answer({.url = server.url(),
+                .timeout = Milliseconds(8'000),
+                .stall_timeout = Milliseconds(2'000)});
+    CPPUNIT_ASSERT(answer.kind == HttpClientResult::Kind::kNoAnswer);
+    CPPUNIT_ASSERT(answer.took >= Milliseconds(1'900));
+    CPPUNIT_ASSERT(answer.took <= Milliseconds(5'000));
+    client_.reset();
+  }
+
   void ConcurrentRequestsAreEachAnsweredOnce() {
     constexpr int kCalls = 300;
     int answered = 0;
