Give no more work to a worker that leaves a start unanswered

Change: after 350 ms without an answer to a start a worker gets no more, and none for 500 ms after one ended without an answer.

--- a/quetzal/cell/cell_test.cc
+++ b/quetzal/cell/cell_test.cc
@@ -26,6 +26,7 @@
   CPPUNIT_TEST(ANewRunIsNotConsideredStalled);
   CPPUNIT_TEST(ARunThatTakesLongerThanEstimatedGoesOn);
   CPPUNIT_TEST(AStalledRunStartsElsewhere);
+  CPPUNIT_TEST(AWorkerThatLeavesAStartUnansweredGetsNoMore);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -280,6 +281,30 @@
       CPPUNIT_ASSERT(start.worker.id != draining.id);
     }
   }
+
+  // Replays a worker that went dark under load: its last poll was answered a
+  // moment ago, and it has most capacity free, as nothing starts there.
+  void AWorkerThatLeavesAStartUnansweredGetsNoMore() {
+    FakeFleet fleet(2);
+    fleet.Recover();
+    fleet.lose_start_answers_ = true;
+    for (int i = 0; i < 4; ++i) {
+      fleet.cell()->OnJob(
+          FakeFleet::MakeJob("a" + std::to_string(i), {FakeFleet::MakeStep(1)}),
+          Revision{1}, std::nullopt, fleet.now());
+      fleet.Run(Milliseconds(400));
+    }
+    // One start each: the first worker, then the other one.
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, fleet.starts_.size());
+    const StartAction first = fleet.starts_.front();
+    fleet.cell()->OnStartAnswer(first.worker.id, first.order,
+                                {.outcome = OrderOutcome::kUnknown},
+                                fleet.now());
+    fleet.Run(Milliseconds(300));
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, fleet.starts_.size());
+    fleet.Run(Milliseconds(500));
+    CPPUNIT_ASSERT(fleet.starts_.size() > 2);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CellTest);
--- a/quetzal/cell/internal/orders.cc
+++ b/quetzal/cell/internal/orders.cc
@@ -97,6 +97,8 @@
                                       {"run", order.run},
                                       {"how", NameOf(answer.outcome)}});
   }
+  worker->unanswered_starts = std::max(0, worker->unanswered_starts - 1);
+  worker->waits_for_start_since = now;
   const auto found = worker->runs.find(order.task);
   const bool present =
       found != worker->runs.end() && found->second.number == order.run;
@@ -116,6 +118,7 @@
       }
       return;
     case OrderOutcome::kUnknown:
+      worker->avoided_until = now + kAvoidAfterRefusal;
       // The order may still be carried out, so the run is stopped before its
       // task starts elsewhere, unless a poll has shown meanwhile that it runs.
       if (present && found->second.state == RunState::kStarting) {
--- a/quetzal/cell/internal/placement.cc
+++ b/quetzal/cell/internal/placement.cc
@@ -144,6 +144,7 @@
   const auto permit = step.permits.find(worker->slot);
   if (permit != step.permits.end()) order.ticket = permit->second.ticket;
   worker->lease_extended_at = now;
+  if (worker->unanswered_starts++ == 0) worker->waits_for_start_since = now;
   ChargeReservations(worker, step, now);
   Task& task = step.tasks[static_cast<size_t>(task_index)];
   task.progress.last_run = std::max(task.progress.last_run, run_number);
--- a/quetzal/cell/internal/state.h
+++ b/quetzal/cell/internal/state.h
@@ -121,6 +121,9 @@
   bool pace_due = false;  // it sent a run list since paces were last decided
   std::map<TaskId, Run> runs;
   std::vector<Reservation> reservations;  // in planning order
+  int unanswered_starts = 0;
+  // When a start was sent, or answered, and others were unanswered.
+  Time waits_for_start_since;
   // Gets no new work until then, after refusals, failures or stalls.
   Time avoided_until;
   double failure_rate = 0;  // exponential moving average over its ended runs
--- a/quetzal/cell/internal/workers.cc
+++ b/quetzal/cell/internal/workers.cc
@@ -33,6 +33,10 @@
 // in a row, rare on a healthy worker, exceed the rate above.
 constexpr double kFailureSmoothing = 0.35;
 constexpr Milliseconds kAvoidAfterFailures{4'000};
+// A worker that leaves a start unanswered for longer may be gone, and gets no
+// more work meanwhile: twice a round trip between regions, with the setup of a
+// connection and a delay of the placer's own.
+constexpr Milliseconds kSlowStartAnswer{350};
 
 // Removes a run and applies its end to the job.
 void EndRun(State* state, Worker* worker, const TaskId& task_id, int64_t number,
@@ -286,6 +290,8 @@
   return worker.listed && worker.reached && worker.in_roster &&
          !worker.unresponsive && !worker.entry.draining &&
          worker.orphan_runs == 0 && worker.avoided_until <= now &&
+         (worker.unanswered_starts == 0 ||
+          now - worker.waits_for_start_since < kSlowStartAnswer) &&
          now - worker.confirmed_at < kConfirmationLifetime;
 }
 
