Log why a gang still waits

After 3 s, and every 2 s, a line gang_waits tells the limit or the capacity that it lacks, the workers that were asked and allowed, and those reserved.

--- a/quetzal/cell/internal/placement.cc
+++ b/quetzal/cell/internal/placement.cc
@@ -14,6 +14,9 @@
 namespace quetzal::cell {
 namespace {
 
+// A gang that waits for longer is logged, and again after each interval.
+constexpr Milliseconds kLongWait{3'000};
+constexpr Milliseconds kWaitLogInterval{2'000};
 // A permit must still be valid when the order reaches the worker.
 constexpr Milliseconds kPermitMargin{150};
 
@@ -210,14 +213,46 @@
   }
 }
 
+// Logs why a gang still waits, so that its wait can be explained later.
+void LogWaitingGang(State* state, Job* job, int index, const char* why,
+                    int fits, Time now) {
+  Step& step = job->steps[static_cast<size_t>(index)];
+  if (now - step.ready_since < kLongWait || now < step.next_wait_log_at) return;
+  step.next_wait_log_at = now + kWaitLogInterval;
+  const auto allowed =
+      std::count_if(step.permits.begin(), step.permits.end(),
+                    [](const auto& permit) { return permit.second.allowed; });
+  state->log->Line(
+      "gang_waits",
+      {{"job", job->accepted.id.text()},
+       {"step", index},
+       {"why", why},
+       {"members", static_cast<int64_t>(step.tasks.size())},
+       {"fits", fits},
+       {"allowed_workers", static_cast<int64_t>(allowed)},
+       {"asked_workers", static_cast<int64_t>(step.permits.size())},
+       {"reserved_workers",
+        step.reservation
+            ? static_cast<int64_t>(step.reservation->workers.size())
+            : int64_t{0}},
+       {"waited_ms", (now - step.ready_since).count()}});
+}
+
 void PlaceGang(State* state, Job* job, int index, Time now) {
   Step& step = job->steps[static_cast<size_t>(index)];
   const int members = static_cast<int>(step.tasks.size());
-  if (CountWithinTeamLimit(*state, *job, step) < members) return;
+  const int within_limit = CountWithinTeamLimit(*state, *job, step);
+  if (within_limit < members) {
+    LogWaitingGang(state, job, index, "team limit", within_limit, now);
+    return;
+  }
   std::vector<Candidate> candidates = CandidatesFor(state, *job, index, now);
   int fits = 0;
   for (const Candidate& each : candidates) fits += each.fits;
-  if (fits < members) return;
+  if (fits < members) {
+    LogWaitingGang(state, job, index, "capacity with valid permits", fits, now);
+    return;
+  }
   std::sort(
       candidates.begin(), candidates.end(),
       [](const Candidate& a, const Candidate& b) { return a.score < b.score; });
--- a/quetzal/cell/internal/state.h
+++ b/quetzal/cell/internal/state.h
@@ -173,6 +173,7 @@
   bool gang_broken = false;  // the shared run is being stopped
   bool gang_done = false;
   std::set<int64_t> gang_failed_runs;
+  Time next_wait_log_at;
   std::string gang_checkpoint;  // of any member; all members have the same
 };
 
