--- a/quetzal/cell/internal/placement.cc
+++ b/quetzal/cell/internal/placement.cc
@@ -77,8 +77,9 @@
   // Best-effort tasks disturb serving tasks on their worker, and have to be
   // paced down there.
   constexpr double kDisturbancePenalty = 1e5;
-  if (step.spec->best_effort)
+  if (step.spec->best_effort) {
     score += kDisturbancePenalty * worker.serving_runs;
+  }
   if (IsServing(*step.spec)) {
     score += kDisturbancePenalty * worker.best_effort_runs;
   }
--- a/quetzal/http_client/http_client_test.cc
+++ b/quetzal/http_client/http_client_test.cc
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <cerrno>
 #include <chrono>
 #include <optional>
 #include <thread>
@@ -26,36 +27,54 @@
   return condition();
 }
 
+// A raw TCP listener on the loopback interface.
+class Listener {
+ public:
+  explicit Listener(int backlog)
+      : descriptor_(socket(AF_INET, SOCK_STREAM, 0)) {
+    address_.sin_family = AF_INET;
+    address_.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(address_);
+    CPPUNIT_ASSERT_EQUAL(0, bind(descriptor_, address(), size));
+    CPPUNIT_ASSERT_EQUAL(0, listen(descriptor_, backlog));
+    CPPUNIT_ASSERT_EQUAL(0, getsockname(descriptor_, address(), &size));
+  }
+  ~Listener() { close(descriptor_); }
+  Listener(const Listener&) = delete;
+  Listener& operator=(const Listener&) = delete;
+
+  int descriptor() const { return descriptor_; }
+  sockaddr* address() { return reinterpret_cast<sockaddr*>(&address_); }
+  std::string url() const {
+    return "http://127.0.0.1:" + std::to_string(ntohs(address_.sin_port)) + "/";
+  }
+
+ private:
+  int descriptor_;
+  sockaddr_in address_{};
+};
+
 // A port that answers no connection attempt: its queue of connections is full.
 class UnresponsivePort {
  public:
-  UnresponsivePort() : listener_(socket(AF_INET, SOCK_STREAM, 0)) {
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof(address);
-    auto* const generic = reinterpret_cast<sockaddr*>(&address);
-    CPPUNIT_ASSERT_EQUAL(0, bind(listener_, generic, size));
-    CPPUNIT_ASSERT_EQUAL(0, listen(listener_, 0));
-    CPPUNIT_ASSERT_EQUAL(0, getsockname(listener_, generic, &size));
-    port_ = ntohs(address.sin_port);
+  UnresponsivePort() {
     for (int& filler : fillers_) {
       filler = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-      connect(filler, generic, size);
+      const int result =
+          connect(filler, listener_.address(), sizeof(sockaddr_in));
+      CPPUNIT_ASSERT(result == 0 || errno == EINPROGRESS);
     }
   }
   ~UnresponsivePort() {
     for (const int filler : fillers_) close(filler);
-    close(listener_);
   }
   UnresponsivePort(const UnresponsivePort&) = delete;
   UnresponsivePort& operator=(const UnresponsivePort&) = delete;
 
-  int port() const { return port_; }
+  std::string url() const { return listener_.url(); }
 
  private:
-  int listener_;
-  int port_ = 0;
+  Listener listener_{/*backlog=*/0};
   std::array<int, 4> fillers_{};
 };
 
@@ -63,49 +82,37 @@
 // `announced`.
 class SlowServer {
  public:
-  SlowServer(int bytes, int announced, std::chrono::milliseconds interval) {
-    listener_ = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof(address);
-    auto* const generic = reinterpret_cast<sockaddr*>(&address);
-    CPPUNIT_ASSERT_EQUAL(0, bind(listener_, generic, size));
-    CPPUNIT_ASSERT_EQUAL(0, listen(listener_, 1));
-    CPPUNIT_ASSERT_EQUAL(0, getsockname(listener_, generic, &size));
-    port_ = ntohs(address.sin_port);
-    thread_ = std::thread([this, bytes, announced, interval] {
-      const int connection = accept(listener_, nullptr, nullptr);
-      std::array<char, 4'096> request;
-      if (recv(connection, request.data(), request.size(), 0) <= 0) return;
-      const std::string head =
-          "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(announced) +
-          "\r\n\r\n";
-      send(connection, head.data(), head.size(), MSG_NOSIGNAL);
-      for (int i = 0; i < bytes; ++i) {
-        std::this_thread::sleep_for(interval);
-        send(connection, "x", 1, MSG_NOSIGNAL);
-      }
-      // Until the client closes the connection.
-      while (recv(connection, request.data(), request.size(), 0) > 0) {
-      }
-      close(connection);
-    });
-  }
-  ~SlowServer() {
-    thread_.join();
-    close(listener_);
-  }
+  SlowServer(int bytes, int announced, std::chrono::milliseconds interval)
+      : thread_([this, bytes, announced, interval] {
+          Serve(bytes, announced, interval);
+        }) {}
+  ~SlowServer() { thread_.join(); }
   SlowServer(const SlowServer&) = delete;
   SlowServer& operator=(const SlowServer&) = delete;
 
-  std::string url() const {
-    return "http://127.0.0.1:" + std::to_string(port_) + "/";
-  }
+  std::string url() const { return listener_.url(); }
 
  private:
-  int listener_ = -1;
-  int port_ = 0;
+  void Serve(int bytes, int announced,
+             std::chrono::milliseconds interval) const {
+    const int connection = accept(listener_.descriptor(), nullptr, nullptr);
+    std::array<char, 4'096> request;
+    if (recv(connection, request.data(), request.size(), 0) <= 0) return;
+    const std::string head =
+        "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(announced) +
+        "\r\n\r\n";
+    send(connection, head.data(), head.size(), MSG_NOSIGNAL);
+    for (int i = 0; i < bytes; ++i) {
+      std::this_thread::sleep_for(interval);
+      send(connection, "x", 1, MSG_NOSIGNAL);
+    }
+    // Until the client closes the connection.
+    while (recv(connection, request.data(), request.size(), 0) > 0) {
+    }
+    close(connection);
+  }
+
+  Listener listener_{/*backlog=*/1};
   std::thread thread_;
 };
 
@@ -171,8 +178,6 @@
   // descriptors' numbers are reused.
   void ConnectionAttemptsThatTimedOutHarmNoLaterRequest() {
     const UnresponsivePort unresponsive;
-    const std::string silent_url =
-        "http://127.0.0.1:" + std::to_string(unresponsive.port()) + "/";
     constexpr int kRounds = 5;
     constexpr int kCalls = 20;
     for (int round = 0; round < kRounds; ++round) {
@@ -180,7 +185,7 @@
       int answered = 0;
       for (int i = 0; i < kCalls; ++i) {
         client_->Send(
-            {.url = silent_url, .timeout = Milliseconds(100)},
+            {.url = unresponsive.url(), .timeout = Milliseconds(100)},
             [&](const HttpClientResult& answer) {
               ++finished;
               CPPUNIT_ASSERT(answer.kind == HttpClientResult::Kind::kNotSent);
