Suspect a worker only if its polls are unanswered too

Change: a worker is suspected only if no poll was answered since the start either.

Test: ALostAnswerToAStartKeepsTheWorkerInUse (fails before, passes after); AWorkerThatLeavesAStartUnansweredGetsNoMore now also holds back the answers to polls, as a worker that is gone does.

--- a/quetzal/cell/cell_test.cc
+++ b/quetzal/cell/cell_test.cc
@@ -27,6 +27,7 @@
   CPPUNIT_TEST(ARunThatTakesLongerThanEstimatedGoesOn);
   CPPUNIT_TEST(AStalledRunStartsElsewhere);
   CPPUNIT_TEST(AWorkerThatLeavesAStartUnansweredGetsNoMore);
+  CPPUNIT_TEST(ALostAnswerToAStartKeepsTheWorkerInUse);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -288,6 +289,7 @@
     FakeFleet fleet(2);
     fleet.Recover();
     fleet.lose_start_answers_ = true;
+    fleet.hold_polls_ = true;
     for (int i = 0; i < 4; ++i) {
       fleet.cell()->OnJob(
           FakeFleet::MakeJob("a" + std::to_string(i), {FakeFleet::MakeStep(1)}),
@@ -305,6 +307,21 @@
     fleet.Run(Milliseconds(500));
     CPPUNIT_ASSERT(fleet.starts_.size() > 2);
   }
+
+  // Replays a flood during which some answers to orders are lost: their workers
+  // are healthy, and their capacity is needed.
+  void ALostAnswerToAStartKeepsTheWorkerInUse() {
+    FakeFleet fleet(1);
+    fleet.Recover();
+    fleet.lose_start_answers_ = true;
+    for (size_t i = 0; i < 3; ++i) {
+      fleet.cell()->OnJob(
+          FakeFleet::MakeJob("a" + std::to_string(i), {FakeFleet::MakeStep(1)}),
+          Revision{1}, std::nullopt, fleet.now());
+      fleet.Run(Milliseconds(400));
+      CPPUNIT_ASSERT_EQUAL(i + 1, fleet.starts_.size());
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CellTest);
--- a/quetzal/cell/internal/orders.cc
+++ b/quetzal/cell/internal/orders.cc
@@ -118,7 +118,9 @@
       }
       return;
     case OrderOutcome::kUnknown:
-      worker->avoided_until = now + kAvoidAfterRefusal;
+      if (present && worker->clock_received_at < found->second.ordered_at) {
+        worker->avoided_until = now + kAvoidAfterRefusal;
+      }
       // The order may still be carried out, so the run is stopped before its
       // task starts elsewhere, unless a poll has shown meanwhile that it runs.
       if (present && found->second.state == RunState::kStarting) {
--- a/quetzal/cell/internal/workers.cc
+++ b/quetzal/cell/internal/workers.cc
@@ -286,12 +286,19 @@
   state->actions.emplace_back(PollAction{worker->entry, request});
 }
 
+// True if the worker has answered neither a start nor a poll for a while. An
+// answer to a start alone may be lost.
+bool MayBeGone(const Worker& worker, Time now) {
+  return worker.unanswered_starts > 0 &&
+         worker.clock_received_at < worker.waits_for_start_since &&
+         now - worker.waits_for_start_since >= kSlowStartAnswer;
+}
+
 bool CanTakeWork(const Worker& worker, Time now) {
   return worker.listed && worker.reached && worker.in_roster &&
          !worker.unresponsive && !worker.entry.draining &&
          worker.orphan_runs == 0 && worker.avoided_until <= now &&
-         (worker.unanswered_starts == 0 ||
-          now - worker.waits_for_start_since < kSlowStartAnswer) &&
+         !MayBeGone(worker, now) &&
          now - worker.confirmed_at < kConfirmationLifetime;
 }
 
--- a/quetzal/cell/testing/fake_fleet.h
+++ b/quetzal/cell/testing/fake_fleet.h
@@ -160,6 +160,7 @@
 
   void ServePoll(const PollAction& action) {
     FakeWorker& worker = workers_.at(action.worker.id);
+    if (hold_polls_) return;
     PollAnswer answer;
     if (!worker.unresponsive) {
       worker.acknowledged_end =
@@ -270,6 +271,7 @@
   std::vector<StartAction> starts_;
   std::set<WorkerId> denied_;
   OrderOutcome start_outcome_ = OrderOutcome::kDone;
+  bool hold_polls_ = false;  // polls get no answer, nor a timeout
   // Starts are carried out, and the test reports their outcomes to the cell.
   bool lose_start_answers_ = false;
   Resources task_size_{.cpu_milli = 1'000, .memory_mib = 100};
