A leader on a weak machine hands over to a better equipped one

From the logs: while the store's answers were lost (27.9 to 33.8 s) the elections of the machines with half a core failed ('no lease was granted'), and frontend-cluj-a-6, with 0.12 of a core, was elected. Nothing ever replaced it.

Change: the leader key carries its holder's election delay. A standby with a clearly shorter one that has observed the same leader for 2 s claims the key; the leader steps down first, so that there are never two. A claim names the revision of the leader key, so it affects no later leader.

Tests: AMachineWithMoreCpuReplacesTheLeader (fails without the claim), EqualMachinesKeepTheirLeader, AClaimAffectsNoLaterLeader, AnUnreadableClaimAffectsNobody.

--- a/quetzal/leader_election/leader_election.cc
+++ b/quetzal/leader_election/leader_election.cc
@@ -19,6 +19,26 @@
 // from the sending, less this margin for differences between the clocks.
 constexpr Milliseconds kLeaseMargin{100};
 
+// How long a standby observes a leader with less CPU before it claims the
+// leader key: outlasts the elections in quick succession of an unstable store.
+constexpr Milliseconds kClaimAfter{2'000};
+// Minimum difference of the election delays. Claims cost a takeover, which is
+// worth it only for a clearly better machine.
+constexpr Milliseconds kMinAdvantage{50};
+constexpr char kDelaySeparator = ' ';
+
+// The election delay in the value of a leader key; nothing in one that an
+// earlier version wrote.
+std::optional<Milliseconds> ParseElectionDelay(const std::string& value) {
+  const size_t separator = value.rfind(kDelaySeparator);
+  if (separator == std::string::npos) return std::nullopt;
+  int64_t ms = 0;
+  const char* const end = value.data() + value.size();
+  const auto parsed = std::from_chars(value.data() + separator + 1, end, ms);
+  if (parsed.ec != std::errc() || parsed.ptr != end) return std::nullopt;
+  return Milliseconds(ms);
+}
+
 int64_t ParseNumber(const std::string& text) {
   int64_t number = 0;
   std::from_chars(text.data(), text.data() + text.size(), number);
@@ -28,6 +48,8 @@
 }  // namespace
 
 std::string TermKey() { return "term"; }
+// Begins with the leader key, so that one watch covers both.
+std::string ClaimKey() { return LeaderKey() + "/claim"; }
 
 LeaderElection::LeaderElection(Store* store, LeaderElectionSettings settings,
                                LeaderElectionHandlers handlers,
@@ -35,6 +57,8 @@
                                EventLog* log)
     : store_(store),
       settings_(std::move(settings)),
+      leader_value_(settings_.self + kDelaySeparator +
+                    std::to_string(settings_.election_delay.count())),
       handlers_(std::move(handlers)),
       after_(std::move(after)),
       clock_(std::move(clock)),
@@ -52,26 +76,59 @@
 void LeaderElection::WatchLeaderKey() {
   watcher_ = std::make_unique<StoreWatcher>(
       store_, LeaderKey(), StoreWatcherTiming{},
-      StoreWatcherHandlers{
-          .on_put =
-              [this](const StoreItem& item) {
-                is_vacant_ = false;
-                const bool is_own = item.value == settings_.self;
-                if (role_ == Role::kLeader && !is_own) {
-                  StepDown("another placer holds the leader key");
-                }
-              },
-          .on_removed =
-              [this](const std::string&) {
-                is_vacant_ = true;
-                CampaignIfVacant();
-              },
-          .on_listed = [this] { CampaignIfVacant(); }},
+      StoreWatcherHandlers{.on_put =
+                               [this](const StoreItem& item) {
+                                 if (item.key == LeaderKey()) OnLeaderKey(item);
+                                 if (item.key == ClaimKey()) OnClaim(item);
+                               },
+                           .on_removed =
+                               [this](const std::string& key) {
+                                 if (key != LeaderKey()) return;
+                                 is_vacant_ = true;
+                                 CampaignIfVacant();
+                               },
+                           .on_listed = [this] { CampaignIfVacant(); }},
       after_);
   is_vacant_ = true;
   watcher_->Start();
 }
 
+void LeaderElection::OnLeaderKey(const StoreItem& item) {
+  is_vacant_ = false;
+  leader_revision_ = item.revision;
+  if (item.value == leader_value_) return;
+  if (role_ == Role::kLeader) StepDown("another placer holds the leader key");
+  const auto delay = ParseElectionDelay(item.value);
+  if (!delay || *delay - settings_.election_delay < kMinAdvantage) return;
+  ScheduleAfter(kClaimAfter,
+                [this, leader = item.revision] { ClaimLeaderKey(leader); });
+}
+
+void LeaderElection::ClaimLeaderKey(Revision leader) {
+  const bool may_claim = role_ == Role::kStandby && !is_vacant_ &&
+                         leader_revision_ == leader &&
+                         clock_() >= no_campaign_before_;
+  if (!may_claim || claimed_revision_ == leader) return;
+  log_->Line("seat_claimed", {{"fence", static_cast<int64_t>(leader)}});
+  store_->Apply(
+      {.conditions = {{LeaderKey(), leader}},
+       .puts = {{.key = ClaimKey(),
+                 .value = std::to_string(static_cast<uint64_t>(leader))}}},
+      lifetime_.Guard<TransactionAnswer>([this, leader](
+                                             const TransactionAnswer& answer) {
+        if (answer.outcome == StoreOutcome::kDone) return;
+        ScheduleAfter(kClaimAfter, [this, leader] { ClaimLeaderKey(leader); });
+      }));
+}
+
+void LeaderElection::OnClaim(const StoreItem& item) {
+  claimed_revision_ = Revision{static_cast<uint64_t>(ParseNumber(item.value))};
+  if (role_ == Role::kLeader &&
+      claimed_revision_ == Revision{static_cast<uint64_t>(fence_)}) {
+    StepDown("a placer on a machine with more CPU claims the leader key");
+  }
+}
+
 void LeaderElection::CampaignIfVacant() {
   if (!is_vacant_ || role_ != Role::kStandby || !watcher_->is_listed()) return;
   if (clock_() < no_campaign_before_) return;
@@ -127,7 +184,7 @@
 void LeaderElection::AcquireLeaderKey(Revision term_revision, int64_t term) {
   store_->Apply(
       {.conditions = {{LeaderKey(), kAbsent}, {TermKey(), term_revision}},
-       .puts = {{LeaderKey(), settings_.self, lease_},
+       .puts = {{LeaderKey(), leader_value_, lease_},
                 {TermKey(), std::to_string(term), kNoLease}}},
       lifetime_.Guard<TransactionAnswer>(
           [this, term](const TransactionAnswer& answer) {
@@ -152,7 +209,7 @@
       LeaderKey(),
       lifetime_.Guard<ReadAnswer>([this, term](const ReadAnswer& answer) {
         const bool is_own = answer.outcome == StoreOutcome::kDone &&
-                            answer.items[0].value == settings_.self &&
+                            answer.items[0].value == leader_value_ &&
                             answer.items[0].lease == lease_;
         if (!is_own) {
           AbandonCampaign("the write got no answer");
@@ -233,7 +290,7 @@
         // If the term key is unchanged, no other placer was elected in between.
         store_->Apply({.conditions = {{LeaderKey(), kAbsent},
                                       {TermKey(), term_revision_}},
-                       .puts = {{LeaderKey(), settings_.self, lease_},
+                       .puts = {{LeaderKey(), leader_value_, lease_},
                                 {TermKey(), std::to_string(term_), kNoLease}}},
                       lifetime_.Guard<TransactionAnswer>(
                           [this, sent](const TransactionAnswer& answer) {
--- a/quetzal/leader_election/leader_election.h
+++ b/quetzal/leader_election/leader_election.h
@@ -9,6 +9,11 @@
 // of that write is the fence of all orders that the placer sends, and a
 // condition of every transaction that it commits.
 //
+// If the leader's machine has less CPU than others, for instance because the
+// store refused them during an election, one of the others claims the leader
+// key after a while, and the leader steps down. The claim names the revision of
+// the leader key that it is about, so that it affects no later leader.
+//
 // The number of the term is kept in a second key without a lease, so that it
 // outlives the leader key.
 #ifndef QUETZAL_LEADER_ELECTION_LEADER_ELECTION_H_
@@ -34,6 +39,7 @@
   Milliseconds lease_ttl{1'250};
   Milliseconds renewal_interval{250};
   // Added to the wait before a campaign; longer on machines with little CPU.
+  // Stored with the leader key.
   Milliseconds election_delay{0};
 };
 
@@ -79,6 +85,10 @@
   };
 
   void WatchLeaderKey();
+  void OnLeaderKey(const StoreItem& item);
+  void OnClaim(const StoreItem& item);
+  // Claims the leader key with this revision if the same placer still leads.
+  void ClaimLeaderKey(Revision leader);
   void CampaignIfVacant();
   void RequestLease();
   void OnLeaseAnswer(const LeaseAnswer& answer, Time sent);
@@ -95,6 +105,7 @@
 
   Store* store_;
   LeaderElectionSettings settings_;
+  std::string leader_value_;  // of the leader key while this placer leads
   LeaderElectionHandlers handlers_;
   StoreWatcher::Timer after_;
   Clock clock_;
@@ -103,6 +114,8 @@
   std::unique_ptr<StoreWatcher> watcher_;
   Role role_ = Role::kStandby;
   bool is_vacant_ = false;
+  Revision leader_revision_{0};   // of the leader key, as last received
+  Revision claimed_revision_{0};  // in the newest claim
   LeaseId lease_ = kNoLease;
   Fence fence_{0};
   int64_t term_ = 0;
@@ -115,6 +128,7 @@
 };
 
 std::string TermKey();
+std::string ClaimKey();
 
 }  // namespace quetzal
 
--- a/quetzal/leader_election/leader_election_test.cc
+++ b/quetzal/leader_election/leader_election_test.cc
@@ -12,9 +12,12 @@
 
 struct Candidate {
   Candidate(const std::string& name, testing::VirtualClock* clock,
-            testing::MemoryStore* store, EventLog* log)
+            testing::MemoryStore* store, EventLog* log,
+            Milliseconds election_delay = Milliseconds(0))
       : election(
-            store, LeaderElectionSettings{.self = name},
+            store,
+            LeaderElectionSettings{.self = name,
+                                   .election_delay = election_delay},
             LeaderElectionHandlers{
                 .on_elected =
                     [this](Fence fence, int64_t term) {
@@ -43,6 +46,10 @@
   CPPUNIT_TEST(AReplacedLeaderStepsDown);
   CPPUNIT_TEST(TheLeaseIsValidOnlyForItsTtlWithoutTheStore);
   CPPUNIT_TEST(LeadershipSurvivesRenewalsWithoutAnswers);
+  CPPUNIT_TEST(AMachineWithMoreCpuReplacesTheLeader);
+  CPPUNIT_TEST(EqualMachinesKeepTheirLeader);
+  CPPUNIT_TEST(AClaimAffectsNoLaterLeader);
+  CPPUNIT_TEST(AnUnreadableClaimAffectsNobody);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -153,7 +160,76 @@
     CPPUNIT_ASSERT_EQUAL(0, a.lost_terms);
   }
 
+  // Replays an unstable store that refused the better equipped placers during
+  // an election: the one that won can't keep up with its work.
+  void AMachineWithMoreCpuReplacesTheLeader() {
+    Candidate weak("weak", &clock_, &store_, &log_, kWeakDelay);
+    weak.election.Start();
+    clock_.Advance(Milliseconds(1'000));
+    CPPUNIT_ASSERT(weak.election.is_leader());
+    Candidate strong("strong", &clock_, &store_, &log_);
+    Candidate other("other", &clock_, &store_, &log_, kWeakDelay);
+    strong.election.Start();
+    other.election.Start();
+    int leaderless_ms = 0;
+    for (int ms = 0; ms < 5'000; ++ms) {
+      clock_.Advance(Milliseconds(1));
+      const int leaders = (weak.election.is_leader() ? 1 : 0) +
+                          (strong.election.is_leader() ? 1 : 0) +
+                          (other.election.is_leader() ? 1 : 0);
+      CPPUNIT_ASSERT(leaders <= 1);
+      if (leaders == 0) ++leaderless_ms;
+    }
+    CPPUNIT_ASSERT(strong.election.is_leader());
+    CPPUNIT_ASSERT_EQUAL(1, weak.lost_terms);
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, other.fences.size());
+    CPPUNIT_ASSERT(strong.fences.at(0) > weak.fences.at(0));
+    CPPUNIT_ASSERT(leaderless_ms < 500);
+  }
+
+  void EqualMachinesKeepTheirLeader() {
+    Candidate a("a", &clock_, &store_, &log_, kWeakDelay);
+    Candidate b("b", &clock_, &store_, &log_, kWeakDelay);
+    a.election.Start();
+    clock_.Advance(Milliseconds(1'000));
+    b.election.Start();
+    clock_.Advance(Milliseconds(20'000));
+    CPPUNIT_ASSERT(a.election.is_leader());
+    CPPUNIT_ASSERT_EQUAL(0, a.lost_terms);
+  }
+
+  void AClaimAffectsNoLaterLeader() {
+    Candidate a("a", &clock_, &store_, &log_, kWeakDelay);
+    a.election.Start();
+    clock_.Advance(Milliseconds(1'000));
+    const auto former = static_cast<uint64_t>(a.fences.at(0)) - 1;
+    store_.Apply(
+        {.puts = {{.key = ClaimKey(), .value = std::to_string(former)}}},
+        [](const TransactionAnswer&) {});
+    clock_.Advance(Milliseconds(3'000));
+    CPPUNIT_ASSERT(a.election.is_leader());
+    CPPUNIT_ASSERT_EQUAL(0, a.lost_terms);
+  }
+
+  void AnUnreadableClaimAffectsNobody() {
+    Candidate a("a", &clock_, &store_, &log_, kWeakDelay);
+    a.election.Start();
+    clock_.Advance(Milliseconds(1'000));
+    for (const char* const text : {"", "?", "-1", "99999999999999999999"}) {
+      store_.Apply({.puts = {{.key = ClaimKey(), .value = text}}},
+                   [](const TransactionAnswer&) {});
+      clock_.Advance(Milliseconds(500));
+    }
+    CPPUNIT_ASSERT(a.election.is_leader());
+    // Nor does the removal of a claim make the leader key vacant.
+    store_.Apply({.removes = {ClaimKey()}}, [](const TransactionAnswer&) {});
+    clock_.Advance(Milliseconds(3'000));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, a.fences.size());
+  }
+
  private:
+  static constexpr Milliseconds kWeakDelay{228};
+
   testing::VirtualClock clock_;
   testing::MemoryStore store_{clock_.AfterOneMillisecond()};
   EventLog log_{"test", {.lines_per_second = 0}};
