--- a/programs/cell_placer/term.cc
+++ b/programs/cell_placer/term.cc
@@ -26,18 +26,6 @@
 constexpr Milliseconds kRelistAfterSilence{300};
 constexpr Milliseconds kMaxJobAge{60'000};
 constexpr Milliseconds kRetryDelay{100};
-constexpr Milliseconds kRemovalInterval{2'000};
-// For each job: of its progress and its request conditions and either two puts
-// or two removals; of its record a put.
-constexpr size_t kMaxEntriesPerJob = 4;
-// Minimum time between two flushes: each commit has a cost, and many tasks end
-// within this time.
-constexpr Milliseconds kMinFlushInterval{20};
-// Sustains the rate at which tasks end over the round trip to a distant store.
-constexpr int kMaxTransactionsInFlight = 6;
-// Four removals for each job, and the condition on the leader key.
-constexpr size_t kMaxExpiredPerTransaction = (kMaxTransactionEntries - 1) / 4;
-
 // When a job was accepted, possibly in an earlier term, on this process's
 // clock. Wall clocks of machines differ and jump, so its age is clamped.
 Time AcceptanceTime(const AcceptedJob& job) {
@@ -55,7 +43,11 @@
     : dependencies_(std::move(dependencies)),
       cell_(settings, fence, run_floor, Now(), dependencies_.log,
             dependencies_.metrics),
-      fence_(fence) {}
+      fence_(fence),
+      progress_writer_(&cell_, dependencies_.store, dependencies_.log,
+                       dependencies_.metrics, [this] { ScheduleDecision(); }) {
+  progress_writer_.SetFence(fence);
+}
 
 Term::~Term() = default;
 
@@ -70,7 +62,7 @@
   WatchCell();
   ReadRoster();
   Defer(kMaxDecisionInterval, [this] { DecidePeriodically(); });
-  Defer(kRemovalInterval, [this] { RemoveExpired(); });
+  progress_writer_.Start();
 }
 
 void Term::SetHelpers(const std::vector<HelperId>& helpers) {
@@ -80,6 +72,7 @@
 
 void Term::RaiseFence(Fence fence) {
   fence_ = fence;
+  progress_writer_.SetFence(fence);
   cell_.OnFenceRaised(fence);
 }
 
@@ -148,7 +141,9 @@
         StoreWatcherHandlers{
             .on_put = [this](const StoreItem& item) { OnCellItem(item); },
             .on_removed =
-                [this](const std::string& key) { OnCellRemoved(key); },
+                [this](const std::string& key) {
+                  progress_writer_.OnRemoved(key);
+                },
             .on_listed = [this] { OnListed(); }},
         &RunAfter);
     watcher->Start();
@@ -212,6 +207,7 @@
 }
 
 void Term::OnCellItem(const StoreItem& item) {
+  progress_writer_.OnItem(item);
   const CellKey key = ParseCellKey(item.key);
   const JobId id(key.name);
   switch (key.kind) {
@@ -223,19 +219,15 @@
       }
       break;
     case CellKeyKind::kRequest:
-      request_revisions_[id] = item.revision;
       if (IsListed()) {
         AddRequest(id, item);
       } else {
         listed_requests_[id] = item;
       }
       break;
-    case CellKeyKind::kProgress: {
-      Revision& recorded = progress_revisions_[id];
-      if (item.revision > recorded) recorded = item.revision;
+    case CellKeyKind::kProgress:
       if (!IsListed()) listed_progress_[id] = item.value;
       break;
-    }
     case CellKeyKind::kFormerProgress:
       if (!IsListed()) listed_progress_.try_emplace(id, item.value);
       break;
@@ -254,17 +246,6 @@
   ScheduleDecision();
 }
 
-void Term::OnCellRemoved(const std::string& key) {
-  const CellKey parsed = ParseCellKey(key);
-  if (parsed.kind == CellKeyKind::kProgress) {
-    progress_revisions_.erase(JobId(parsed.name));
-  } else if (parsed.kind == CellKeyKind::kRequest) {
-    request_revisions_.erase(JobId(parsed.name));
-  } else if (parsed.kind == CellKeyKind::kJob) {
-    running_records_.erase(JobId(parsed.name));
-  }
-}
-
 bool Term::IsListed() const {
   return record_watcher_ && record_watcher_->is_listed() && work_watcher_ &&
          work_watcher_->is_listed();
@@ -274,12 +255,11 @@
   const std::optional<JobState> state = DecodeState(item.value);
   if (state && IsFinal(*state)) {
     // Ended, in this term or an earlier one.
-    running_records_.erase(id);
     cell_.OnEndedJob(id, Now());
-  } else if (state) {
-    running_records_.insert(id);
   } else if (HoldsRequest(item.value)) {
     AddRequest(id, item);
+  } else if (!DecodeQueue(item.value)) {
+    dependencies_.log->Line("record_unreadable", {{"job", id.text()}});
   }
 }
 
@@ -329,7 +309,7 @@
       Execute(action);
     }
     WriteRoster();
-    FlushWrites();
+    progress_writer_.Flush();
   });
 }
 
@@ -424,168 +404,4 @@
           }));
 }
 
-void Term::FlushWrites() {
-  if (flush_pending_ || !cell_.has_progress_writes()) return;
-  const Time now = Now();
-  if (now < next_flush_) {
-    flush_pending_ = true;
-    Defer(next_flush_ - now, [this] {
-      flush_pending_ = false;
-      FlushWrites();
-    });
-    return;
-  }
-  next_flush_ = now + kMinFlushInterval;
-  while (cell_.has_progress_writes() &&
-         writes_in_flight_ < kMaxTransactionsInFlight) {
-    CommitWrites();
-  }
-}
-
-void Term::CommitWrites() {
-  Transaction transaction;
-  transaction.conditions.push_back(
-      {LeaderKey(), Revision{static_cast<uint64_t>(fence_)}});
-  std::vector<ProgressWrite> writes;
-  while (transaction.size() + kMaxEntriesPerJob <= kMaxTransactionEntries) {
-    std::vector<ProgressWrite> next = cell_.TakeProgressWrites(1);
-    if (next.empty()) break;
-    AddWrite(next[0], &transaction);
-    writes.push_back(std::move(next[0]));
-  }
-  if (writes.empty()) return;
-  ++writes_in_flight_;
-  const Time sent = Now();
-  auto handled = std::make_shared<bool>(false);
-  dependencies_.store->Apply(
-      transaction,
-      lifetime_.Guard<TransactionAnswer>([this, writes, sent,
-                                          handled](const TransactionAnswer& a) {
-        const Milliseconds latency = Now() - sent;
-        dependencies_.metrics->Observe("quetzal_store_commit_ms",
-                                       {{"what", "progress"}},
-                                       static_cast<double>(latency.count()));
-        if (a.outcome != StoreOutcome::kUnknown) {
-          write_timeout_.Observe(latency);
-        }
-        if (!std::exchange(*handled, true)) OnWritten(writes, a);
-      }));
-  Defer(write_timeout_.timeout(), [this, writes, handled] {
-    if (!std::exchange(*handled, true)) OnWritten(writes, TransactionAnswer{});
-  });
-}
-
-void Term::AddWrite(const ProgressWrite& write,
-                    Transaction* transaction) const {
-  const std::string key = ProgressKey(write.job);
-  const auto found = progress_revisions_.find(write.job);
-  const Revision revision =
-      found == progress_revisions_.end() ? kAbsent : found->second;
-  transaction->conditions.push_back({key, revision});
-  const auto request = request_revisions_.find(write.job);
-  if (write.final) {
-    transaction->puts.push_back(
-        {.key = JobKey(write.job), .value = write.record});
-    if (request != request_revisions_.end()) {
-      transaction->removes.push_back(RequestKey(write.job));
-    }
-    if (revision != kAbsent) transaction->removes.push_back(key);
-    return;
-  }
-  transaction->puts.push_back({.key = key, .value = write.value});
-  // An earlier version stored the request in the record.
-  if (request == request_revisions_.end()) return;
-  // Fails if this commit is carried out late, after the job's end.
-  if (revision == kAbsent) {
-    transaction->conditions.push_back({RequestKey(write.job), request->second});
-  }
-  if (write.state == JobState::kRunning &&
-      !running_records_.contains(write.job)) {
-    transaction->puts.push_back(
-        {.key = JobKey(write.job), .value = write.record});
-  }
-}
-
-void Term::OnWritten(const std::vector<ProgressWrite>& writes,
-                     const TransactionAnswer& answer) {
-  --writes_in_flight_;
-  if (answer.outcome == StoreOutcome::kDone) {
-    for (const ProgressWrite& write : writes) {
-      if (write.final) {
-        progress_revisions_.erase(write.job);
-        request_revisions_.erase(write.job);
-        running_records_.erase(write.job);
-      } else {
-        progress_revisions_[write.job] = answer.revision;
-        if (write.state == JobState::kRunning) {
-          running_records_.insert(write.job);
-        }
-      }
-      cell_.OnProgressStored(write.job, write.version);
-    }
-    ScheduleDecision();
-    return;
-  }
-  dependencies_.metrics->Count("quetzal_progress_retries_total");
-  if (answer.outcome == StoreOutcome::kConflict) {
-    UpdateRevisions(writes, answer.current);
-  }
-  // A retry is safe: if the first commit took effect, the condition of the
-  // second one fails, and the conflict returns the current revision.
-  const bool may_be_done = answer.outcome == StoreOutcome::kUnknown;
-  ++writes_in_flight_;
-  Defer(may_be_done ? Milliseconds(0) : kRetryDelay,
-        [this, writes] { ReportFailedWrites(writes); });
-}
-
-// A key that the store doesn't return is absent.
-void Term::UpdateRevisions(const std::vector<ProgressWrite>& writes,
-                           const std::vector<StoreItem>& current) {
-  for (const ProgressWrite& write : writes) {
-    const std::string key = ProgressKey(write.job);
-    const auto found =
-        std::find_if(current.begin(), current.end(),
-                     [&](const StoreItem& item) { return item.key == key; });
-    if (found == current.end() || found->revision == kAbsent) {
-      progress_revisions_.erase(write.job);
-    } else {
-      progress_revisions_[write.job] = found->revision;
-    }
-  }
-}
-
-void Term::ReportFailedWrites(const std::vector<ProgressWrite>& writes) {
-  --writes_in_flight_;
-  for (const ProgressWrite& write : writes) {
-    cell_.OnProgressWriteFailed(write.job);
-  }
-  FlushWrites();
-}
-
-void Term::RemoveExpired() {
-  const std::vector<JobId> expired =
-      cell_.TakeExpiredJobs(kMaxExpiredPerTransaction, Now());
-  if (!expired.empty()) {
-    Transaction transaction;
-    transaction.conditions.push_back(
-        {LeaderKey(), Revision{static_cast<uint64_t>(fence_)}});
-    for (const JobId& id : expired) {
-      transaction.removes.push_back(JobKey(id));
-      transaction.removes.push_back(RequestKey(id));
-      transaction.removes.push_back(ProgressKey(id));
-      transaction.removes.push_back(CancelKey(id));
-    }
-    dependencies_.store->Apply(
-        transaction, lifetime_.Guard<TransactionAnswer>(
-                         [this](const TransactionAnswer& answer) {
-                           // The next term removes what is left.
-                           if (answer.outcome != StoreOutcome::kDone) {
-                             dependencies_.log->Line("removal_failed", {});
-                           }
-                         }));
-  }
-  Defer(expired.empty() ? kRemovalInterval : kRetryDelay,
-        [this] { RemoveExpired(); });
-}
-
 }  // namespace quetzal
--- a/programs/cell_placer/term.h
+++ b/programs/cell_placer/term.h
@@ -16,11 +16,11 @@
 #include <unordered_set>
 #include <vector>
 
+#include "programs/cell_placer/progress_writer.h"
 #include "quetzal/advice_pool/advice_pool.h"
 #include "quetzal/catalog/catalog.h"
 #include "quetzal/cell/cell.h"
 #include "quetzal/lifetime/lifetime.h"
-#include "quetzal/retry/retry.h"
 #include "quetzal/store/store.h"
 
 namespace quetzal {
@@ -60,7 +60,6 @@
   void WriteRoster();
   void OnRosterWritten(const TransactionAnswer& answer);
   void OnCellItem(const StoreItem& item);
-  void OnCellRemoved(const std::string& key);
   void OnListed();
   // A job's record: tells of jobs that ended in an earlier term. Holds the
   // whole request if an earlier version accepted the job.
@@ -74,15 +73,6 @@
   void StopTask(const StopAction& action);
   void SetPace(const PaceAction& action);
   void RequestAdvice(const RequestAdviceAction& action);
-  void FlushWrites();
-  void CommitWrites();
-  void AddWrite(const ProgressWrite& write, Transaction* transaction) const;
-  void OnWritten(const std::vector<ProgressWrite>& writes,
-                 const TransactionAnswer& answer);
-  void ReportFailedWrites(const std::vector<ProgressWrite>& writes);
-  void UpdateRevisions(const std::vector<ProgressWrite>& writes,
-                       const std::vector<StoreItem>& current);
-  void RemoveExpired();
   // Runs `step` after `delay`, unless the term has ended by then.
   void Defer(Milliseconds delay, std::function<void()> step);
 
@@ -101,16 +91,9 @@
   std::unordered_map<JobId, StoreItem> listed_requests_;
   std::unordered_map<JobId, std::string> listed_progress_;
   std::unordered_set<JobId> listed_cancellations_;
-  std::unordered_map<JobId, Revision> progress_revisions_;
-  std::unordered_map<JobId, Revision> request_revisions_;
-  // Open jobs whose records say that they run.
-  std::unordered_set<JobId> running_records_;
   Revision roster_revision_ = kAbsent;
   bool decision_pending_ = false;
-  bool flush_pending_ = false;
-  Time next_flush_;
-  int writes_in_flight_ = 0;
-  AdaptiveTimeout write_timeout_;  // for the store's answers to writes
+  ProgressWriter progress_writer_;
 };
 
 }  // namespace quetzal
--- a/quetzal/cell/cell_test.cc
+++ b/quetzal/cell/cell_test.cc
@@ -283,8 +283,9 @@
     }
   }
 
-  // Replays a worker that went dark under load: its last poll was answered a
-  // moment ago, and it has most capacity free, as nothing starts there.
+  // Replays a worker that becomes unreachable under load: its last poll was
+  // answered a moment ago, and it has most capacity free, as nothing starts
+  // there.
   void AWorkerThatLeavesAStartUnansweredGetsNoMore() {
     FakeFleet fleet(2);
     fleet.Recover();
@@ -296,7 +297,7 @@
           Revision{1}, std::nullopt, fleet.now());
       fleet.Run(Milliseconds(400));
     }
-    // One start each: the first worker, then the other one.
+    // One start at each of the two workers.
     CPPUNIT_ASSERT_EQUAL(size_t{2}, fleet.starts_.size());
     const StartAction first = fleet.starts_.front();
     fleet.cell()->OnStartAnswer(first.worker.id, first.order,
--- a/quetzal/cell/internal/advice_queries.cc
+++ b/quetzal/cell/internal/advice_queries.cc
@@ -203,9 +203,9 @@
     if (found == step.permits.end()) continue;
     ++allowed;
     found->second.allowed = true;
-    if (std::find(step.permitted.begin(), step.permitted.end(), worker->slot) ==
-        step.permitted.end()) {
-      step.permitted.push_back(worker->slot);
+    if (std::find(step.permitted_workers.begin(), step.permitted_workers.end(),
+                  worker->slot) == step.permitted_workers.end()) {
+      step.permitted_workers.push_back(worker->slot);
     }
     found->second.ticket = permit.ticket;
     found->second.expires = now + validity;
--- a/quetzal/cell/internal/orders.cc
+++ b/quetzal/cell/internal/orders.cc
@@ -21,9 +21,9 @@
 
 void RequeueTask(State* state, Worker* worker, const StartOrder& order,
                  Time now) {
-  const auto found = worker->runs.find(order.task);
-  if (found == worker->runs.end() || found->second.number != order.run) return;
-  Job* const job = found->second.job;
+  const Run* const run = FindRun(worker, order.task, order.run);
+  if (run == nullptr) return;
+  Job* const job = run->job;
   RemoveRun(state, worker, order.task);
   if (job == nullptr) return;
   BreakGang(state, job, order.task.step, now);
@@ -98,7 +98,7 @@
                                       {"how", NameOf(answer.outcome)}});
   }
   worker->unanswered_starts = std::max(0, worker->unanswered_starts - 1);
-  worker->waits_for_start_since = now;
+  worker->no_start_answer_since = now;
   const auto found = worker->runs.find(order.task);
   const bool present =
       found != worker->runs.end() && found->second.number == order.run;
@@ -159,14 +159,13 @@
     Resign(state, "a worker has a higher fence");
     return;
   }
-  const auto found = worker->runs.find(order.task);
-  if (found == worker->runs.end() || found->second.number != order.run) return;
-  Run& run = found->second;
-  run.stop_in_flight = false;
-  run.next_stop_at = now + kStopRetry;
+  Run* const run = FindRun(worker, order.task, order.run);
+  if (run == nullptr) return;
+  run->stop_in_flight = false;
+  run->next_stop_at = now + kStopRetry;
   if (answer.outcome == OrderOutcome::kDone ||
       answer.outcome == OrderOutcome::kStaleRun) {
-    run.stop_worker_time = answer.clock;
+    run->stop_worker_time = answer.clock;
     // A poll that is sent after the stop shows whether the run still exists.
     worker->next_poll_at = std::min(worker->next_poll_at, now);
   }
--- a/quetzal/cell/internal/pace_orders.cc
+++ b/quetzal/cell/internal/pace_orders.cc
@@ -74,12 +74,11 @@
     Resign(state, "a worker has a higher fence");
     return;
   }
-  const auto found = worker->runs.find(order.task);
-  if (found == worker->runs.end() || found->second.number != order.run) return;
-  Run& run = found->second;
-  run.pace_in_flight = false;
+  Run* const run = FindRun(worker, order.task, order.run);
+  if (run == nullptr) return;
+  run->pace_in_flight = false;
   if (answer.outcome == OrderOutcome::kDone) return;
-  run.pace.reset();
+  run->pace.reset();
   state->log->Line("pace_failed", {{"worker", worker->entry.id.text()},
                                    {"job", order.task.job.text()},
                                    {"step", order.task.step},
--- a/quetzal/cell/internal/placement.cc
+++ b/quetzal/cell/internal/placement.cc
@@ -15,8 +15,13 @@
 namespace {
 
 // A gang that waits for longer is logged, and again after each interval.
-constexpr Milliseconds kLongWait{3'000};
-constexpr Milliseconds kWaitLogInterval{2'000};
+constexpr Milliseconds kGangWaitLogDelay{3'000};
+constexpr Milliseconds kGangWaitLogInterval{2'000};
+// Long-running tasks end often without a write of their progress, so their run
+// numbers are reserved in blocks. The next block is reserved while this many
+// numbers are left, so that it is stored before they are used up.
+constexpr int64_t kRunNumberBlock = 16;
+constexpr int64_t kRunNumbersLeft = 8;
 // A permit must still be valid when the order reaches the worker.
 constexpr Milliseconds kPermitMargin{150};
 
@@ -34,12 +39,6 @@
       std::min<int64_t>(fits, std::numeric_limits<int>::max()));
 }
 
-// Long-running tasks end often without a write of their progress, so their run
-// numbers are reserved in blocks. The next block is reserved early enough that
-// it is stored before the current one is used up.
-constexpr int64_t kRunNumberBlock = 16;
-constexpr int64_t kRunNumbersLeft = 8;
-
 int RunsOfStepOn(const Worker& worker, const Job& job, int step) {
   int count = 0;
   for (const auto& [task_id, run] : worker.runs) {
@@ -111,9 +110,9 @@
     }
     return candidates;
   }
-  for (const WorkerSlot slot : step.permitted) {
+  for (const WorkerSlot slot : step.permitted_workers) {
     if (slot >= state->max_free.size() ||
-        !step.charge.FitsIn(state->max_free[slot])) {
+        CountFits(state->max_free[slot], step.charge) <= 0) {
       continue;
     }
     Worker* const worker = state->WorkerAt(slot);
@@ -153,7 +152,7 @@
   const auto permit = step.permits.find(worker->slot);
   if (permit != step.permits.end()) order.ticket = permit->second.ticket;
   worker->lease_extended_at = now;
-  if (worker->unanswered_starts++ == 0) worker->waits_for_start_since = now;
+  if (worker->unanswered_starts++ == 0) worker->no_start_answer_since = now;
   ChargeReservations(worker, step, now);
   Task& task = step.tasks[static_cast<size_t>(task_index)];
   task.progress.last_run = std::max(task.progress.last_run, run_number);
@@ -223,8 +222,11 @@
 void LogWaitingGang(State* state, Job* job, int index, const char* why,
                     int fits, Time now) {
   Step& step = job->steps[static_cast<size_t>(index)];
-  if (now - step.ready_since < kLongWait || now < step.next_wait_log_at) return;
-  step.next_wait_log_at = now + kWaitLogInterval;
+  if (now - step.ready_since < kGangWaitLogDelay ||
+      now < step.next_wait_log_at) {
+    return;
+  }
+  step.next_wait_log_at = now + kGangWaitLogInterval;
   const auto allowed =
       std::count_if(step.permits.begin(), step.permits.end(),
                     [](const auto& permit) { return permit.second.allowed; });
@@ -278,6 +280,24 @@
   }
 }
 
+PlacementRank RankOf(const Job& job, size_t index, Time now) {
+  const Step& step = job.steps[index];
+  // A long-running task has value whenever it starts, and loses some with each
+  // second that it isn't at work.
+  if (step.spec->long_running) {
+    return {.priority = job.queue_config.priority,
+            .slack = Milliseconds(0),
+            .since = job.known_since};
+  }
+  const Milliseconds age = now - job.known_since;
+  const Milliseconds left = step.critical_path;
+  return {.timeliness = ExpectedTimeliness(age, left, job.objective),
+          .above_rate = job.above_rate,
+          .priority = job.queue_config.priority,
+          .slack = job.objective - age - left,
+          .since = job.known_since};
+}
+
 }  // namespace
 
 int CountTasksToStart(const Step& step) {
@@ -333,24 +353,6 @@
       std::min<int64_t>(fits, std::numeric_limits<int>::max()));
 }
 
-PlacementRank RankOf(const Job& job, size_t index, Time now) {
-  const Step& step = job.steps[index];
-  // A long-running task has value whenever it starts, and loses some with each
-  // second that it isn't at work.
-  if (step.spec->long_running) {
-    return {.priority = job.queue_config.priority,
-            .slack = Milliseconds(0),
-            .since = job.known_since};
-  }
-  const Milliseconds age = now - job.known_since;
-  const Milliseconds left = step.critical_path;
-  return {.timeliness = ExpectedTimeliness(age, left, job.objective),
-          .above_rate = job.above_rate,
-          .priority = job.queue_config.priority,
-          .slack = job.objective - age - left,
-          .since = job.known_since};
-}
-
 std::vector<WaitingStep> WaitingStepsInOrder(const State& state, Time now) {
   struct Entry {
     WaitingStep step;
@@ -361,7 +363,6 @@
     if (job->may_have_unknown_runs && !state.all_workers_accounted) continue;
     for (size_t i = 0; i < job->steps.size(); ++i) {
       if (!HasWaitingTasks(job->steps[i])) continue;
-      const Milliseconds age = now - job->known_since;
       entries.push_back({{job, static_cast<int>(i)}, RankOf(*job, i, now)});
     }
   }
--- a/quetzal/cell/internal/state.cc
+++ b/quetzal/cell/internal/state.cc
@@ -25,6 +25,14 @@
   return worker;
 }
 
+Run* FindRun(Worker* worker, const TaskId& task, int64_t number) {
+  const auto found = worker->runs.find(task);
+  if (found == worker->runs.end() || found->second.number != number) {
+    return nullptr;
+  }
+  return &found->second;
+}
+
 void ScheduleStop(Worker* worker, Run* run, Time at) {
   run->state = RunState::kStopping;
   run->next_stop_at = at;
--- a/quetzal/cell/internal/state.h
+++ b/quetzal/cell/internal/state.h
@@ -122,8 +122,8 @@
   std::map<TaskId, Run> runs;
   std::vector<Reservation> reservations;  // in planning order
   int unanswered_starts = 0;
-  // When a start was sent, or answered, and others were unanswered.
-  Time waits_for_start_since;
+  // Since when no start was answered although some were sent.
+  Time no_start_answer_since;
   // Gets no new work until then, after refusals, failures or stalls.
   Time avoided_until;
   double failure_rate = 0;  // exponential moving average over its ended runs
@@ -166,7 +166,7 @@
   Time next_query_at;
   std::unordered_map<WorkerSlot, PermitState> permits;
   // Contains all workers with a permit; some permits may be gone.
-  std::vector<WorkerSlot> permitted;
+  std::vector<WorkerSlot> permitted_workers;
   // Only for gangs: the run number that all members share, and how many members
   // are charged.
   int64_t gang_run = 0;
@@ -254,6 +254,9 @@
   Worker* FindOrAddWorker(const WorkerId& id);
 };
 
+// Null if the worker doesn't have this run of the task.
+Run* FindRun(Worker* worker, const TaskId& task, int64_t number);
+
 // True if the step's tasks serve users within a latency target.
 bool IsServing(const StepSpec& spec);
 // True if the run is of a best-effort step of a known job.
--- a/quetzal/cell/internal/workers.cc
+++ b/quetzal/cell/internal/workers.cc
@@ -16,8 +16,8 @@
 constexpr Milliseconds kPollWhileStoring{400};
 // Delay before a worker that didn't answer is tried again.
 constexpr Milliseconds kPollRetryDelay{200};
-// While best-effort runs may disturb serving ones. Response times cover the
-// last half second.
+// While best-effort runs may disturb serving ones, whose response times are
+// then needed more often.
 constexpr Milliseconds kPollWaitWhilePacing{400};
 // A worker whose entry is gone may be back within about two seconds of the
 // store's return. Its leases are extended for this long, and no longer.
@@ -33,9 +33,8 @@
 // in a row, rare on a healthy worker, exceed the rate above.
 constexpr double kFailureSmoothing = 0.35;
 constexpr Milliseconds kAvoidAfterFailures{4'000};
-// A worker that leaves a start unanswered for longer may be gone, and gets no
-// more work meanwhile: twice a round trip between regions, with the setup of a
-// connection and a delay of the placer's own.
+// A worker that answers neither starts nor polls for longer may be gone, and
+// gets no more work meanwhile.
 constexpr Milliseconds kSlowStartAnswer{350};
 
 // Removes a run and applies its end to the job.
@@ -290,8 +289,8 @@
 // answer to a start alone may be lost.
 bool MayBeGone(const Worker& worker, Time now) {
   return worker.unanswered_starts > 0 &&
-         worker.clock_received_at < worker.waits_for_start_since &&
-         now - worker.waits_for_start_since >= kSlowStartAnswer;
+         worker.clock_received_at < worker.no_start_answer_since &&
+         now - worker.no_start_answer_since >= kSlowStartAnswer;
 }
 
 bool CanTakeWork(const Worker& worker, Time now) {
--- a/quetzal/cell/long_running_test.cc
+++ b/quetzal/cell/long_running_test.cc
@@ -24,6 +24,8 @@
   CPPUNIT_TEST(AGangRestartsWhole);
   CPPUNIT_TEST(BestEffortWorkYieldsToServingTasksBesideIt);
   CPPUNIT_TEST(BestEffortWorkAvoidsServingTasks);
+  CPPUNIT_TEST(AFencedPaceOrderEndsTheTerm);
+  CPPUNIT_TEST(APaceOrderWithoutEffectIsRepeated);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -258,7 +260,43 @@
     CPPUNIT_ASSERT_EQUAL(size_t{4}, fleet.running());
   }
 
+  // Another placer leads, and this one must not pace its tasks.
+  void AFencedPaceOrderEndsTheTerm() {
+    FakeFleet fleet(1);
+    fleet.Recover();
+    fleet.pace_outcome_ = OrderOutcome::kFenced;
+    DisturbServingTask(&fleet);
+    fleet.Run(Milliseconds(1'000));
+    CPPUNIT_ASSERT(fleet.resignations_ > 0);
+    CPPUNIT_ASSERT(fleet.workers_.begin()->second.paces.empty());
+  }
+
+  void APaceOrderWithoutEffectIsRepeated() {
+    FakeFleet fleet(1);
+    fleet.Recover();
+    fleet.pace_outcome_ = OrderOutcome::kUnknown;
+    DisturbServingTask(&fleet);
+    fleet.Run(Milliseconds(1'000));
+    fleet.pace_outcome_ = OrderOutcome::kDone;
+    fleet.Run(Milliseconds(2'000));
+    CPPUNIT_ASSERT_EQUAL(
+        0, fleet.workers_.begin()->second.paces.at(Task("fill", 0, 0)));
+  }
+
  private:
+  // Starts a serving task and a best-effort one, which keeps it above its
+  // target.
+  static void DisturbServingTask(FakeFleet* fleet) {
+    SetPercent(fleet, kAtWork);
+    Submit(fleet, "serving", MakeLongRunningStep(1));
+    StepSpec best_effort = FakeFleet::MakeStep(1);
+    best_effort.best_effort = true;
+    Submit(fleet, "fill", best_effort);
+    fleet->Run(Milliseconds(100));
+    fleet->WorkerOf(Task("serving", 0, 0))
+        .response_tails[Task("serving", 0, 0)] = Milliseconds(150);
+  }
+
   // Tells the cell that the last start got no answer.
   static void ReportUnknown(FakeFleet* fleet) {
     const StartAction& start = fleet->starts_.back();
--- a/quetzal/cell/testing/fake_fleet.h
+++ b/quetzal/cell/testing/fake_fleet.h
@@ -219,8 +219,10 @@
     FakeWorker& worker = workers_.at(action.worker.id);
     OrderAnswer answer;
     if (!worker.unresponsive) {
-      worker.paces[action.order.task] = action.order.percent;
-      answer = {OrderOutcome::kDone, WorkerTime{worker.clock_ms}};
+      if (pace_outcome_ == OrderOutcome::kDone) {
+        worker.paces[action.order.task] = action.order.percent;
+      }
+      answer = {pace_outcome_, WorkerTime{worker.clock_ms}};
     }
     cell_->OnPaceAnswer(action.worker.id, action.order, answer);
   }
@@ -271,6 +273,7 @@
   std::vector<StartAction> starts_;
   std::set<WorkerId> denied_;
   OrderOutcome start_outcome_ = OrderOutcome::kDone;
+  OrderOutcome pace_outcome_ = OrderOutcome::kDone;
   bool hold_polls_ = false;  // polls get no answer, nor a timeout
   // Starts are carried out, and the test reports their outcomes to the cell.
   bool lose_start_answers_ = false;
--- a/quetzal/pacing/pacing_test.cc
+++ b/quetzal/pacing/pacing_test.cc
@@ -35,7 +35,7 @@
     CPPUNIT_ASSERT_EQUAL(0, pace);
   }
 
-  // The neighbours' tails grow with the pace; some harm much, some little.
+  // The response times grow with the pace, little or much.
   void ThePaceSettlesBelowTheTarget() {
     for (const int harm_ms : {40, 120, 400}) {
       int pace = kFullPace;
--- a/quetzal/restart_backoff/restart_backoff_test.cc
+++ b/quetzal/restart_backoff/restart_backoff_test.cc
@@ -42,7 +42,6 @@
 
   void ATaskThatCrashesAtStartupIsStartedEverMoreRarely() {
     RestartBackoff backoff;
-    // Without a delay there would be 600 starts.
     const int starts =
         CountStarts(&backoff, Milliseconds(50), Milliseconds(30'000));
     CPPUNIT_ASSERT(starts <= 25);
