Log how current an entry's configuration is

The logs didn't show whether calls to the store failed, whether versions arrived and waited to be decoded, or which call returned a version.

What is done with a configuration is unchanged.

--- a/programs/cell_placer/term.cc
+++ b/programs/cell_placer/term.cc
@@ -44,6 +44,18 @@
       cell_(settings, fence, run_floor, Now(), dependencies_.log,
             dependencies_.metrics),
       fence_(fence),
+      catalog_watcher_({.store = dependencies_.store,
+                        .key = platform::kConfigurationKey,
+                        .decode = &platform::DecodeConfiguration,
+                        .after = &RunAfter,
+                        .clock = &Now,
+                        .log = dependencies_.log,
+                        .metrics = dependencies_.metrics},
+                       &catalogs_,
+                       [this] {
+                         cell_.OnCatalog(catalogs_.current(), Now());
+                         ScheduleDecision();
+                       }),
       progress_writer_(&cell_, dependencies_.store, dependencies_.log,
                        dependencies_.metrics, [this] { ScheduleDecision(); }) {
   progress_writer_.SetFence(fence);
@@ -57,7 +69,7 @@
 
 void Term::Start() {
   SetHelpers(dependencies_.advice->reachable_helpers());
-  WatchConfiguration();
+  catalog_watcher_.Start();
   WatchWorkers();
   WatchCell();
   ReadRoster();
@@ -76,31 +88,6 @@
   cell_.OnFenceRaised(fence);
 }
 
-void Term::WatchConfiguration() {
-  configuration_watcher_ = std::make_unique<StoreWatcher>(
-      dependencies_.store, platform::kConfigurationKey, StoreWatcherTiming{},
-      StoreWatcherHandlers{
-          .on_put =
-              [this](const StoreItem& item) {
-                auto catalog = platform::DecodeConfiguration(item.value);
-                if (!catalog) {
-                  dependencies_.log->Line(
-                      "configuration_unreadable",
-                      {{"problems", Describe(catalog.error())}});
-                  return;
-                }
-                if (!catalogs_.UpdateIfNewer(catalog.value())) return;
-                dependencies_.log->Line(
-                    "configuration_in_force",
-                    {{"version", catalog.value()->version()}});
-                cell_.OnCatalog(catalog.value(), Now());
-                ScheduleDecision();
-              },
-          .on_removed = [](const std::string&) {}},
-      &RunAfter);
-  configuration_watcher_->Start();
-}
-
 void Term::WatchWorkers() {
   const std::string prefix = platform::kWorkerPrefix;
   worker_watcher_ = std::make_unique<StoreWatcher>(
--- a/programs/cell_placer/term.h
+++ b/programs/cell_placer/term.h
@@ -19,6 +19,7 @@
 #include "programs/cell_placer/progress_writer.h"
 #include "quetzal/advice_pool/advice_pool.h"
 #include "quetzal/catalog/catalog.h"
+#include "quetzal/catalog_watcher/catalog_watcher.h"
 #include "quetzal/cell/cell.h"
 #include "quetzal/lifetime/lifetime.h"
 #include "quetzal/store/store.h"
@@ -53,7 +54,6 @@
   void ScheduleDecision();
 
  private:
-  void WatchConfiguration();
   void WatchWorkers();
   void WatchCell();
   void ReadRoster();
@@ -80,11 +80,11 @@
   Cell cell_;
   Fence fence_;
   Lifetime lifetime_;
-  std::unique_ptr<StoreWatcher> configuration_watcher_;
   std::unique_ptr<StoreWatcher> worker_watcher_;
   std::unique_ptr<StoreWatcher> record_watcher_;
   std::unique_ptr<StoreWatcher> work_watcher_;
   CurrentCatalog catalogs_;
+  CatalogWatcher catalog_watcher_;
   // What the initial listings have returned so far. A job is passed to the cell
   // once they are complete, as its progress may come after it.
   std::unordered_map<JobId, StoreItem> listed_records_;
--- a/programs/job_entry/job_api.cc
+++ b/programs/job_entry/job_api.cc
@@ -30,6 +30,7 @@
 constexpr Milliseconds kRetryAfter{1'000};
 constexpr Milliseconds kCancelRetryDelay{50};
 constexpr int64_t kMicrosecondsInMillisecond = 1'000;
+constexpr Milliseconds kNoAge{-1};  // in log lines
 
 std::string HeaderOf(const HttpRequest& request, const char* name) {
   const auto found = request.headers.find(name);
@@ -73,12 +74,14 @@
 void JobApi::Refuse(const Call& call, int status, const char* reason,
                     const std::string& remedy) {
   metrics_->Count("quetzal_refusals_total", {{"reason", reason}});
-  log_->Line("refused", {{"path", call.request.path},
-                         {"method", call.request.method},
-                         {"status", status},
-                         {"reason", reason},
-                         {"version", call.catalog ? call.catalog->version()
-                                                  : int64_t{0}}});
+  log_->Line(
+      "refused",
+      {{"path", call.request.path},
+       {"method", call.request.method},
+       {"status", status},
+       {"reason", reason},
+       {"version", call.catalog ? call.catalog->version() : int64_t{0}},
+       {"copy_age_ms", catalogs_->AgeAt(Now()).value_or(kNoAge).count()}});
   HttpResponse reply = ErrorResponse(status, reason, remedy);
   if (status == kUnavailable) reply.retry_after = kRetryAfter;
   call.answer(reply);
--- a/programs/job_entry/main.cc
+++ b/programs/job_entry/main.cc
@@ -8,6 +8,7 @@
 #include "programs/cell_settings/cell_settings.h"
 #include "programs/job_entry/job_api.h"
 #include "quetzal/advice_pool/advice_pool.h"
+#include "quetzal/catalog_watcher/catalog_watcher.h"
 #include "quetzal/http/http.h"
 #include "quetzal/http_client/http_client.h"
 #include "quetzal/program/program.h"
@@ -51,6 +52,14 @@
                                            http_client_.get())),
         helper_(settings_.helper_address(), settings_.machine, advice_.get(),
                 store_.get(), &RunAfter, &log_),
+        catalog_watcher_({.store = store_.get(),
+                          .key = platform::kConfigurationKey,
+                          .decode = &platform::DecodeConfiguration,
+                          .after = &RunAfter,
+                          .clock = &Now,
+                          .log = &log_,
+                          .metrics = &metrics_},
+                         &catalogs_, [] {}),
         intake_(store_.get(), &RunAfter, &Now, &log_, &metrics_),
         api_(&catalogs_, &job_index_, &intake_, store_.get(), &RunAfter, &log_,
              &metrics_) {}
@@ -71,6 +80,7 @@
     metrics_server_ =
         Serve(settings_.entry_metrics_address(),
               [this](HttpCallId call, const HttpRequest& request) {
+                SetConfigurationAge();
                 metrics_server_->Reply(
                     call, request.path == "/metrics"
                               ? PlainText(kOk, metrics_.Render())
@@ -80,7 +90,7 @@
     intake_.SetUnresponsiveHandler([this] {
       if (!std::exchange(probing_, true)) ProbeStore();
     });
-    WatchConfiguration();
+    catalog_watcher_.Start();
     WatchJobs();
     return settings_.advice_address.empty() || helper_.Start();
   }
@@ -119,6 +129,13 @@
     });
   }
 
+  void SetConfigurationAge() {
+    if (const auto age = catalogs_.AgeAt(Now())) {
+      metrics_.Set("quetzal_configuration_age_ms", {},
+                   static_cast<double>(age->count()));
+    }
+  }
+
   bool IsReady() const {
     return !stopping_ && catalogs_.current() && job_watcher_ &&
            job_watcher_->is_listed() && store_reachable_;
@@ -146,32 +163,6 @@
     });
   }
 
-  void WatchConfiguration() {
-    configuration_watcher_ = std::make_unique<StoreWatcher>(
-        store_.get(), platform::kConfigurationKey, StoreWatcherTiming{},
-        StoreWatcherHandlers{
-            .on_put = [this](const StoreItem& item) { OnConfiguration(item); },
-            .on_removed = [](const std::string&) {}},
-        &RunAfter);
-    configuration_watcher_->Start();
-  }
-
-  void OnConfiguration(const StoreItem& item) {
-    if (item.key != platform::kConfigurationKey) return;
-    auto catalog = platform::DecodeConfiguration(item.value);
-    if (!catalog) {
-      log_.Line("configuration_unreadable",
-                {{"problems", Describe(catalog.error())}});
-      return;
-    }
-    const int64_t version = catalog.value()->version();
-    if (catalogs_.UpdateIfNewer(catalog.value())) {
-      log_.Line("configuration_in_force",
-                {{"version", version},
-                 {"revision", static_cast<int64_t>(item.revision)}});
-    }
-  }
-
   void WatchJobs() {
     job_watcher_ = std::make_unique<StoreWatcher>(
         store_.get(), CellPrefix(),
@@ -215,13 +206,13 @@
   std::unique_ptr<AdviceClient> advice_;
   AdviceHelper helper_;
   CurrentCatalog catalogs_;
+  CatalogWatcher catalog_watcher_;
   JobIndex job_index_;
   JobIntake intake_;
   JobApi api_;
   std::unique_ptr<HttpServer> caller_server_;
   std::unique_ptr<HttpServer> readiness_server_;
   std::unique_ptr<HttpServer> metrics_server_;
-  std::unique_ptr<StoreWatcher> configuration_watcher_;
   std::unique_ptr<StoreWatcher> job_watcher_;
   bool store_reachable_ = false;
   bool probing_ = false;
--- a/quetzal/catalog/catalog.cc
+++ b/quetzal/catalog/catalog.cc
@@ -74,4 +74,13 @@
   return true;
 }
 
+void CurrentCatalog::Confirm(Time time) {
+  if (!confirmed_ || *confirmed_ < time) confirmed_ = time;
+}
+
+std::optional<Milliseconds> CurrentCatalog::AgeAt(Time now) const {
+  if (!confirmed_) return std::nullopt;
+  return now - *confirmed_;
+}
+
 }  // namespace quetzal
--- a/quetzal/catalog/catalog.h
+++ b/quetzal/catalog/catalog.h
@@ -5,7 +5,8 @@
 //   const Team* team = catalog->TeamOfKey(key);
 //
 // A catalog is one complete, immutable version. `CurrentCatalog` holds the
-// newest one and never returns to an older one.
+// newest one, never returns to an older one, and tells how long ago it was last
+// known to be the newest.
 #ifndef QUETZAL_CATALOG_CATALOG_H_
 #define QUETZAL_CATALOG_CATALOG_H_
 
@@ -99,11 +100,16 @@
  public:
   // Replaces the current catalog if `catalog` is newer; returns whether it did.
   bool UpdateIfNewer(std::shared_ptr<const Catalog> catalog);
+  // The current catalog was the newest one at `time`.
+  void Confirm(Time time);
+  // Time since the last confirmation; none before the first one.
+  std::optional<Milliseconds> AgeAt(Time now) const;
   // Null until the first update.
   const std::shared_ptr<const Catalog>& current() const { return current_; }
 
  private:
   std::shared_ptr<const Catalog> current_;
+  std::optional<Time> confirmed_;
 };
 
 }  // namespace quetzal
