Failing test: versions missed in an outage delay the newest one

The test plays such an outage in virtual time and fails on the current code, for outages with refused and with unanswered calls.

--- /dev/null
+++ b/quetzal/catalog_watcher/catalog_watcher_test.cc
@@ -0,0 +1,105 @@
+#include "quetzal/catalog_watcher/catalog_watcher.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "quetzal/store/testing/memory_store.h"
+#include "quetzal/store/testing/store_link.h"
+#include "quetzal/store/testing/virtual_clock.h"
+
+namespace quetzal {
+namespace {
+
+constexpr char kKey[] = "op/config";
+
+class CatalogWatcherTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(CatalogWatcherTest);
+  CPPUNIT_TEST(FollowsChanges);
+  CPPUNIT_TEST(VersionsMissedInAnOutageDontDelayTheNewest);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void FollowsChanges() {
+    Publish(1);
+    watcher_.Start();
+    for (int64_t version = 2; version < 20; ++version) {
+      clock_.Advance(Milliseconds(400));
+      Publish(version);
+      clock_.Advance(Milliseconds(100));
+      CPPUNIT_ASSERT_EQUAL(version, VersionInForce());
+    }
+    CPPUNIT_ASSERT_EQUAL(19, updates_);
+  }
+
+  // Guards against refusals by a version of long ago: decoding each version
+  // that was missed took an entry seconds.
+  void VersionsMissedInAnOutageDontDelayTheNewest() {
+    for (const auto fault : {testing::StoreLink::Fault::kRefused,
+                             testing::StoreLink::Fault::kUnanswered}) {
+      Publish(++newest_);
+      if (newest_ == 1) watcher_.Start();
+      clock_.Advance(Milliseconds(2'000));
+      link_.SetFault(fault);
+      for (int i = 0; i < 60; ++i) {
+        clock_.Advance(Milliseconds(300));
+        Publish(++newest_);
+      }
+      const int decoded_before = decoded_;
+      const size_t values_before = link_.values();
+      link_.SetFault(testing::StoreLink::Fault::kNone);
+      clock_.Advance(Milliseconds(3'000));
+      CPPUNIT_ASSERT_EQUAL(newest_, VersionInForce());
+      CPPUNIT_ASSERT(decoded_ - decoded_before <= 2);
+      CPPUNIT_ASSERT(link_.values() - values_before <= 2);
+    }
+  }
+
+ private:
+  static Checked<std::shared_ptr<const Catalog>> Decode(
+      const std::string& text) {
+    if (text.empty()) return Problems{{"configuration", "empty", "a version"}};
+    return std::make_shared<const Catalog>(
+        std::stoll(text), std::vector<Queue>{}, std::vector<ServiceConfig>{},
+        std::vector<Team>{}, CatalogLimits{});
+  }
+  void Publish(int64_t version) { PutText(std::to_string(version)); }
+  void PutText(const std::string& text) {
+    store_.Apply({.puts = {{.key = kKey, .value = text}}},
+                 [](const TransactionAnswer&) {});
+  }
+  int64_t VersionInForce() const {
+    return catalogs_.current() ? catalogs_.current()->version() : 0;
+  }
+
+  testing::VirtualClock clock_;
+  testing::MemoryStore store_{clock_.AfterOneMillisecond()};
+  testing::StoreLink link_{&store_, clock_.Timer()};
+  EventLog log_{"test", {.lines_per_second = 0}};
+  Metrics metrics_;
+  CurrentCatalog catalogs_;
+  int64_t newest_ = 0;
+  int decoded_ = 0;
+  int updates_ = 0;
+  CatalogWatcher watcher_{{.store = &link_,
+                           .key = kKey,
+                           .decode =
+                               [this](const std::string& text) {
+                                 ++decoded_;
+                                 return Decode(text);
+                               },
+                           .after = clock_.Timer(),
+                           .clock = [this] { return clock_.now(); },
+                           .log = &log_,
+                           .metrics = &metrics_},
+                          &catalogs_,
+                          [this] { ++updates_; }};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CatalogWatcherTest);
+
+}  // namespace
+}  // namespace quetzal
