Read the configuration anew after an outage instead of replaying it

Cause: the watch went on from where it was, so the store sent every version that was missed, and each was decoded (20 ms of an entry of 0.25 cores for 350 routes) before the newest. The time grows with the outage, the rate of changes and their size.

Change: CatalogWatcher reads the key after any failed call and then watches it. Of several versions in one answer only the newest that can be decoded is.

--- a/quetzal/catalog_watcher/catalog_watcher.cc
+++ b/quetzal/catalog_watcher/catalog_watcher.cc
@@ -1,16 +1,19 @@
 #include "quetzal/catalog_watcher/catalog_watcher.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace quetzal {
 namespace {
 
+// How long a watch waits for a change. The copy's age stays below this and a
+// round trip while the store answers.
+constexpr Milliseconds kWatchWait{1'000};
+// Between two watches, so that one answer carries changes that come together.
+constexpr Milliseconds kWatchPause{20};
+constexpr Milliseconds kRetryDelay{150};  // after a call that failed
 constexpr int64_t kNeverConfirmed = -1;
 
-const char* NameOf(StoreWatcherCall call) {
-  return call == StoreWatcherCall::kListing ? "listing" : "watch";
-}
-
 }  // namespace
 
 CatalogWatcher::CatalogWatcher(CatalogWatcherDependencies dependencies,
@@ -18,64 +21,135 @@
                                std::function<void()> on_update)
     : dependencies_(std::move(dependencies)),
       catalogs_(catalogs),
-      on_update_(std::move(on_update)),
-      watcher_(
-          dependencies_.store, dependencies_.key, StoreWatcherTiming{},
-          StoreWatcherHandlers{
-              .on_put = [this](const StoreItem& item) { OnItem(item); },
-              .on_removed = [](const std::string&) {},
-              .on_answer =
-                  [this](StoreWatcherCall call, StoreOutcome outcome,
-                         size_t items) { OnAnswer(call, outcome, items); }},
-          dependencies_.after) {}
+      on_update_(std::move(on_update)) {}
+
+const char* CatalogWatcher::NameOf(const Call& call) {
+  return call.kind == CallKind::kRead ? "read" : "watch";
+}
 
 int64_t CatalogWatcher::AgeMs() const {
   const auto age = catalogs_->AgeAt(dependencies_.clock());
   return age ? age->count() : kNeverConfirmed;
 }
 
-void CatalogWatcher::OnAnswer(StoreWatcherCall call, StoreOutcome outcome,
-                              size_t items) {
-  last_call_ = call;
-  last_items_ = items;
-  age_ms_before_ = AgeMs();
-  const bool is_confirmed = outcome == StoreOutcome::kDone;
-  SetConfirmed(is_confirmed || outcome == StoreOutcome::kCompacted);
-  if (is_confirmed) {
-    catalogs_->Confirm(dependencies_.clock());
+CatalogWatcher::Call CatalogWatcher::BeginCall(CallKind kind) const {
+  return {.kind = kind, .sent = dependencies_.clock()};
+}
+
+void CatalogWatcher::Read() {
+  const Call call = BeginCall(CallKind::kRead);
+  dependencies_.store->Read(
+      dependencies_.key,
+      lifetime_.Guard<ReadAnswer>(
+          [this, call](const ReadAnswer& answer) { OnRead(call, answer); }));
+}
+
+void CatalogWatcher::OnRead(const Call& call, const ReadAnswer& answer) {
+  const bool was_answered = answer.outcome == StoreOutcome::kDone ||
+                            answer.outcome == StoreOutcome::kMissing;
+  if (was_answered) {
+    Update(call, answer.items);
+    OnConfirmed(call, call.sent);
+    watch_position_ = std::max(watch_position_, answer.store_revision);
+  }
+  if (!was_answered) OnFailed(call);
+  // Without a revision to watch from, for instance because there is no
+  // configuration yet, only another read can find one.
+  if (was_answered && watch_position_ != Revision{0}) {
+    Watch();
+  } else {
+    ScheduleAfter(kRetryDelay, &CatalogWatcher::Read);
+  }
+}
+
+void CatalogWatcher::Watch() {
+  const Call call = BeginCall(CallKind::kWatch);
+  dependencies_.store->Watch(
+      dependencies_.key, watch_position_, kWatchWait,
+      lifetime_.Guard<WatchAnswer>(
+          [this, call](const WatchAnswer& answer) { OnWatch(call, answer); }));
+}
+
+void CatalogWatcher::OnWatch(const Call& call, const WatchAnswer& answer) {
+  const bool was_answered = answer.outcome == StoreOutcome::kDone;
+  if (was_answered) {
+    std::vector<StoreItem> items;
+    for (const StoreEvent& event : answer.events) {
+      if (!event.deleted) items.push_back(event.item);
+    }
+    Update(call, items);
+    // The store looked for changes until the wait was over.
+    const Time waited_until = call.sent + kWatchWait;
+    const bool waited = items.empty() && dependencies_.clock() >= waited_until;
+    OnConfirmed(call, waited ? waited_until : call.sent);
+  }
+  if (was_answered) {
+    watch_position_ = std::max(watch_position_, answer.store_revision);
+    ScheduleAfter(kWatchPause, &CatalogWatcher::Watch);
+  } else if (answer.outcome == StoreOutcome::kCompacted) {
+    ScheduleAfter(kWatchPause, &CatalogWatcher::Read);
   } else {
-    dependencies_.metrics->Count("quetzal_configuration_calls_failed_total",
-                                 {{"call", NameOf(call)}});
+    OnFailed(call);
+    ScheduleAfter(kRetryDelay, &CatalogWatcher::Read);
   }
 }
 
-void CatalogWatcher::SetConfirmed(bool is_confirmed) {
+void CatalogWatcher::OnConfirmed(const Call& call, Time time) {
+  catalogs_->Confirm(time);
+  SetConfirmed(call, true);
+}
+
+void CatalogWatcher::OnFailed(const Call& call) {
+  dependencies_.metrics->Count("quetzal_configuration_calls_failed_total",
+                               {{"call", NameOf(call)}});
+  SetConfirmed(call, false);
+}
+
+void CatalogWatcher::SetConfirmed(const Call& call, bool is_confirmed) {
   if (std::exchange(is_confirmed_, is_confirmed) == is_confirmed) return;
   dependencies_.log->Line(
       is_confirmed ? "configuration_confirmed" : "configuration_unconfirmed",
-      {{"call", NameOf(last_call_)}, {"copy_age_ms", age_ms_before_}});
+      {{"call", NameOf(call)}, {"copy_age_ms", AgeMs()}});
 }
 
-void CatalogWatcher::OnItem(const StoreItem& item) {
-  if (item.key != dependencies_.key) return;
+void CatalogWatcher::Update(const Call& call,
+                            const std::vector<StoreItem>& items) {
+  for (auto item = items.rbegin(); item != items.rend(); ++item) {
+    if (item->key != dependencies_.key) continue;
+    if (item->revision <= item_revision_) return;
+    if (UpdateFrom(call, *item, items.size())) {
+      item_revision_ = item->revision;
+      return;
+    }
+  }
+}
+
+bool CatalogWatcher::UpdateFrom(const Call& call, const StoreItem& item,
+                                size_t items) {
   auto catalog = dependencies_.decode(item.value);
   if (!catalog) {
     dependencies_.log->Line("configuration_unreadable",
                             {{"problems", Describe(catalog.error())}});
-    return;
+    return false;
   }
   const int64_t version = catalog.value()->version();
-  if (!catalogs_->UpdateIfNewer(std::move(catalog.value()))) return;
-  dependencies_.log->Line(
-      "configuration_in_force",
-      {{"version", version},
-       {"revision", static_cast<int64_t>(item.revision)},
-       {"call", NameOf(last_call_)},
-       {"versions_in_answer", static_cast<int64_t>(last_items_)},
-       {"copy_age_ms", age_ms_before_}});
+  if (!catalogs_->UpdateIfNewer(std::move(catalog.value()))) return true;
+  dependencies_.log->Line("configuration_in_force",
+                          {{"version", version},
+                           {"revision", static_cast<int64_t>(item.revision)},
+                           {"call", NameOf(call)},
+                           {"versions_in_answer", static_cast<int64_t>(items)},
+                           {"copy_age_ms", AgeMs()}});
   dependencies_.metrics->Set("quetzal_configuration_version", {},
                              static_cast<double>(version));
   on_update_();
+  return true;
+}
+
+void CatalogWatcher::ScheduleAfter(Milliseconds delay,
+                                   void (CatalogWatcher::*step)()) {
+  dependencies_.after(delay,
+                      lifetime_.Guard([this, step] { (this->*step)(); }));
 }
 
 }  // namespace quetzal
--- a/quetzal/catalog_watcher/catalog_watcher.h
+++ b/quetzal/catalog_watcher/catalog_watcher.h
@@ -8,6 +8,11 @@
 //                          &catalogs, [] { ... });
 //   watcher.Start();
 //
+// Reads the configuration, then watches it. Of several versions in one answer
+// only the newest is decoded, and after a call that failed the watch isn't
+// resumed but the configuration is read again: however many versions were
+// missed, one is transferred and decoded.
+//
 // Logs each version with the call that returned it and with how long the copy
 // had not been confirmed. A configuration that can't be decoded is logged and
 // skipped.
@@ -17,10 +22,12 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "quetzal/catalog/catalog.h"
 #include "quetzal/event_log/event_log.h"
 #include "quetzal/ids/ids.h"
+#include "quetzal/lifetime/lifetime.h"
 #include "quetzal/metrics/metrics.h"
 #include "quetzal/settings/settings.h"
 #include "quetzal/store/store.h"
@@ -47,22 +54,39 @@
   CatalogWatcher(const CatalogWatcher&) = delete;
   CatalogWatcher& operator=(const CatalogWatcher&) = delete;
 
-  void Start() { watcher_.Start(); }
+  void Start() { Read(); }
 
  private:
-  void OnAnswer(StoreWatcherCall call, StoreOutcome outcome, size_t items);
-  void OnItem(const StoreItem& item);
-  void SetConfirmed(bool is_confirmed);
+  enum class CallKind { kRead, kWatch };
+  struct Call {
+    CallKind kind = CallKind::kRead;
+    Time sent;
+  };
+
+  void Read();
+  void Watch();
+  Call BeginCall(CallKind kind) const;
+  void OnRead(const Call& call, const ReadAnswer& answer);
+  void OnWatch(const Call& call, const WatchAnswer& answer);
+  // The copy was the newest one at `time`.
+  void OnConfirmed(const Call& call, Time time);
+  void OnFailed(const Call& call);
+  // Replaces the current catalog by the newest item that can be decoded.
+  // `items` are in the order of their revisions.
+  void Update(const Call& call, const std::vector<StoreItem>& items);
+  bool UpdateFrom(const Call& call, const StoreItem& item, size_t items);
+  void SetConfirmed(const Call& call, bool is_confirmed);
+  void ScheduleAfter(Milliseconds delay, void (CatalogWatcher::*step)());
   int64_t AgeMs() const;
+  static const char* NameOf(const Call& call);
 
   CatalogWatcherDependencies dependencies_;
   CurrentCatalog* catalogs_;
   std::function<void()> on_update_;
-  StoreWatcherCall last_call_ = StoreWatcherCall::kListing;
-  size_t last_items_ = 0;      // in the last call's answer
-  int64_t age_ms_before_ = 0;  // of the copy, when the last call was answered
-  bool is_confirmed_ = true;   // the last call was answered
-  StoreWatcher watcher_;
+  Revision item_revision_{0};   // of the newest item returned
+  Revision watch_position_{0};  // all changes up to this one were returned
+  bool is_confirmed_ = true;    // the last call was answered
+  Lifetime lifetime_;
 };
 
 }  // namespace quetzal
--- a/quetzal/catalog_watcher/catalog_watcher_test.cc
+++ b/quetzal/catalog_watcher/catalog_watcher_test.cc
@@ -20,6 +20,11 @@
   CPPUNIT_TEST_SUITE(CatalogWatcherTest);
   CPPUNIT_TEST(FollowsChanges);
   CPPUNIT_TEST(VersionsMissedInAnOutageDontDelayTheNewest);
+  CPPUNIT_TEST(ACompactionSkipsNoVersion);
+  CPPUNIT_TEST(AnUnreadableVersionLeavesTheEarlierOneInForce);
+  CPPUNIT_TEST(TheCopysAgeGrowsWhileCallsFail);
+  CPPUNIT_TEST(AnOutageCausesFewCalls);
+  CPPUNIT_TEST(AnUnchangedConfigurationIsReadOnce);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -58,6 +63,66 @@
     }
   }
 
+  void ACompactionSkipsNoVersion() {
+    Publish(1);
+    watcher_.Start();
+    clock_.Advance(Milliseconds(500));
+    store_.SetWatchesStalled(true);
+    Publish(2);
+    Publish(3);
+    store_.Compact();
+    store_.SetWatchesStalled(false);
+    clock_.Advance(Milliseconds(500));
+    CPPUNIT_ASSERT_EQUAL(int64_t{3}, VersionInForce());
+  }
+
+  void AnUnreadableVersionLeavesTheEarlierOneInForce() {
+    Publish(1);
+    watcher_.Start();
+    clock_.Advance(Milliseconds(500));
+    PutText("");
+    clock_.Advance(Milliseconds(500));
+    CPPUNIT_ASSERT_EQUAL(int64_t{1}, VersionInForce());
+    Publish(2);
+    PutText("");
+    clock_.Advance(Milliseconds(500));
+    CPPUNIT_ASSERT_EQUAL(int64_t{2}, VersionInForce());
+  }
+
+  void TheCopysAgeGrowsWhileCallsFail() {
+    Publish(1);
+    watcher_.Start();
+    clock_.Advance(Milliseconds(10'000));
+    CPPUNIT_ASSERT(AgeOfCopy() <= Milliseconds(1'100));
+    link_.SetFault(testing::StoreLink::Fault::kUnanswered);
+    clock_.Advance(Milliseconds(10'000));
+    CPPUNIT_ASSERT(AgeOfCopy() >= Milliseconds(9'000));
+    link_.SetFault(testing::StoreLink::Fault::kNone);
+    clock_.Advance(Milliseconds(1'000));
+    CPPUNIT_ASSERT(AgeOfCopy() <= Milliseconds(1'000));
+  }
+
+  void AnOutageCausesFewCalls() {
+    Publish(1);
+    watcher_.Start();
+    clock_.Advance(Milliseconds(500));
+    for (const auto fault : {testing::StoreLink::Fault::kRefused,
+                             testing::StoreLink::Fault::kUnanswered}) {
+      link_.SetFault(fault);
+      const int reads = link_.reads();
+      clock_.Advance(Milliseconds(10'000));
+      CPPUNIT_ASSERT(link_.reads() - reads <= 70);
+    }
+  }
+
+  void AnUnchangedConfigurationIsReadOnce() {
+    Publish(1);
+    watcher_.Start();
+    clock_.Advance(Milliseconds(60'000));
+    CPPUNIT_ASSERT_EQUAL(1, link_.reads());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, link_.values());
+  }
+
  private:
   static Checked<std::shared_ptr<const Catalog>> Decode(
       const std::string& text) {
@@ -71,6 +136,9 @@
     store_.Apply({.puts = {{.key = kKey, .value = text}}},
                  [](const TransactionAnswer&) {});
   }
+  Milliseconds AgeOfCopy() const {
+    return catalogs_.AgeAt(clock_.now()).value();
+  }
   int64_t VersionInForce() const {
     return catalogs_.current() ? catalogs_.current()->version() : 0;
   }
--- a/quetzal/store/testing/store_link.h
+++ b/quetzal/store/testing/store_link.h
@@ -1,5 +1,5 @@
 // One process's link to a store that others use too: its calls can fail while
-// the store goes on.
+// the store goes on, and its watches end after their wait.
 //
 //   MemoryStore store(clock.AfterOneMillisecond());
 //   StoreLink link(&store, clock.Timer());
@@ -8,6 +8,7 @@
 #define QUETZAL_STORE_TESTING_STORE_LINK_H_
 
 #include <functional>
+#include <memory>
 #include <string>
 #include <utility>
 
@@ -54,16 +55,21 @@
       return;
     }
     if (Fails<WatchAnswer>(timeout, done)) return;
-    store_->Watch(prefix, after, wait,
-                  [this, done = std::move(done)](const WatchAnswer& answer) {
-                    if (fault_ != Fault::kNone) {
-                      FailAfter<WatchAnswer>(kWatchTimeoutMargin,
-                                             StoreOutcome::kUnknown, done);
-                      return;
-                    }
-                    values_ += answer.events.size();
-                    done(answer);
-                  });
+    const auto is_answered = std::make_shared<bool>(false);
+    const auto answer_once =
+        [this, is_answered, done = std::move(done)](const WatchAnswer& answer) {
+          if (std::exchange(*is_answered, true)) return;
+          if (fault_ != Fault::kNone) {
+            FailAfter<WatchAnswer>(kWatchTimeoutMargin, StoreOutcome::kUnknown,
+                                   done);
+            return;
+          }
+          values_ += answer.events.size();
+          done(answer);
+        };
+    after_(wait,
+           [answer_once] { answer_once({.outcome = StoreOutcome::kDone}); });
+    store_->Watch(prefix, after, wait, answer_once);
   }
   void Apply(const Transaction& transaction,
              std::function<void(const TransactionAnswer&)> done) override {
