Move a watch's position only by events

What callers would see: a change that is never in force on one process, until the next one.

Cause: the store's watches report nothing for a second while it compacts its history. A watch whose wait ends then returns the store's revision, which is past a change that it didn't report, and the next watch went on from there.

Change: an answer without events leaves the position where it was, in StoreWatcher and in CatalogWatcher.

Tests: AnAnswerWithoutEventsSkipsNoVersion and AnAnswerWithoutEventsSkipsNoChange, both failed before.

--- a/quetzal/catalog_watcher/catalog_watcher.cc
+++ b/quetzal/catalog_watcher/catalog_watcher.cc
@@ -84,7 +84,11 @@
     OnConfirmed(call, waited ? waited_until : call.sent);
   }
   if (was_answered) {
-    watch_position_ = std::max(watch_position_, answer.store_revision);
+    // Only events move the position: the store's revision may be past a change
+    // that it didn't report, as watches miss changes while it compacts.
+    for (const StoreEvent& event : answer.events) {
+      watch_position_ = std::max(watch_position_, event.item.revision);
+    }
     ScheduleAfter(kWatchPause, &CatalogWatcher::Watch);
   } else if (answer.outcome == StoreOutcome::kCompacted) {
     ScheduleAfter(kWatchPause, &CatalogWatcher::Read);
--- a/quetzal/catalog_watcher/catalog_watcher_test.cc
+++ b/quetzal/catalog_watcher/catalog_watcher_test.cc
@@ -20,6 +20,7 @@
   CPPUNIT_TEST_SUITE(CatalogWatcherTest);
   CPPUNIT_TEST(FollowsChanges);
   CPPUNIT_TEST(VersionsMissedInAnOutageDontDelayTheNewest);
+  CPPUNIT_TEST(AnAnswerWithoutEventsSkipsNoVersion);
   CPPUNIT_TEST(ACompactionSkipsNoVersion);
   CPPUNIT_TEST(AnUnreadableVersionLeavesTheEarlierOneInForce);
   CPPUNIT_TEST(TheCopysAgeGrowsWhileCallsFail);
@@ -63,6 +64,21 @@
     }
   }
 
+  // The store's watches report nothing for a while as it compacts; one whose
+  // wait ends then returns a revision past the change.
+  void AnAnswerWithoutEventsSkipsNoVersion() {
+    Publish(1);
+    watcher_.Start();
+    clock_.Advance(Milliseconds(500));
+    store_.SetWatchesStalled(true);
+    Publish(2);
+    store_.EndWatchesWithoutEvents();
+    clock_.Advance(Milliseconds(5));
+    store_.SetWatchesStalled(false);
+    clock_.Advance(Milliseconds(500));
+    CPPUNIT_ASSERT_EQUAL(int64_t{2}, VersionInForce());
+  }
+
   void ACompactionSkipsNoVersion() {
     Publish(1);
     watcher_.Start();
--- a/quetzal/store/follower_test.cc
+++ b/quetzal/store/follower_test.cc
@@ -16,6 +16,7 @@
   CPPUNIT_TEST(ResumesAfterAnOutage);
   CPPUNIT_TEST(AStalledWatchIsCheckedByAListing);
   CPPUNIT_TEST(AnIdleWatchIsCheckedRarely);
+  CPPUNIT_TEST(AnAnswerWithoutEventsSkipsNoChange);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -94,6 +95,20 @@
     CPPUNIT_ASSERT(store_.listings() - initial_listings <= 13);
   }
 
+  // A watch whose wait ends while the store's watches are stalled returns a
+  // revision past changes that it doesn't report.
+  void AnAnswerWithoutEventsSkipsNoChange() {
+    Start();
+    clock_.Advance(Milliseconds(100));
+    store_.SetWatchesStalled(true);
+    Put("a/1", "x");
+    store_.EndWatchesWithoutEvents();
+    clock_.Advance(Milliseconds(5));
+    store_.SetWatchesStalled(false);
+    clock_.Advance(Milliseconds(5'000));
+    CPPUNIT_ASSERT_EQUAL(std::string("x"), values_["a/1"]);
+  }
+
  private:
   void Start(StoreWatcherTiming timing = {}) {
     watcher_ = std::make_unique<StoreWatcher>(
--- a/quetzal/store/store_watcher.cc
+++ b/quetzal/store/store_watcher.cc
@@ -130,7 +130,11 @@
     revisions_.erase(it);
     handlers_.on_removed(event.item.key);
   }
-  if (answer.store_revision > revision_) revision_ = answer.store_revision;
+  // Without events the store's revision may be past a change that it didn't
+  // report, as watches miss changes while it compacts its history.
+  if (!answer.events.empty()) {
+    revision_ = std::max(revision_, answer.events.back().item.revision);
+  }
   ScheduleAfter(timing_.pause, &StoreWatcher::Watch);
 }
 
--- a/quetzal/store/testing/memory_store.cc
+++ b/quetzal/store/testing/memory_store.cc
@@ -68,6 +68,15 @@
   }
 }
 
+void MemoryStore::EndWatchesWithoutEvents() {
+  const WatchAnswer answer{.outcome = StoreOutcome::kDone,
+                           .store_revision = Revision{revision_}};
+  for (Watcher& watcher : watchers_) {
+    defer_([answer, done = std::move(watcher.done)] { done(answer); });
+  }
+  watchers_.clear();
+}
+
 TransactionAnswer MemoryStore::Execute(const Transaction& transaction) {
   TransactionAnswer answer;
   for (const StoreCondition& condition : transaction.conditions) {
--- a/quetzal/store/testing/memory_store.h
+++ b/quetzal/store/testing/memory_store.h
@@ -54,6 +54,9 @@
     are_watches_stalled_ = stalled;
     AnswerWatchers();
   }
+  // Answers all watches without events and with the current revision, even if
+  // changes weren't reported to them because they are stalled.
+  void EndWatchesWithoutEvents();
   // Drops the history: watchers must list again.
   void Compact();
   // Removes the lease and its keys, as if its TTL had passed.
