Overtake calls for the configuration that aren't answered in time

Cause of the same class that remained: one call at a time follows the configuration, and each that gets no answer costs 2.7 s. Two in a row, as on connections that went silent for good, are longer than the 3 s in which a change must be in force.

Change: a call without an answer 600 ms after it should have come is overtaken by a read on another connection. A late answer still counts.

Test: DeadConnectionsDelayAVersionByLessThanItsBound failed before.

--- a/quetzal/catalog_watcher/catalog_watcher.cc
+++ b/quetzal/catalog_watcher/catalog_watcher.cc
@@ -12,6 +12,9 @@
 // Between two watches, so that one answer carries changes that come together.
 constexpr Milliseconds kWatchPause{20};
 constexpr Milliseconds kRetryDelay{150};  // after a call that failed
+// Beyond a watch's wait, and for a read: several times the usual answer of a
+// store in another region.
+constexpr Milliseconds kOverdueAfter{600};
 constexpr int64_t kNeverConfirmed = -1;
 
 }  // namespace
@@ -32,12 +35,20 @@
   return age ? age->count() : kNeverConfirmed;
 }
 
-CatalogWatcher::Call CatalogWatcher::BeginCall(CallKind kind) const {
-  return {.kind = kind, .sent = dependencies_.clock()};
+CatalogWatcher::Call CatalogWatcher::BeginCall(CallKind kind,
+                                               Milliseconds overdue_after) {
+  const Call call{
+      .kind = kind, .number = ++newest_call_, .sent = dependencies_.clock()};
+  dependencies_.after(overdue_after, lifetime_.Guard([this, call] {
+    if (IsOvertaken(call)) return;
+    OnFailed(call);
+    Read();
+  }));
+  return call;
 }
 
 void CatalogWatcher::Read() {
-  const Call call = BeginCall(CallKind::kRead);
+  const Call call = BeginCall(CallKind::kRead, kOverdueAfter);
   dependencies_.store->Read(
       dependencies_.key,
       lifetime_.Guard<ReadAnswer>(
@@ -52,6 +63,7 @@
     OnConfirmed(call, call.sent);
     watch_position_ = std::max(watch_position_, answer.store_revision);
   }
+  if (IsOvertaken(call)) return;
   if (!was_answered) OnFailed(call);
   // Without a revision to watch from, for instance because there is no
   // configuration yet, only another read can find one.
@@ -63,7 +75,7 @@
 }
 
 void CatalogWatcher::Watch() {
-  const Call call = BeginCall(CallKind::kWatch);
+  const Call call = BeginCall(CallKind::kWatch, kWatchWait + kOverdueAfter);
   dependencies_.store->Watch(
       dependencies_.key, watch_position_, kWatchWait,
       lifetime_.Guard<WatchAnswer>(
@@ -83,6 +95,7 @@
     const bool waited = items.empty() && dependencies_.clock() >= waited_until;
     OnConfirmed(call, waited ? waited_until : call.sent);
   }
+  if (IsOvertaken(call)) return;
   if (was_answered) {
     // Only events move the position: the store's revision may be past a change
     // that it didn't report, as watches miss changes while it compacts.
--- a/quetzal/catalog_watcher/catalog_watcher.h
+++ b/quetzal/catalog_watcher/catalog_watcher.h
@@ -11,7 +11,8 @@
 // Reads the configuration, then watches it. Of several versions in one answer
 // only the newest is decoded, and after a call that failed the watch isn't
 // resumed but the configuration is read again: however many versions were
-// missed, one is transferred and decoded.
+// missed, one is transferred and decoded. A call without an answer in time is
+// overtaken by another one, so that a dead connection delays changes by little.
 //
 // Logs each version with the call that returned it and with how long the copy
 // had not been confirmed. A configuration that can't be decoded is logged and
@@ -19,6 +20,7 @@
 #ifndef QUETZAL_CATALOG_WATCHER_CATALOG_WATCHER_H_
 #define QUETZAL_CATALOG_WATCHER_CATALOG_WATCHER_H_
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -60,12 +62,13 @@
   enum class CallKind { kRead, kWatch };
   struct Call {
     CallKind kind = CallKind::kRead;
+    uint64_t number = 0;
     Time sent;
   };
 
   void Read();
   void Watch();
-  Call BeginCall(CallKind kind) const;
+  Call BeginCall(CallKind kind, Milliseconds overdue_after);
   void OnRead(const Call& call, const ReadAnswer& answer);
   void OnWatch(const Call& call, const WatchAnswer& answer);
   // The copy was the newest one at `time`.
@@ -76,6 +79,10 @@
   void Update(const Call& call, const std::vector<StoreItem>& items);
   bool UpdateFrom(const Call& call, const StoreItem& item, size_t items);
   void SetConfirmed(const Call& call, bool is_confirmed);
+  // A later call has taken this one's place, as it had no answer in time.
+  bool IsOvertaken(const Call& call) const {
+    return call.number != newest_call_;
+  }
   void ScheduleAfter(Milliseconds delay, void (CatalogWatcher::*step)());
   int64_t AgeMs() const;
   static const char* NameOf(const Call& call);
@@ -83,9 +90,10 @@
   CatalogWatcherDependencies dependencies_;
   CurrentCatalog* catalogs_;
   std::function<void()> on_update_;
+  uint64_t newest_call_ = 0;
   Revision item_revision_{0};   // of the newest item returned
   Revision watch_position_{0};  // all changes up to this one were returned
-  bool is_confirmed_ = true;    // the last call was answered
+  bool is_confirmed_ = true;    // the last call was answered in time
   Lifetime lifetime_;
 };
 
--- a/quetzal/catalog_watcher/catalog_watcher_test.cc
+++ b/quetzal/catalog_watcher/catalog_watcher_test.cc
@@ -15,12 +15,15 @@
 namespace {
 
 constexpr char kKey[] = "op/config";
+// In which a confirmed change must be in force.
+constexpr Milliseconds kApplyBound{3'000};
 
 class CatalogWatcherTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(CatalogWatcherTest);
   CPPUNIT_TEST(FollowsChanges);
   CPPUNIT_TEST(VersionsMissedInAnOutageDontDelayTheNewest);
   CPPUNIT_TEST(AnAnswerWithoutEventsSkipsNoVersion);
+  CPPUNIT_TEST(DeadConnectionsDelayAVersionByLessThanItsBound);
   CPPUNIT_TEST(ACompactionSkipsNoVersion);
   CPPUNIT_TEST(AnUnreadableVersionLeavesTheEarlierOneInForce);
   CPPUNIT_TEST(TheCopysAgeGrowsWhileCallsFail);
@@ -79,6 +82,20 @@
     CPPUNIT_ASSERT_EQUAL(int64_t{2}, VersionInForce());
   }
 
+  void DeadConnectionsDelayAVersionByLessThanItsBound() {
+    Publish(1);
+    watcher_.Start();
+    clock_.Advance(Milliseconds(500));
+    link_.DropWatches(2);
+    store_.SetWatchesStalled(true);
+    store_.EndWatchesWithoutEvents();
+    clock_.Advance(Milliseconds(30));
+    store_.SetWatchesStalled(false);
+    Publish(2);
+    clock_.Advance(kApplyBound);
+    CPPUNIT_ASSERT_EQUAL(int64_t{2}, VersionInForce());
+  }
+
   void ACompactionSkipsNoVersion() {
     Publish(1);
     watcher_.Start();
