Deny nothing by a configuration that isn't known to be the newest

Cause: an entry used its copy without knowing how old it was, so each fault that delays the copy became a wrong and final answer.

Change: the age of the copy is kept, from the time at which a call that showed it to be the newest was sent. Once it exceeds configuration_apply_ms (new setting, from the platform's bounds) less 500 ms, denials and submissions are answered with 503 and Retry-After instead; states are still answered from memory.

Tests: job_api_test. AnUnconfirmedConfigurationDeniesNoRoute, ...DeniesNoKey and ...AcceptsNoJob fail without the check.

--- a/programs/cell_settings/cell_settings.cc
+++ b/programs/cell_settings/cell_settings.cc
@@ -73,6 +73,8 @@
   settings.file_descriptors =
       reader.Integer("file_descriptors", {.min = 64, .default_value = 1'024});
   settings.shutdown_grace = ReadSeconds(&reader, "grace_s");
+  settings.configuration_apply_bound = Milliseconds(reader.Integer(
+      "configuration_apply_ms", {.min = 1'000, .default_value = 3'000}));
   settings.cell.max_lease = ReadMilliseconds(&reader, "most_lease_ms");
   settings.cell.worker_heartbeat_interval =
       ReadMilliseconds(&reader, "worker_beat_ms");
--- a/programs/cell_settings/cell_settings.h
+++ b/programs/cell_settings/cell_settings.h
@@ -27,6 +27,8 @@
   double processor_share = 1;
   int64_t file_descriptors = 0;        // limit of each process of the machine
   Milliseconds shutdown_grace{6'000};  // from SIGTERM to SIGKILL
+  // In which a confirmed configuration must be in force.
+  Milliseconds configuration_apply_bound{3'000};
   CellSettings cell;
   int64_t log_lines_per_second = 0;
 
--- a/programs/job_entry/job_api.cc
+++ b/programs/job_entry/job_api.cc
@@ -62,14 +62,16 @@
 
 JobApi::JobApi(const CurrentCatalog* catalogs, const JobIndex* job_index,
                JobIntake* intake, Store* store, StoreWatcher::Timer after,
-               EventLog* log, Metrics* metrics)
+               EventLog* log, Metrics* metrics,
+               Milliseconds max_configuration_age)
     : catalogs_(catalogs),
       job_index_(job_index),
       intake_(intake),
       store_(store),
       after_(std::move(after)),
       log_(log),
-      metrics_(metrics) {}
+      metrics_(metrics),
+      max_configuration_age_(max_configuration_age) {}
 
 void JobApi::Refuse(const Call& call, int status, const char* reason,
                     const std::string& remedy) {
@@ -87,6 +89,25 @@
   call.answer(reply);
 }
 
+bool JobApi::IsConfigurationConfirmed() const {
+  const auto age = catalogs_->AgeAt(Now());
+  return age && *age <= max_configuration_age_;
+}
+
+void JobApi::Deny(const Call& call, int status, const char* reason,
+                  const std::string& remedy) {
+  if (IsConfigurationConfirmed()) {
+    Refuse(call, status, reason, remedy);
+  } else {
+    RefuseUnconfirmed(call);
+  }
+}
+
+void JobApi::RefuseUnconfirmed(const Call& call) {
+  Refuse(call, kUnavailable, "configuration_unconfirmed",
+         "try again, at another machine if you can");
+}
+
 void JobApi::Serve(const HttpRequest& request, Answer answer) {
   auto call = std::make_shared<Call>();
   call->request = request;
@@ -100,15 +121,15 @@
   }
   call->queue = call->catalog->FindQueue(HostOf(request), request.path);
   if (call->queue == nullptr) {
-    Refuse(*call, kNotFound, "no_such_queue",
-           "name a configured host and prefix");
+    Deny(*call, kNotFound, "no_such_queue",
+         "name a configured host and prefix");
     return;
   }
   const Team* const team =
       call->catalog->TeamOfKey(HeaderOf(request, platform::kKeyHeader));
   if (team == nullptr && !call->queue->is_public) {
-    Refuse(*call, kUnauthorized, "unknown_key",
-           "send a key of your team that is in force");
+    Deny(*call, kUnauthorized, "unknown_key",
+         "send a key of your team that is in force");
     return;
   }
   if (team != nullptr) call->team = team->name;
@@ -155,6 +176,10 @@
            "try again, at another machine if you can");
     return;
   }
+  if (!IsConfigurationConfirmed()) {
+    RefuseUnconfirmed(*call);
+    return;
+  }
   AcceptedJob job;
   job.id = call->id;
   job.team = call->team;
--- a/programs/job_entry/job_api.h
+++ b/programs/job_entry/job_api.h
@@ -2,6 +2,10 @@
 //
 // States of jobs in the index and pending counts are answered from memory,
 // submissions and cancellations once the store has committed them.
+//
+// Denials (no such queue, unknown key) and acceptances need a configuration
+// that was recently known to be the newest. Otherwise callers are asked to try
+// again: a newer version may say the opposite.
 #ifndef PROGRAMS_JOB_ENTRY_JOB_API_H_
 #define PROGRAMS_JOB_ENTRY_JOB_API_H_
 
@@ -24,7 +28,7 @@
 
   JobApi(const CurrentCatalog* catalogs, const JobIndex* job_index,
          JobIntake* intake, Store* store, StoreWatcher::Timer after,
-         EventLog* log, Metrics* metrics);
+         EventLog* log, Metrics* metrics, Milliseconds max_configuration_age);
 
   void Serve(const HttpRequest& request, Answer answer);
   // Submissions are refused while the store can't be reached.
@@ -47,6 +51,11 @@
   void ReportPending(const Call& call);
   void Cancel(const std::shared_ptr<Call>& call);
   void WriteCancel(const std::shared_ptr<Call>& call, Revision accepted);
+  bool IsConfigurationConfirmed() const;
+  // Refuses a call that the configuration doesn't allow.
+  void Deny(const Call& call, int status, const char* reason,
+            const std::string& remedy);
+  void RefuseUnconfirmed(const Call& call);
   void Refuse(const Call& call, int status, const char* reason,
               const std::string& remedy);
 
@@ -57,6 +66,7 @@
   StoreWatcher::Timer after_;
   EventLog* log_;
   Metrics* metrics_;
+  const Milliseconds max_configuration_age_;
   bool store_reachable_ = false;
 };
 
--- /dev/null
+++ b/programs/job_entry/job_api_test.cc
@@ -0,0 +1,170 @@
+#include "programs/job_entry/job_api.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "quetzal/program/program.h"
+#include "quetzal/store/testing/memory_store.h"
+#include "quetzal/store/testing/virtual_clock.h"
+
+namespace quetzal {
+namespace {
+
+constexpr char kId[] = "5c0e7a21d94b36f8";
+constexpr int kOk = 200;
+constexpr int kUnauthorized = 401;
+constexpr int kNotFound = 404;
+constexpr int kGone = 410;
+constexpr int kUnavailable = 503;
+constexpr Milliseconds kMaxConfigurationAge{2'500};
+constexpr char kTaskJob[] =
+    R"({"specification":"x","steps":[{"count":1,"cpu":1}]})";
+
+class JobApiTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(JobApiTest);
+  CPPUNIT_TEST(ACancelThatMeetsTheStartIsStored);
+  CPPUNIT_TEST(ACancelThatMeetsTheEndReportsTheEnd);
+  CPPUNIT_TEST(ASecondCancelIsAnsweredLikeTheFirst);
+  CPPUNIT_TEST(ACancelOfAnUnknownJobIsGone);
+  CPPUNIT_TEST(AnUnconfirmedConfigurationDeniesNoRoute);
+  CPPUNIT_TEST(AnUnconfirmedConfigurationDeniesNoKey);
+  CPPUNIT_TEST(AnUnconfirmedConfigurationAcceptsNoJob);
+  CPPUNIT_TEST(AnUnconfirmedConfigurationReportsStates);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    Queue queue{.name = QueueId("q"), .host = "h", .prefix = "/p/"};
+    queue.is_public = true;
+    Queue keyed{.name = QueueId("k"), .host = "h", .prefix = "/keyed/"};
+    catalogs_.UpdateIfNewer(std::make_shared<const Catalog>(
+        1, std::vector{queue, keyed}, std::vector<ServiceConfig>{},
+        std::vector<Team>{}, CatalogLimits{}));
+    catalogs_.Confirm(Now());
+    api_.SetStoreReachable(true);
+  }
+
+  // Guards against refusals of a route that was added while an entry couldn't
+  // follow the configuration.
+  void AnUnconfirmedConfigurationDeniesNoRoute() {
+    CPPUNIT_ASSERT_EQUAL(kNotFound, Call("GET", "/added/")->value().status);
+    MakeUnconfirmed();
+    const auto reply = Call("GET", "/added/");
+    CPPUNIT_ASSERT_EQUAL(kUnavailable, (*reply)->status);
+    CPPUNIT_ASSERT((*reply)->retry_after.has_value());
+  }
+
+  void AnUnconfirmedConfigurationDeniesNoKey() {
+    CPPUNIT_ASSERT_EQUAL(kUnauthorized, Call("GET", "/keyed/")->value().status);
+    MakeUnconfirmed();
+    CPPUNIT_ASSERT_EQUAL(kUnavailable, Call("GET", "/keyed/")->value().status);
+  }
+
+  void AnUnconfirmedConfigurationAcceptsNoJob() {
+    const std::string path = std::string("/p/") + kId;
+    MakeUnconfirmed();
+    const auto refused = Call("POST", path, kTaskJob);
+    CPPUNIT_ASSERT_EQUAL(kUnavailable, (*refused)->status);
+    clock_.Advance(Milliseconds(50));
+    CPPUNIT_ASSERT(store_.Find(JobKey(JobId(kId))) == nullptr);
+    catalogs_.Confirm(Now());
+    const auto accepted = Call("POST", path, kTaskJob);
+    clock_.Advance(Milliseconds(50));
+    CPPUNIT_ASSERT_EQUAL(kOk, (*accepted)->status);
+    CPPUNIT_ASSERT(store_.Find(JobKey(JobId(kId))) != nullptr);
+  }
+
+  void AnUnconfirmedConfigurationReportsStates() {
+    PutRecord(JobState::kRunning);
+    MakeUnconfirmed();
+    const auto reply = Call("GET", std::string("/p/") + kId);
+    clock_.Advance(Milliseconds(50));
+    CPPUNIT_ASSERT_EQUAL(kOk, (*reply)->status);
+  }
+
+  // The record changes between the cancel's read and its write. The caller must
+  // not be told that the job is cancelled while no cancel is stored.
+  void ACancelThatMeetsTheStartIsStored() {
+    PutRecord(JobState::kQueued);
+    const auto reply = Cancel();
+    PutRecord(JobState::kRunning);
+    clock_.Advance(Milliseconds(50));
+    CPPUNIT_ASSERT(reply->has_value());
+    CPPUNIT_ASSERT_EQUAL(kOk, (*reply)->status);
+    CPPUNIT_ASSERT(store_.Find(CancelKey(JobId(kId))) != nullptr);
+  }
+
+  void ACancelThatMeetsTheEndReportsTheEnd() {
+    PutRecord(JobState::kRunning);
+    const auto reply = Cancel();
+    PutRecord(JobState::kCompleted);
+    clock_.Advance(Milliseconds(50));
+    CPPUNIT_ASSERT_EQUAL(kOk, (*reply)->status);
+    CPPUNIT_ASSERT((*reply)->body.find("completed") != std::string::npos);
+    CPPUNIT_ASSERT(store_.Find(CancelKey(JobId(kId))) == nullptr);
+  }
+
+  void ASecondCancelIsAnsweredLikeTheFirst() {
+    PutRecord(JobState::kRunning);
+    for (int i = 0; i < 2; ++i) {
+      const auto reply = Cancel();
+      clock_.Advance(Milliseconds(50));
+      CPPUNIT_ASSERT_EQUAL(kOk, (*reply)->status);
+      CPPUNIT_ASSERT((*reply)->body.find("cancelled") != std::string::npos);
+    }
+  }
+
+  void ACancelOfAnUnknownJobIsGone() {
+    const auto reply = Cancel();
+    clock_.Advance(Milliseconds(50));
+    CPPUNIT_ASSERT_EQUAL(kGone, (*reply)->status);
+  }
+
+ private:
+  void PutRecord(JobState state) {
+    store_.Apply({.puts = {{.key = JobKey(JobId(kId)),
+                            .value = EncodeJobRecord(QueueId("q"), state)}}},
+                 [](const TransactionAnswer&) {});
+  }
+  std::shared_ptr<std::optional<HttpResponse>> Cancel() {
+    return Call("DELETE", std::string("/p/") + kId);
+  }
+  std::shared_ptr<std::optional<HttpResponse>> Call(
+      const std::string& method, const std::string& path,
+      const std::string& body = "") {
+    auto reply = std::make_shared<std::optional<HttpResponse>>();
+    api_.Serve({.method = method,
+                .path = path,
+                .headers = {{"host", "h"}, {"x-deadline-ms", "3000"}},
+                .body = body},
+               [reply](const HttpResponse& given) { *reply = given; });
+    return reply;
+  }
+  // As if the configuration hadn't been confirmed for longer than allowed.
+  void MakeUnconfirmed() {
+    const auto catalog = catalogs_.current();
+    catalogs_ = CurrentCatalog();
+    catalogs_.UpdateIfNewer(catalog);
+    catalogs_.Confirm(Now() - kMaxConfigurationAge - Milliseconds(1));
+  }
+
+  testing::VirtualClock clock_;
+  testing::MemoryStore store_{clock_.AfterOneMillisecond()};
+  EventLog log_{"test", {.lines_per_second = 0}};
+  Metrics metrics_;
+  CurrentCatalog catalogs_;
+  JobIndex job_index_;
+  JobIntake intake_{&store_, clock_.Timer(), [this] { return clock_.now(); },
+                    &log_, &metrics_};
+  JobApi api_{&catalogs_,     &job_index_, &intake_,  &store_,
+              clock_.Timer(), &log_,       &metrics_, kMaxConfigurationAge};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(JobApiTest);
+
+}  // namespace
+}  // namespace quetzal
