Count suspensions of the machine into the configuration's age

What callers would see: denials by an old configuration right after a machine was suspended.

Cause: the steady clock stands still while a machine is suspended, so a copy of before looked fresh until the next call was answered or timed out.

--- a/programs/job_entry/job_api_test.cc
+++ b/programs/job_entry/job_api_test.cc
@@ -44,7 +44,7 @@
     catalogs_.UpdateIfNewer(std::make_shared<const Catalog>(
         1, std::vector{queue, keyed}, std::vector<ServiceConfig>{},
         std::vector<Team>{}, CatalogLimits{}));
-    catalogs_.Confirm(Now());
+    catalogs_.Confirm(NowWithSuspensions());
     api_.SetStoreReachable(true);
   }
 
@@ -71,7 +71,7 @@
     CPPUNIT_ASSERT_EQUAL(kUnavailable, (*refused)->status);
     clock_.Advance(Milliseconds(50));
     CPPUNIT_ASSERT(store_.Find(JobKey(JobId(kId))) == nullptr);
-    catalogs_.Confirm(Now());
+    catalogs_.Confirm(NowWithSuspensions());
     const auto accepted = Call("POST", path, kTaskJob);
     clock_.Advance(Milliseconds(50));
     CPPUNIT_ASSERT_EQUAL(kOk, (*accepted)->status);
@@ -149,7 +149,8 @@
     const auto catalog = catalogs_.current();
     catalogs_ = CurrentCatalog();
     catalogs_.UpdateIfNewer(catalog);
-    catalogs_.Confirm(Now() - kMaxConfigurationAge - Milliseconds(1));
+    catalogs_.Confirm(NowWithSuspensions() - kMaxConfigurationAge -
+                      Milliseconds(1));
   }
 
   testing::VirtualClock clock_;
--- a/programs/job_entry/main.cc
+++ b/programs/job_entry/main.cc
@@ -59,7 +59,7 @@
                           .key = platform::kConfigurationKey,
                           .decode = &platform::DecodeConfiguration,
                           .after = &RunAfter,
-                          .clock = &Now,
+                          .clock = &NowWithSuspensions,
                           .log = &log_,
                           .metrics = &metrics_},
                          &catalogs_, [] {}),
@@ -134,7 +134,7 @@
   }
 
   void SetConfigurationAge() {
-    if (const auto age = catalogs_.AgeAt(Now())) {
+    if (const auto age = catalogs_.AgeAt(NowWithSuspensions())) {
       metrics_.Set("quetzal_configuration_age_ms", {},
                    static_cast<double>(age->count()));
     }
--- a/quetzal/catalog_watcher/catalog_watcher.h
+++ b/quetzal/catalog_watcher/catalog_watcher.h
@@ -3,7 +3,7 @@
 //   CurrentCatalog catalogs;
 //   CatalogWatcher watcher({.store = store, .key = "op/config",
 //                           .decode = &platform::DecodeConfiguration,
-//                           .after = &RunAfter, .clock = &Now,
+//                           .after = &RunAfter, .clock = &NowWithSuspensions,
 //                           .log = &log, .metrics = &metrics},
 //                          &catalogs, [] { ... });
 //   watcher.Start();
@@ -43,7 +43,7 @@
       const std::string& text)>
       decode;
   StoreWatcher::Timer after;
-  std::function<Time()> clock;
+  std::function<Time()> clock;  // also of the copy's age
   EventLog* log = nullptr;
   Metrics* metrics = nullptr;
 };
--- a/quetzal/program/program.cc
+++ b/quetzal/program/program.cc
@@ -7,6 +7,7 @@
 
 #include <csignal>
 #include <cstdlib>
+#include <ctime>
 #include <iostream>
 #include <random>
 #include <utility>
@@ -97,6 +98,14 @@
       std::chrono::steady_clock::now());
 }
 
+Time NowWithSuspensions() {
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return Time(std::chrono::duration_cast<Milliseconds>(
+      std::chrono::seconds(now.tv_sec) +
+      std::chrono::nanoseconds(now.tv_nsec)));
+}
+
 void RunEvery(Milliseconds period, std::function<void()> function) {
   auto* const owned = new std::function<void()>(std::move(function));
   g_timeout_add_full(G_PRIORITY_DEFAULT, static_cast<guint>(period.count()),
--- a/quetzal/program/program.h
+++ b/quetzal/program/program.h
@@ -31,6 +31,9 @@
 
 // The current time of the monotonic clock that all programs use.
 Time Now();
+// The time of a monotonic clock that goes on while the machine is suspended,
+// for ages of what others may change meanwhile. Not comparable with `Now()`.
+Time NowWithSuspensions();
 // Calls `function` every `period` until the program ends.
 void RunEvery(Milliseconds period, std::function<void()> function);
 // Calls `function` once after a delay.
