Change the configuration during the soak

Change: the stand-in for the users' platform publishes versions that add a queue and a key; the soak asks entries for what was confirmed over 3 s before, and for the newest version after all faults. An entry that doesn't know a queue may say 503, not 404 or 401.

--- a/standins/users_platform/main.cc
+++ b/standins/users_platform/main.cc
@@ -3,7 +3,10 @@
 //
 // On the control address, GET /judgement returns the workers' counts of broken
 // guarantees, GET /started the tasks that they started; POST /down and POST /up
-// stop and resume the store.
+// stop and resume the store. POST /publish writes the next version N of the
+// configuration, also while the store is down for callers, and returns
+// {"version": N}: it adds the queue "/added-N/" and the key "key-added-N".
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 #include "quetzal/program/program.h"
@@ -40,25 +43,37 @@
   return settings;
 }
 
-Json Configuration() {
+Json QueueNamed(const std::string& name) {
   const Json advice = {
       {"decision-ms", 3}, {"period-ms", 0.1}, {"validity-ms", 2'500}};
-  return {{"version", 1},
-          {"routes",
-           {{{"name", "quotes"},
-             {"host", "desk.example"},
-             {"prefix", "/quotes/"},
-             {"service", "desk"},
-             {"priority", 0},
-             {"max-attempts", 2},
-             {"slack-factor", 2.0},
-             {"target-latency-ms", 1'000},
-             {"recommendation", advice},
-             {"public", false}}}},
-          {"services", {{{"name", "desk"}, {"enforces-capacity", false}}}},
-          {"limits", {{"max-body-bytes", 65'536}}},
-          {"tenants",
-           {{{"name", "buyers"}, {"api-keys", {"key-1"}}, {"weight", 100}}}}};
+  return {{"name", name},
+          {"host", "desk.example"},
+          {"prefix", "/" + name + "/"},
+          {"service", "desk"},
+          {"priority", 0},
+          {"max-attempts", 2},
+          {"slack-factor", 2.0},
+          {"target-latency-ms", 1'000},
+          {"recommendation", advice},
+          {"public", false}};
+}
+
+// Version 1 has one queue and one key. Each later version adds one of each, of
+// which the last `kMaxAdded` stay.
+Json Configuration(int version) {
+  constexpr int kMaxAdded = 40;
+  Json queues = {QueueNamed("quotes")};
+  Json keys = {"key-1"};
+  for (int i = std::max(2, version - kMaxAdded + 1); i <= version; ++i) {
+    queues.push_back(QueueNamed("added-" + std::to_string(i)));
+    keys.push_back("key-added-" + std::to_string(i));
+  }
+  return {
+      {"version", version},
+      {"routes", queues},
+      {"services", {{{"name", "desk"}, {"enforces-capacity", false}}}},
+      {"limits", {{"max-body-bytes", 65'536}}},
+      {"tenants", {{{"name", "buyers"}, {"api-keys", keys}, {"weight", 100}}}}};
 }
 
 class UsersPlatform : public Service {
@@ -81,7 +96,7 @@
       if (!worker->Listen("127.0.0.1:0")) return false;
       workers_.push_back(std::move(worker));
     }
-    store_.Put("op/config", Configuration().dump());
+    Publish();
     WriteHeartbeats();
     RunEvery(kHeartbeatInterval, [this] { WriteHeartbeats(); });
     return true;
@@ -98,6 +113,11 @@
                           .on_disconnect = [](HttpCallId) {}});
   }
 
+  void Publish() {
+    ++version_;
+    store_.Put("op/config", Configuration(version_).dump());
+  }
+
   void WriteHeartbeats() {
     for (const auto& worker : workers_) {
       store_.Put("servers/" + worker->id(), worker->Entry().dump());
@@ -141,6 +161,9 @@
     } else if (request.path == "/down" || request.path == "/up") {
       store_.SetDown(request.path == "/down");
       control_->Reply(call, {});
+    } else if (request.path == "/publish") {
+      Publish();
+      control_->Reply(call, {.body = Json{{"version", version_}}.dump()});
     } else {
       control_->Reply(call, {.status = kNotFound});
     }
@@ -151,6 +174,7 @@
   std::unique_ptr<HttpServer> advice_;
   std::unique_ptr<HttpServer> control_;
   Judgement judgement_;
+  int version_ = 0;  // of the configuration
   std::vector<std::unique_ptr<PoolWorker>> workers_;
 };
 
--- a/tests/soak/cell_soak.cc
+++ b/tests/soak/cell_soak.cc
@@ -31,6 +31,12 @@
 // For each accepted job, after all faults end.
 constexpr int kMaxEndSeconds = 60;
 constexpr int kMaxSubmitAttempts = 4;
+// In which a configuration must be in force at entries that can reach the
+// store; other entries may not deny what it added.
+constexpr gint64 kApplyUs = 3'000'000;
+constexpr int kApplySeconds = 3;
+constexpr int kUnauthorized = 401;
+constexpr int kNotFound = 404;
 constexpr gint64 kUsPerSecond = 1'000'000;
 
 enum class Fate {
@@ -67,10 +73,13 @@
       Submit();
       if (Chance(kCancelProbability)) CancelOne();
       CheckWorkers();
+      if (Chance(kPublishProbability)) Publish();
+      CheckConfiguration();
       g_usleep(static_cast<gulong>(Draw(10'000, 60'000)));
     }
     HealAll();
     CheckAcceptedJobsEnd();
+    CheckNewestConfiguration();
     CheckWorkers();
     CheckRefusedNeverRan();
     std::printf("jobs %zu, faults %d, broken promises %d\n", jobs_.size(),
@@ -81,6 +90,7 @@
  private:
   static constexpr double kFaultProbability = 0.12;
   static constexpr double kCancelProbability = 0.05;
+  static constexpr double kPublishProbability = 0.1;
 
   int ReportViolation(const std::string& what, const std::string& detail) {
     std::printf("BROKEN: %s %s\n", what.c_str(), detail.c_str());
@@ -240,6 +250,38 @@
       last_counts_[rule] = count;
     }
   }
+  void Publish() {
+    const int version = cluster_.PublishConfiguration();
+    published_[version] = g_get_monotonic_time();
+  }
+  // Asks an entry for the newest queue that it must know.
+  void CheckConfiguration() {
+    int due = 0;
+    for (const auto& [version, at] : published_) {
+      if (at + kApplyUs < g_get_monotonic_time()) due = version;
+    }
+    const int machine = Draw(0, kMachines - 1);
+    if (due == 0 || unavailable_.contains("entry-" + std::to_string(machine))) {
+      return;
+    }
+    const int status = cluster_.StatusOfAddedQueue(machine, due);
+    if (status == kNotFound || status == kUnauthorized) {
+      ReportViolation("an entry denies a confirmed queue:",
+                      "machine " + std::to_string(machine) + ", version " +
+                          std::to_string(due));
+    }
+  }
+  void CheckNewestConfiguration() {
+    const int version = cluster_.PublishConfiguration();
+    for (int i = 0; i < kMachines; ++i) {
+      if (!cluster_.WaitFor(kApplySeconds, [&] {
+            return cluster_.StatusOfAddedQueue(i, version) == kOk;
+          })) {
+        ReportViolation("the newest configuration isn't in force:",
+                        std::to_string(i));
+      }
+    }
+  }
   void CheckAcceptedJobsEnd() {
     for (int i = 0; i < kMachines; ++i) {
       if (!cluster_.WaitReady(i, kMaxEndSeconds)) {
@@ -276,6 +318,8 @@
   std::set<std::string> unavailable_;
   std::vector<SentJob> jobs_;
   std::map<std::string, int> last_counts_;
+  // When versions of the configuration were confirmed, in microseconds.
+  std::map<int, gint64> published_;
   int faults_ = 0;
   int violations_ = 0;
 };
--- a/tests/support/cell_cluster.cc
+++ b/tests/support/cell_cluster.cc
@@ -252,6 +252,18 @@
                (down ? "/down" : "/up")});
 }
 
+int CellCluster::PublishConfiguration() {
+  const HttpClientResult answer = Send(
+      {.method = "POST",
+       .url = "http://" + Address(first_port_ + kControlPort) + "/publish"});
+  return nlohmann::json::parse(answer.body).at("version").get<int>();
+}
+
+int CellCluster::StatusOfAddedQueue(int machine, int version) {
+  const std::string name = "added-" + std::to_string(version);
+  return Call(machine, "GET", "/" + name + "/", "", "key-" + name).status;
+}
+
 int CellCluster::Leader() {
   for (int i = 0; i < machines_; ++i) {
     const int port =
--- a/tests/support/cell_cluster.h
+++ b/tests/support/cell_cluster.h
@@ -58,6 +58,10 @@
   int StorePort() const;
   int StoreLinkPort(int machine) const;
   void SetStoreDown(bool down);
+  // Writes the next version of the configuration and returns its number.
+  int PublishConfiguration();
+  // Asks an entry for a queue, by a key, that this version added: the status.
+  int StatusOfAddedQueue(int machine, int version);
   // Index of the machine whose placer is the leader; -1 if none is.
   int Leader();
 
