Deny no longer prefix by an unconfirmed configuration either

What callers would see: 410 for a job of a queue that was just added below another one's prefix, from an entry that can't follow the configuration.

Cause: under the older version such a path belongs to the queue with the shorter prefix, and what follows it isn't a job id.

Test: AnUnconfirmedConfigurationDeniesNoLongerPrefix, 410 before.

--- a/programs/job_entry/job_api.cc
+++ b/programs/job_entry/job_api.cc
@@ -140,8 +140,9 @@
     return;
   }
   if (!platform::IsJobId(name)) {
-    Refuse(*call, request.method == "GET" ? kGone : kBadRequest, "not_a_job_id",
-           "name the job by 16 hexadecimal digits");
+    // The path may belong to a queue with a longer prefix that was just added.
+    Deny(*call, request.method == "GET" ? kGone : kBadRequest, "not_a_job_id",
+         "name the job by 16 hexadecimal digits");
     return;
   }
   call->id = JobId(name);
--- a/programs/job_entry/job_api_test.cc
+++ b/programs/job_entry/job_api_test.cc
@@ -31,6 +31,7 @@
   CPPUNIT_TEST(ASecondCancelIsAnsweredLikeTheFirst);
   CPPUNIT_TEST(ACancelOfAnUnknownJobIsGone);
   CPPUNIT_TEST(AnUnconfirmedConfigurationDeniesNoRoute);
+  CPPUNIT_TEST(AnUnconfirmedConfigurationDeniesNoLongerPrefix);
   CPPUNIT_TEST(AnUnconfirmedConfigurationDeniesNoKey);
   CPPUNIT_TEST(AnUnconfirmedConfigurationAcceptsNoJob);
   CPPUNIT_TEST(AnUnconfirmedConfigurationReportsStates);
@@ -58,6 +59,13 @@
     CPPUNIT_ASSERT((*reply)->retry_after.has_value());
   }
 
+  void AnUnconfirmedConfigurationDeniesNoLongerPrefix() {
+    const std::string path = std::string("/p/added/") + kId;
+    CPPUNIT_ASSERT_EQUAL(kGone, Call("GET", path)->value().status);
+    MakeUnconfirmed();
+    CPPUNIT_ASSERT_EQUAL(kUnavailable, Call("GET", path)->value().status);
+  }
+
   void AnUnconfirmedConfigurationDeniesNoKey() {
     CPPUNIT_ASSERT_EQUAL(kUnauthorized, Call("GET", "/keyed/")->value().status);
     MakeUnconfirmed();
