--- a/quetzal/catalog_watcher/catalog_watcher.h
+++ b/quetzal/catalog_watcher/catalog_watcher.h
@@ -68,6 +68,8 @@
 
   void Read();
   void Watch();
+  // Numbers a call, which a read overtakes unless it ends within
+  // `overdue_after`.
   Call BeginCall(CallKind kind, Milliseconds overdue_after);
   void OnRead(const Call& call, const ReadAnswer& answer);
   void OnWatch(const Call& call, const WatchAnswer& answer);
@@ -77,6 +79,7 @@
   // Replaces the current catalog by the newest item that can be decoded.
   // `items` are in the order of their revisions.
   void Update(const Call& call, const std::vector<StoreItem>& items);
+  // False if `item`, one of `items` in its answer, can't be decoded.
   bool UpdateFrom(const Call& call, const StoreItem& item, size_t items);
   void SetConfirmed(const Call& call, bool is_confirmed);
   // A later call has taken this one's place, as it had no answer in time.
--- a/quetzal/store/store.h
+++ b/quetzal/store/store.h
@@ -160,8 +160,6 @@
 };
 CellKey ParseCellKey(const std::string& key);
 
-enum class StoreWatcherCall { kListing, kWatch };
-
 struct StoreWatcherHandlers {
   // A key was written, or a listing found it with a newer revision than
   // recorded.
@@ -172,10 +170,6 @@
   std::function<void()> on_listed;
   // The store began or ceased to answer this watcher.
   std::function<void(bool is_reachable)> on_reachable;
-  // A call ended, successfully or not, with this many items or events. Called
-  // before they are reported.
-  std::function<void(StoreWatcherCall call, StoreOutcome outcome, size_t items)>
-      on_answer;
 };
 
 struct StoreWatcherTiming {
@@ -231,8 +225,6 @@
   void ScheduleAfter(Milliseconds delay, void (StoreWatcher::*step)());
   void Relist();
   void SetReachable(bool is_reachable);
-  void ReportAnswer(StoreWatcherCall call, StoreOutcome outcome,
-                    size_t items) const;
   bool UpdateItem(const StoreItem& item);
 
   Store* store_;
--- a/quetzal/store/store_watcher.cc
+++ b/quetzal/store/store_watcher.cc
@@ -36,7 +36,6 @@
 
 void StoreWatcher::OnPage(const SharedListing& listing,
                           const ReadAnswer& answer) {
-  ReportAnswer(StoreWatcherCall::kListing, answer.outcome, answer.items.size());
   if (answer.outcome != StoreOutcome::kDone) {
     // The watch that it checks tells whether the store can be reached.
     if (listing->watch_number != 0) return;
@@ -105,7 +104,6 @@
 }
 
 void StoreWatcher::OnWatch(const WatchAnswer& answer) {
-  ReportAnswer(StoreWatcherCall::kWatch, answer.outcome, answer.events.size());
   is_watching_ = false;
   if (!answer.events.empty()) check_delay_ = timing_.relist_after_silence;
   if (answer.outcome == StoreOutcome::kCompacted) {
@@ -151,11 +149,6 @@
   after_(delay, lifetime_.Guard([this, step] { (this->*step)(); }));
 }
 
-void StoreWatcher::ReportAnswer(StoreWatcherCall call, StoreOutcome outcome,
-                                size_t items) const {
-  if (handlers_.on_answer) handlers_.on_answer(call, outcome, items);
-}
-
 void StoreWatcher::SetReachable(bool is_reachable) {
   if (std::exchange(is_reachable_, is_reachable) != is_reachable &&
       handlers_.on_reachable) {
