Overtake calls for the configuration on a new connection

What callers would see: denials by an older version for longer than the 3 s in which a change must be in force, from an entry whose idle connections to the store all died without a sign of it.

Cause: the read that overtakes a call without an answer took the next idle connection. Each dead one costs another 600 ms.

Change: such a read opens a connection.

Tests: DeadConnectionsDelayAVersionByLessThanItsBound kills 20 connections instead of 2 and fails if the read may reuse one.

--- a/quetzal/catalog_watcher/catalog_watcher.cc
+++ b/quetzal/catalog_watcher/catalog_watcher.cc
@@ -40,9 +40,7 @@
   const Call call{
       .kind = kind, .number = ++newest_call_, .sent = dependencies_.clock()};
   dependencies_.after(overdue_after, lifetime_.Guard([this, call] {
-    if (IsOvertaken(call)) return;
-    OnFailed(call);
-    Read();
+    if (!IsOvertaken(call)) Overtake(call);
   }));
   return call;
 }
@@ -55,6 +53,15 @@
           [this, call](const ReadAnswer& answer) { OnRead(call, answer); }));
 }
 
+void CatalogWatcher::Overtake(const Call& overdue) {
+  OnFailed(overdue);
+  const Call call = BeginCall(CallKind::kRead, kOverdueAfter);
+  dependencies_.store->ReadOnNewConnection(
+      dependencies_.key,
+      lifetime_.Guard<ReadAnswer>(
+          [this, call](const ReadAnswer& answer) { OnRead(call, answer); }));
+}
+
 void CatalogWatcher::OnRead(const Call& call, const ReadAnswer& answer) {
   const bool was_answered = answer.outcome == StoreOutcome::kDone ||
                             answer.outcome == StoreOutcome::kMissing;
--- a/quetzal/catalog_watcher/catalog_watcher.h
+++ b/quetzal/catalog_watcher/catalog_watcher.h
@@ -67,6 +67,8 @@
   };
 
   void Read();
+  // Replaces a call that had no answer in time.
+  void Overtake(const Call& overdue);
   void Watch();
   // Numbers a call, which a read overtakes unless it ends within
   // `overdue_after`.
--- a/quetzal/catalog_watcher/catalog_watcher_test.cc
+++ b/quetzal/catalog_watcher/catalog_watcher_test.cc
@@ -17,6 +17,7 @@
 constexpr char kKey[] = "op/config";
 // In which a confirmed change must be in force.
 constexpr Milliseconds kApplyBound{3'000};
+constexpr int kDeadConnections = 20;
 
 class CatalogWatcherTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(CatalogWatcherTest);
@@ -86,7 +87,7 @@
     Publish(1);
     watcher_.Start();
     clock_.Advance(Milliseconds(500));
-    link_.DropWatches(2);
+    link_.KillConnections(kDeadConnections);
     store_.SetWatchesStalled(true);
     store_.EndWatchesWithoutEvents();
     clock_.Advance(Milliseconds(30));
--- a/quetzal/http_client/http_client.cc
+++ b/quetzal/http_client/http_client.cc
@@ -155,6 +155,8 @@
     }
     curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
                      std::min(kConnectTimeoutMs, TimeoutMs(request)));
+    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT,
+                     request.on_new_connection ? 1L : 0L);
     curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
     curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &SetSocketOptions);
     curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, &OnSocketOpened);
--- a/quetzal/http_client/http_client.h
+++ b/quetzal/http_client/http_client.h
@@ -30,6 +30,8 @@
   // up to seconds. 0: never. Lets a large response take its time on a slow link
   // without waiting as long for a peer that is gone.
   Milliseconds stall_timeout{0};
+  // Doesn't reuse a connection: an idle one may be dead without a sign of it.
+  bool on_new_connection = false;
 };
 
 struct HttpClientResult {
--- a/quetzal/store/store.h
+++ b/quetzal/store/store.h
@@ -18,6 +18,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "quetzal/ids/ids.h"
@@ -106,6 +107,12 @@
   virtual ~Store() = default;
   virtual void Read(const std::string& key,
                     std::function<void(const ReadAnswer&)> done) = 0;
+  // For a read that replaces a call without an answer: doesn't wait on a
+  // connection that may be dead.
+  virtual void ReadOnNewConnection(
+      const std::string& key, std::function<void(const ReadAnswer&)> done) {
+    Read(key, std::move(done));
+  }
   // Reads one page of the keys with `prefix`, from the first one after `after`.
   virtual void Range(const std::string& prefix, const std::string& after,
                      std::function<void(const ReadAnswer&)> done) = 0;
--- a/quetzal/store/testing/store_link.h
+++ b/quetzal/store/testing/store_link.h
@@ -28,14 +28,24 @@
       : store_(store), after_(std::move(after)) {}
 
   void SetFault(Fault fault) { fault_ = fault; }
-  // The next `count` watches time out.
-  void DropWatches(int count) { watches_to_drop_ = count; }
+  // The next `count` reads and watches time out, but for reads on new
+  // connections: that many connections are dead.
+  void KillConnections(int count) { dead_connections_ = count; }
   // Calls that read, and values that their answers held.
   int reads() const { return reads_; }
   size_t values() const { return values_; }
 
   void Read(const std::string& key,
             std::function<void(const ReadAnswer&)> done) override {
+    if (IsOnDeadConnection()) {
+      FailAfter<ReadAnswer>(kCallTimeout, StoreOutcome::kUnknown, done);
+      return;
+    }
+    ReadOnNewConnection(key, std::move(done));
+  }
+  void ReadOnNewConnection(
+      const std::string& key,
+      std::function<void(const ReadAnswer&)> done) override {
     ++reads_;
     if (Fails<ReadAnswer>(kCallTimeout, done)) return;
     store_->Read(key, Counted(std::move(done)));
@@ -49,8 +59,7 @@
   void Watch(const std::string& prefix, Revision after, Milliseconds wait,
              std::function<void(const WatchAnswer&)> done) override {
     const Milliseconds timeout = wait + kWatchTimeoutMargin;
-    if (watches_to_drop_ > 0) {
-      --watches_to_drop_;
+    if (IsOnDeadConnection()) {
       FailAfter<WatchAnswer>(timeout, StoreOutcome::kUnknown, done);
       return;
     }
@@ -97,6 +106,11 @@
   static constexpr Milliseconds kWatchTimeoutMargin{1'200};
   static constexpr Milliseconds kRoundTrip{2};
 
+  bool IsOnDeadConnection() {
+    if (dead_connections_ == 0) return false;
+    --dead_connections_;
+    return true;
+  }
   template <typename Answer>
   void FailAfter(Milliseconds delay, StoreOutcome outcome,
                  std::function<void(const Answer&)> done) {
@@ -127,7 +141,7 @@
   Store* store_;
   StoreWatcher::Timer after_;
   Fault fault_ = Fault::kNone;
-  int watches_to_drop_ = 0;
+  int dead_connections_ = 0;
   int reads_ = 0;
   size_t values_ = 0;
 };
