Count what a watch may have missed into the copy's age

What callers would see: 404 and 401 by an older version for up to a second longer than an entry may use its copy, if the store compacts its history and then can't be reached.

Cause: a watch that ended without events confirmed the copy up to its end, though watches report nothing for a second while the store compacts.

Change: such a watch confirms the copy up to a second before its end. It waits 500 ms instead of 1 s, so that a slow store still confirms the copy before entries answer 503.

--- a/quetzal/catalog_watcher/catalog_watcher.cc
+++ b/quetzal/catalog_watcher/catalog_watcher.cc
@@ -6,9 +6,11 @@
 namespace quetzal {
 namespace {
 
-// How long a watch waits for a change. The copy's age stays below this and a
-// round trip while the store answers.
-constexpr Milliseconds kWatchWait{1'000};
+// How long a watch waits for a change.
+constexpr Milliseconds kWatchWait{500};
+// A watch may report a change this much later: watches report nothing while the
+// store compacts its history.
+constexpr Milliseconds kMaxWatchLag{1'000};
 // Between two watches, so that one answer carries changes that come together.
 constexpr Milliseconds kWatchPause{20};
 constexpr Milliseconds kRetryDelay{150};  // after a call that failed
@@ -97,10 +99,8 @@
       if (!event.deleted) items.push_back(event.item);
     }
     Update(call, items);
-    // The store looked for changes until the wait was over.
-    const Time waited_until = call.sent + kWatchWait;
-    const bool waited = items.empty() && dependencies_.clock() >= waited_until;
-    OnConfirmed(call, waited ? waited_until : call.sent);
+    OnConfirmed(
+        call, answer.events.empty() ? ConfirmedWithoutEvents(call) : call.sent);
   }
   if (IsOvertaken(call)) return;
   if (was_answered) {
@@ -118,6 +118,15 @@
   }
 }
 
+Time CatalogWatcher::ConfirmedWithoutEvents(const Call& watch) const {
+  const Time wait_end = watch.sent + kWatchWait;
+  // One that ended before its wait may have ended at any time since it was
+  // sent.
+  const Time watched_until =
+      dependencies_.clock() >= wait_end ? wait_end : watch.sent;
+  return watched_until - kMaxWatchLag;
+}
+
 void CatalogWatcher::OnConfirmed(const Call& call, Time time) {
   catalogs_->Confirm(time);
   SetConfirmed(call, true);
--- a/quetzal/catalog_watcher/catalog_watcher.h
+++ b/quetzal/catalog_watcher/catalog_watcher.h
@@ -75,6 +75,9 @@
   Call BeginCall(CallKind kind, Milliseconds overdue_after);
   void OnRead(const Call& call, const ReadAnswer& answer);
   void OnWatch(const Call& call, const WatchAnswer& answer);
+  // The time at which the copy was the newest one if `watch` ended without
+  // events.
+  Time ConfirmedWithoutEvents(const Call& watch) const;
   // The copy was the newest one at `time`.
   void OnConfirmed(const Call& call, Time time);
   void OnFailed(const Call& call);
--- a/quetzal/store/testing/store_link.h
+++ b/quetzal/store/testing/store_link.h
@@ -28,6 +28,8 @@
       : store_(store), after_(std::move(after)) {}
 
   void SetFault(Fault fault) { fault_ = fault; }
+  // Answers of reads and watches arrive this much later.
+  void SetLatency(Milliseconds latency) { latency_ = latency; }
   // The next `count` reads and watches time out, but for reads on new
   // connections: that many connections are dead.
   void KillConnections(int count) { dead_connections_ = count; }
@@ -48,7 +50,7 @@
       std::function<void(const ReadAnswer&)> done) override {
     ++reads_;
     if (Fails<ReadAnswer>(kCallTimeout, done)) return;
-    store_->Read(key, Counted(std::move(done)));
+    store_->Read(key, Delayed<ReadAnswer>(Counted(std::move(done))));
   }
   void Range(const std::string& prefix, const std::string& after,
              std::function<void(const ReadAnswer&)> done) override {
@@ -74,7 +76,7 @@
             return;
           }
           values_ += answer.events.size();
-          done(answer);
+          Delayed<WatchAnswer>(done)(answer);
         };
     after_(wait,
            [answer_once] { answer_once({.outcome = StoreOutcome::kDone}); });
@@ -130,6 +132,14 @@
     }
     return true;
   }
+  template <typename Answer>
+  std::function<void(const Answer&)> Delayed(
+      std::function<void(const Answer&)> done) {
+    if (latency_.count() == 0) return done;
+    return [this, done = std::move(done)](const Answer& answer) {
+      after_(latency_, [done, answer] { done(answer); });
+    };
+  }
   std::function<void(const ReadAnswer&)> Counted(
       std::function<void(const ReadAnswer&)> done) {
     return [this, done = std::move(done)](const ReadAnswer& answer) {
@@ -141,6 +151,7 @@
   Store* store_;
   StoreWatcher::Timer after_;
   Fault fault_ = Fault::kNone;
+  Milliseconds latency_{0};
   int dead_connections_ = 0;
   int reads_ = 0;
   size_t values_ = 0;
