Use a copy of the configuration at least as long as calm takes to confirm it

What callers would see: every entry answers 503 to all submissions and denials, in calm, on a deployment whose configurations must be in force within 2 s. Found by reading; the deployments at hand have 3 s.

Cause: configuration_apply_ms may be as low as 1 s, and an entry used its copy for 500 ms less than that. A copy that is followed by watches is up to 1.6 s old in calm.

Change: MaxUsableAge, with a lower limit of the age that copies reach while the store answers within 200 ms. Nothing changes for 3 s.

--- a/programs/job_entry/main.cc
+++ b/programs/job_entry/main.cc
@@ -30,9 +30,6 @@
 // in the placer, as many entries would list at once.
 constexpr Milliseconds kRelistAfterSilence{900};
 constexpr Milliseconds kProbeInterval{100};
-// Reserved, of the time in which a configuration must be in force, for what a
-// request takes to arrive and for the resolution of the copy's age.
-constexpr Milliseconds kConfigurationAgeMargin{500};
 constexpr int kOk = 200;
 constexpr int kUnavailable = 503;
 constexpr int kNotFound = 404;
@@ -65,8 +62,7 @@
                          &catalogs_, [] {}),
         intake_(store_.get(), &RunAfter, &Now, &log_, &metrics_),
         api_(&catalogs_, &job_index_, &intake_, store_.get(), &RunAfter, &log_,
-             &metrics_,
-             settings_.configuration_apply_bound - kConfigurationAgeMargin) {}
+             &metrics_, MaxUsableAge(settings_.configuration_apply_bound)) {}
 
   bool Start() {
     log_.Line("start", {{"store", settings_.store_address}});
--- a/quetzal/catalog_watcher/catalog_watcher.cc
+++ b/quetzal/catalog_watcher/catalog_watcher.cc
@@ -18,9 +18,21 @@
 // store in another region.
 constexpr Milliseconds kOverdueAfter{600};
 constexpr int64_t kNeverConfirmed = -1;
+// Reserved, of the time in which a configuration must be in force, for what a
+// request takes to arrive and for the resolution of the copy's age.
+constexpr Milliseconds kAgeMargin{500};
+constexpr Milliseconds kUsualAnswer{200};
+// The copy's age just before a watch confirms it anew, if answers take
+// `kUsualAnswer`.
+constexpr Milliseconds kMaxUsualAge =
+    kMaxWatchLag + kWatchPause + kWatchWait + 2 * kUsualAnswer;
 
 }  // namespace
 
+Milliseconds MaxUsableAge(Milliseconds apply_bound) {
+  return std::max(apply_bound - kAgeMargin, kMaxUsualAge);
+}
+
 CatalogWatcher::CatalogWatcher(CatalogWatcherDependencies dependencies,
                                CurrentCatalog* catalogs,
                                std::function<void()> on_update)
--- a/quetzal/catalog_watcher/catalog_watcher.h
+++ b/quetzal/catalog_watcher/catalog_watcher.h
@@ -36,6 +36,12 @@
 
 namespace quetzal {
 
+// The age up to which a copy may be used if a change must be in force
+// `apply_bound` after it was confirmed. At least the age that copies reach
+// while the store answers within 200 ms, however short the bound: otherwise
+// every caller would be refused.
+Milliseconds MaxUsableAge(Milliseconds apply_bound);
+
 struct CatalogWatcherDependencies {
   Store* store = nullptr;
   std::string key;  // of the configuration
