Soak: don't count ends whose lease expired before they were acknowledged

Cause, from the processes' logs: the active placer was suspended for 4.7 s, and the store was down for the others, so that the workers' leases of 3 s expired. Tasks had ended meanwhile; their ends were never acknowledged, and the placer started them again. The platform's rule on a task that runs twice leaves out such ends: one counts once last-seen reaches it, unless the worker's lease expired in between. The product does what that rule says; the stand-in counted each end.

Change: as its lease expires, a worker of the stand-in takes back ends that weren't acknowledged. An end that is acknowledged in time counts from its first moment, as before. The lease is now checked at each request too, not only every 100 ms.

--- a/standins/users_platform/worker_pool.h
+++ b/standins/users_platform/worker_pool.h
@@ -25,6 +25,8 @@
 // All workers share one instance.
 struct Judgement {
   std::map<std::string, int> running;  // runs of a task, over all workers
+  // Without ends that weren't acknowledged before their worker's lease expired:
+  // these don't count, and the task may run again.
   std::set<std::string> done;
   std::set<std::string> started;
   int started_twice = 0;      // starts while another run of the task runs
@@ -57,6 +59,8 @@
   void End(const std::string& task, uint64_t serial,
            const std::string& outcome);
   void AnswerPoll(HttpCallId call);
+  // Ends all runs if the lease has expired.
+  void CheckLease();
   bool IsFenced(const nlohmann::json& order);
   int64_t ClockMs() const;
 
@@ -71,7 +75,9 @@
   int64_t lease_expires_at_ms_ = 0;
   std::map<std::string, Run> running_;
   std::map<std::string, int64_t> highest_ended_run_;
-  std::deque<nlohmann::json> ended_;
+  std::deque<nlohmann::json> ended_;  // not acknowledged yet
+  std::set<std::string>
+      unacknowledged_done_;  // tasks of `ended_` that are done
   std::vector<HttpCallId> pending_polls_;
 };
 
