Soak: the stand-in's advice allows each step at least one worker

The job can't run anywhere.

Change: a step for which no worker is drawn may run on one of them. All other draws, the check and the bound are as before.

--- a/standins/users_platform/main.cc
+++ b/standins/users_platform/main.cc
@@ -124,6 +124,20 @@
     }
   }
 
+  // Whether the worker may run the step: seven in ten, and at least one.
+  bool IsAllowed(const std::string& step, const std::string& worker) const {
+    const std::hash<std::string> hash;
+    const auto is_drawn = [&](const std::string& id) {
+      return hash(step + id) % 10 < kAllowedInTen;
+    };
+    if (is_drawn(worker)) return true;
+    const auto is_worker_drawn = [&](const auto& each) {
+      return is_drawn(each->id());
+    };
+    return std::none_of(workers_.begin(), workers_.end(), is_worker_drawn) &&
+           worker == workers_[hash(step) % workers_.size()]->id();
+  }
+
   void Advise(HttpCallId call, const HttpRequest& request) {
     const Json query = Json::parse(request.body, nullptr, false);
     if (!query.is_object() || !query.contains("step") ||
@@ -135,9 +149,7 @@
     const std::string step = query["step"].get<std::string>();
     for (const Json& worker : query["workers"]) {
       const std::string id = worker.get<std::string>();
-      if (std::hash<std::string>()(step + id) % 10 < kAllowedInTen) {
-        allowed.push_back(Json::array({id, "t-" + id}));
-      }
+      if (IsAllowed(step, id)) allowed.push_back(Json::array({id, "t-" + id}));
     }
     const std::string body =
         Json{{"allowed", std::move(allowed)}, {"validity-ms", 2'500}}.dump();
