Test a suspended entry and a restarted one against changed configurations

Tests: AResumedEntryDeniesNoAddedRoute and ARemovedRouteStaysRemovedAfterARestart, with the shipped programs as processes; 11 of 11 in two runs of cell_process_test, before 9 of 9.

--- a/tests/cell_process_test.cc
+++ b/tests/cell_process_test.cc
@@ -9,6 +9,10 @@
 namespace {
 
 constexpr int kMachines = 3;
+// In which a configuration must be in force.
+constexpr int kApplySeconds = 3;
+// More than the stand-in keeps of the routes that versions add.
+constexpr int kVersionsThatRemoveARoute = 45;
 constexpr int kWaitSeconds = 40;
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
@@ -45,6 +49,8 @@
   CPPUNIT_TEST(ACancelledJobStartsNothingMore);
   CPPUNIT_TEST(BadInputGetsAClearErrorAndAffectsNoOtherJob);
   CPPUNIT_TEST(ALongRunningJobRestartsUntilItIsCancelled);
+  CPPUNIT_TEST(ARemovedRouteStaysRemovedAfterARestart);
+  CPPUNIT_TEST(AResumedEntryDeniesNoAddedRoute);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -209,6 +215,39 @@
     ExpectAllCompleted(1);
   }
 
+  void ARemovedRouteStaysRemovedAfterARestart() {
+    const int removed = cluster_->PublishConfiguration();
+    CPPUNIT_ASSERT(cluster_->WaitFor(kApplySeconds, [&] {
+      return cluster_->StatusOfAddedQueue(0, removed) == kOk;
+    }));
+    for (int i = 0; i < kVersionsThatRemoveARoute; ++i) {
+      cluster_->PublishConfiguration();
+    }
+    CPPUNIT_ASSERT(cluster_->WaitFor(kApplySeconds, [&] {
+      return cluster_->StatusOfAddedQueue(0, removed) == kNotFound;
+    }));
+    cluster_->Signal("entry-0", SIGKILL);
+    CPPUNIT_ASSERT(cluster_->Launch("entry-0"));
+    CPPUNIT_ASSERT(cluster_->WaitFor(kWaitSeconds, [&] {
+      const int status = cluster_->StatusOfAddedQueue(0, removed);
+      CPPUNIT_ASSERT(status != kOk);
+      return status == kNotFound;
+    }));
+  }
+
+  void AResumedEntryDeniesNoAddedRoute() {
+    constexpr gulong kSuspensionUs = 3'500'000;
+    cluster_->Signal("entry-0", SIGSTOP);
+    const int added = cluster_->PublishConfiguration();
+    g_usleep(kSuspensionUs);
+    cluster_->Signal("entry-0", SIGCONT);
+    CPPUNIT_ASSERT(cluster_->WaitFor(kApplySeconds, [&] {
+      const int status = cluster_->StatusOfAddedQueue(0, added);
+      CPPUNIT_ASSERT(status != kNotFound && status != kUnauthorized);
+      return status == kOk;
+    }));
+  }
+
  private:
   void Submit(int number) {
     const HttpClientResult answer =
