--- a/programs/job_entry/job_api_test.cc
+++ b/programs/job_entry/job_api_test.cc
@@ -49,8 +49,7 @@
     api_.SetStoreReachable(true);
   }
 
-  // Guards against refusals of a route that was added while an entry couldn't
-  // follow the configuration.
+  // Guards against denials of a route that an outage kept from the entry.
   void AnUnconfirmedConfigurationDeniesNoRoute() {
     CPPUNIT_ASSERT_EQUAL(kNotFound, Call("GET", "/added/")->value().status);
     MakeUnconfirmed();
@@ -94,8 +93,8 @@
     CPPUNIT_ASSERT_EQUAL(kOk, (*reply)->status);
   }
 
-  // The record changes between the cancel's read and its write. The caller must
-  // not be told that the job is cancelled while no cancel is stored.
+  // The record changes between the cancel's read and its write. A response that
+  // reports a cancelled job requires a stored cancel.
   void ACancelThatMeetsTheStartIsStored() {
     PutRecord(JobState::kQueued);
     const auto reply = Cancel();
--- a/quetzal/catalog_watcher/catalog_watcher_test.cc
+++ b/quetzal/catalog_watcher/catalog_watcher_test.cc
@@ -52,8 +52,7 @@
     CPPUNIT_ASSERT_EQUAL(19, updates_);
   }
 
-  // Guards against refusals by a version of long ago: decoding each version
-  // that was missed took an entry seconds.
+  // Guards against denials by a version of before an outage.
   void VersionsMissedInAnOutageDontDelayTheNewest() {
     for (const auto fault : {testing::StoreLink::Fault::kRefused,
                              testing::StoreLink::Fault::kUnanswered}) {
@@ -167,8 +166,7 @@
     CPPUNIT_ASSERT(MaxUsableAge(Milliseconds(6'000)) < Milliseconds(6'000));
   }
 
-  // Guards against denials by a copy that claims to be younger than the change
-  // that it lacks.
+  // Guards against an age below that of a change that the copy lacks.
   void AChangeThatAWatchMissedCountsIntoTheCopysAge() {
     Publish(++newest_);
     watcher_.Start();
--- a/quetzal/http_client/http_client_test.cc
+++ b/quetzal/http_client/http_client_test.cc
@@ -55,8 +55,7 @@
   std::array<int, 4> fillers_{};
 };
 
-// Answers the first request of each of two connections and ignores later ones,
-// as if the connections had died.
+// Answers the first request of each of two connections and ignores later ones.
 class OneAnswerServer {
  public:
   OneAnswerServer() : thread_([this] { Serve(); }) {}
