Decisive log lines have a rate limit of their own

EventLog::ImportantLine has a limit apart from that of other lines. It is used for elections, the end of a recovery, and what a placer concludes about a worker and its runs. worker_runs_lost tells how long a lease may still last, and worker_silent the error of the connection.

No decision changes.

--- a/quetzal/cell/internal/accounting.cc
+++ b/quetzal/cell/internal/accounting.cc
@@ -92,8 +92,8 @@
     }
     if (IsConsideredGone(*state, worker, now)) {
       worker.known_empty = true;
-      state->log->Line("worker_gone",
-                       {{"worker", id.text()}, {"why", "left the list"}});
+      state->log->ImportantLine(
+          "worker_gone", {{"worker", id.text()}, {"why", "left the list"}});
     } else if (MayHaveUnknownRuns(worker)) {
       all_accounted = false;
     }
@@ -105,9 +105,10 @@
   if (state->all_workers_accounted || (!all_accounted && !expired)) return;
   if (!state->recovered) return;
   state->all_workers_accounted = true;
-  state->log->Line("all_workers_accounted",
-                   {{"after_ms", (now - state->term_started_at).count()},
-                    {"how", all_accounted ? "reached" : "lapsed"}});
+  state->log->ImportantLine(
+      "all_workers_accounted",
+      {{"after_ms", (now - state->term_started_at).count()},
+       {"how", all_accounted ? "reached" : "lapsed"}});
 }
 
 bool HasMajority(const State& state, Milliseconds age, Time now) {
--- a/quetzal/cell/internal/workers.cc
+++ b/quetzal/cell/internal/workers.cc
@@ -1,6 +1,7 @@
 #include "quetzal/cell/internal/workers.h"
 
 #include <algorithm>
+#include <string_view>
 #include <utility>
 
 #include "quetzal/cell/internal/accounting.h"
@@ -58,6 +59,12 @@
   return run_numbers;
 }
 
+// How long a lease of the worker may still last, on the placer's clock.
+Milliseconds LeaseLeft(const State& state, const Worker& worker, Time now) {
+  return std::max(Milliseconds(0),
+                  MaxLeaseLifetime(state) - (now - worker.lease_extended_at));
+}
+
 void DropUnacknowledged(State* state, Worker* worker) {
   for (const UnacknowledgedEnd& end : worker->unacked) {
     if (end.orphan_end) --state->orphans;
@@ -122,6 +129,23 @@
   worker->unacked.push_back(std::move(report));
 }
 
+void LogAdoption(State* state, const Worker& worker, const RunningTask& row,
+                 std::string_view kept) {
+  const std::initializer_list<EventField> fields = {
+      {"worker", worker.entry.id.text()},
+      {"job", row.task.job.text()},
+      {"step", row.task.step},
+      {"task", row.task.index},
+      {"run", row.run},
+      {"kept", kept}};
+  // A run that isn't kept may have run beside another of its task.
+  if (kept == "no") {
+    state->log->ImportantLine("run_adopted", fields);
+  } else {
+    state->log->Line("run_adopted", fields);
+  }
+}
+
 // Takes over a run that this term didn't order. It was started in a former
 // term, or belongs to no job.
 void AdoptRun(State* state, Worker* worker, const RunningTask& row, Time now) {
@@ -158,14 +182,10 @@
   } else if (!wanted) {
     ScheduleStop(worker, &run, now);
   }
-  state->log->Line("run_adopted", {{"worker", worker->entry.id.text()},
-                                   {"job", row.task.job.text()},
-                                   {"step", row.task.step},
-                                   {"task", row.task.index},
-                                   {"run", row.run},
-                                   {"kept", wanted           ? "yes"
-                                            : job == nullptr ? "job unknown"
-                                                             : "no"}});
+  LogAdoption(state, *worker, row,
+              wanted           ? "yes"
+              : job == nullptr ? "job unknown"
+                               : "no");
   AddRun(state, worker, std::move(run));
   if (wanted) {
     if (job->state == JobState::kQueued) {
@@ -305,10 +325,13 @@
 
 void EndAllRuns(State* state, Worker* worker, const char* why, Time now) {
   if (!worker->runs.empty()) {
-    state->log->Line("worker_runs_lost",
-                     {{"worker", worker->entry.id.text()},
-                      {"why", why},
-                      {"runs", static_cast<int64_t>(worker->runs.size())}});
+    // With time left on its leases, the worker may still execute the runs.
+    state->log->ImportantLine(
+        "worker_runs_lost",
+        {{"worker", worker->entry.id.text()},
+         {"why", why},
+         {"runs", static_cast<int64_t>(worker->runs.size())},
+         {"lease_left_ms", LeaseLeft(*state, *worker, now).count()}});
   }
   for (const auto& [task_id, number] : RunNumbersByTask(*worker)) {
     EndRun(state, worker, task_id, number, TaskOutcome::kLeaseExpired, "", now);
@@ -385,9 +408,9 @@
   if (worker == nullptr || !worker->listed) return;
   worker->listed = false;
   worker->unlisted_since = now;
-  state->log->Line("worker_unlisted",
-                   {{"worker", id.text()},
-                    {"runs", static_cast<int64_t>(worker->runs.size())}});
+  state->log->ImportantLine(
+      "worker_unlisted", {{"worker", id.text()},
+                          {"runs", static_cast<int64_t>(worker->runs.size())}});
 }
 
 void ApplyPollAnswer(State* state, Worker* worker, const PollRequest& request,
@@ -409,8 +432,10 @@
   }
   if (answer.outcome != OrderOutcome::kDone) {
     if (!worker->unresponsive) {
-      state->log->Line("worker_silent", {{"worker", worker->entry.id.text()},
-                                         {"how", NameOf(answer.outcome)}});
+      state->log->ImportantLine("worker_silent",
+                                {{"worker", worker->entry.id.text()},
+                                 {"how", NameOf(answer.outcome)},
+                                 {"problem", answer.problem}});
     }
     worker->unresponsive = true;
     // By the time it answers it may be another incarnation, whose ends are
@@ -426,7 +451,8 @@
     worker->incarnation = answer.incarnation;
   }
   if (worker->unresponsive) {
-    state->log->Line("worker_back", {{"worker", worker->entry.id.text()}});
+    state->log->ImportantLine("worker_back",
+                              {{"worker", worker->entry.id.text()}});
   }
   worker->unresponsive = false;
   worker->known_empty = false;
--- a/quetzal/event_log/event_log.cc
+++ b/quetzal/event_log/event_log.cc
@@ -27,21 +27,32 @@
 EventLog::EventLog(std::string process, EventLogLimits limits)
     : process_(std::move(process)), limits_(limits) {}
 
-bool EventLog::IsWithinRate() {
+bool EventLog::IsWithin(int64_t limit, Rate* rate) {
   const int64_t second = g_get_monotonic_time() / kMicrosecondsInSecond;
-  if (second != second_) {
-    second_ = second;
-    lines_in_second_ = 0;
-  }
-  return ++lines_in_second_ <= limits_.lines_per_second;
+  if (second != rate->second) *rate = {.second = second};
+  return ++rate->lines <= limit;
 }
 
 void EventLog::Line(std::string_view event,
                     std::initializer_list<EventField> fields) {
-  if (!IsWithinRate()) {
+  if (IsWithin(limits_.lines_per_second, &rate_)) {
+    WriteLine(event, fields);
+  } else {
     ++dropped_;
-    return;
   }
+}
+
+void EventLog::ImportantLine(std::string_view event,
+                             std::initializer_list<EventField> fields) {
+  if (IsWithin(limits_.important_lines_per_second, &important_rate_)) {
+    WriteLine(event, fields);
+  } else {
+    ++dropped_;
+  }
+}
+
+void EventLog::WriteLine(std::string_view event,
+                         std::initializer_list<EventField> fields) {
   std::string line =
       R"({"ms":)" +
       std::to_string(g_get_real_time() / kMicrosecondsInMillisecond) +
@@ -62,11 +73,11 @@
   Write(line + "}\n");
 }
 
-void EventLog::Write(const std::string& line) {
+void EventLog::Write(const std::string& text) {
   pollfd out{.fd = STDOUT_FILENO, .events = POLLOUT};
   if (poll(&out, 1, 0) != 1 || (out.revents & POLLOUT) == 0 ||
-      write(STDOUT_FILENO, line.data(), line.size()) !=
-          static_cast<ssize_t>(line.size())) {
+      write(STDOUT_FILENO, text.data(), text.size()) !=
+          static_cast<ssize_t>(text.size())) {
     ++dropped_;
   }
 }
--- a/quetzal/leader_election/leader_election.cc
+++ b/quetzal/leader_election/leader_election.cc
@@ -109,7 +109,8 @@
                          leader_revision_ == leader &&
                          clock_() >= no_campaign_before_;
   if (!may_claim || claimed_revision_ == leader) return;
-  log_->Line("seat_claimed", {{"fence", static_cast<int64_t>(leader)}});
+  log_->ImportantLine("seat_claimed",
+                      {{"fence", static_cast<int64_t>(leader)}});
   store_->Apply(
       {.conditions = {{LeaderKey(), leader}},
        .puts = {{.key = ClaimKey(),
@@ -221,7 +222,7 @@
 }
 
 void LeaderElection::AbandonCampaign(const char* why) {
-  log_->Line("seat_not_taken", {{"why", why}});
+  log_->ImportantLine("seat_not_taken", {{"why", why}});
   if (lease_ != kNoLease) {
     store_->RevokeLease(std::exchange(lease_, kNoLease), [](StoreOutcome) {});
   }
@@ -240,9 +241,10 @@
   is_vacant_ = false;
   fence_ = fence;
   term_ = term;
-  log_->Line("seat_taken", {{"fence", static_cast<int64_t>(fence)},
-                            {"term", term},
-                            {"again", is_reacquisition ? "yes" : "no"}});
+  log_->ImportantLine("seat_taken",
+                      {{"fence", static_cast<int64_t>(fence)},
+                       {"term", term},
+                       {"again", is_reacquisition ? "yes" : "no"}});
   if (is_reacquisition) {
     handlers_.on_fence_raised(fence);
     return;
@@ -276,7 +278,7 @@
 
 void LeaderElection::ReacquireLeaderKey() {
   if (std::exchange(is_reacquiring_, true)) return;
-  log_->Line("seat_lapsed", {{"term", term_}});
+  log_->ImportantLine("seat_lapsed", {{"term", term_}});
   const Time sent = clock_();
   store_->GrantLease(
       settings_.lease_ttl,
@@ -317,7 +319,7 @@
 void LeaderElection::StepDown(const std::string& reason) {
   if (role_ != Role::kLeader) return;
   role_ = Role::kStandby;
-  log_->Line("seat_lost", {{"term", term_}, {"why", reason}});
+  log_->ImportantLine("seat_lost", {{"term", term_}, {"why", reason}});
   if (lease_ != kNoLease) {
     store_->RevokeLease(std::exchange(lease_, kNoLease), [](StoreOutcome) {});
   }
@@ -335,7 +337,7 @@
     done();
     return;
   }
-  log_->Line("seat_given_back", {{"term", term_}});
+  log_->ImportantLine("seat_given_back", {{"term", term_}});
   store_->Apply(
       {.conditions = {{LeaderKey(), Revision{static_cast<uint64_t>(fence_)}}},
        .removes = {LeaderKey()}},
--- a/quetzal/worker/worker.h
+++ b/quetzal/worker/worker.h
@@ -107,6 +107,7 @@
   Incarnation incarnation{0};
   std::vector<RunningTask> running;
   std::vector<EndedTask> ended;
+  std::string problem;  // of the connection, for the log; empty if answered
 };
 
 struct StartOrder {
