Failing test: a refused connection gives up runs that go on

The fake workers end their runs when their leases expire, as real ones do, and the fleet records a task that runs on two of them.

--- a/quetzal/cell/cell.cc
+++ b/quetzal/cell/cell.cc
@@ -28,10 +28,10 @@
     return;
   }
   state->recovered = true;
-  state->log->ImportantLine("jobs_recovered",
-                   {{"jobs", static_cast<int64_t>(state->jobs.size())},
-                    {"version", state->catalog->version()},
-                    {"after_ms", (now - state->term_started_at).count()}});
+  state->log->ImportantLine(
+      "jobs_recovered", {{"jobs", static_cast<int64_t>(state->jobs.size())},
+                         {"version", state->catalog->version()},
+                         {"after_ms", (now - state->term_started_at).count()}});
 }
 
 }  // namespace
--- /dev/null
+++ b/quetzal/cell/lease_expiry_test.cc
@@ -0,0 +1,52 @@
+// Tests that a worker's runs aren't given up while it may still execute them.
+#include "quetzal/cell/testing/fake_fleet.h"
+
+namespace quetzal {
+namespace {
+
+using testing::FakeFleet;
+using testing::FakeWorker;
+using testing::Task;
+
+class LeaseExpiryTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(LeaseExpiryTest);
+  CPPUNIT_TEST(ARefusedConnectionDoesntEndRuns);
+  CPPUNIT_TEST(ARefusedConnectionDoesntEndRunsOfAFormerTerm);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Whatever rejects connections on the way says nothing about the worker.
+  void ARefusedConnectionDoesntEndRuns() {
+    FakeFleet fleet(2);
+    fleet.Recover();
+    const AcceptedJob job = FakeFleet::MakeJob("a", {FakeFleet::MakeStep(1)});
+    fleet.cell()->OnJob(job, Revision{1}, std::nullopt, fleet.now());
+    fleet.Run(Milliseconds(50));
+    FakeWorker& cut_off = fleet.WorkerOf(Task("a", 0, 0));
+    cut_off.refuses_connections = true;
+    fleet.Run(Milliseconds(7'000));
+    CPPUNIT_ASSERT(!fleet.ran_twice_);
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, fleet.starts_.size());
+  }
+
+  void ARefusedConnectionDoesntEndRunsOfAFormerTerm() {
+    FakeFleet fleet(3);
+    fleet.Recover();
+    const AcceptedJob job = FakeFleet::MakeJob("a", {FakeFleet::MakeStep(1)});
+    fleet.cell()->OnJob(job, Revision{1}, std::nullopt, fleet.now());
+    fleet.Run(Milliseconds(50));
+    FakeWorker& cut_off = fleet.WorkerOf(Task("a", 0, 0));
+    cut_off.refuses_connections = true;
+    fleet.StartTerm(Fence{9}, 32);
+    fleet.cell()->OnJob(job, Revision{1}, std::nullopt, fleet.now());
+    fleet.Recover();
+    fleet.Run(Milliseconds(10'000));
+    CPPUNIT_ASSERT(!fleet.ran_twice_);
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, fleet.starts_.size());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LeaseExpiryTest);
+
+}  // namespace
+}  // namespace quetzal
--- a/quetzal/cell/testing/fake_fleet.h
+++ b/quetzal/cell/testing/fake_fleet.h
@@ -32,7 +32,18 @@
   int64_t clock_ms = 100'000;
   int64_t next_end_number = 1;
   bool unresponsive = false;
+  bool refuses_connections = false;
   std::optional<int> fixed_percent;
+
+  bool CanBeReached() const { return !unresponsive && !refuses_connections; }
+  // Of an order that doesn't reach the worker.
+  OrderOutcome failure() const {
+    return refuses_connections ? OrderOutcome::kConnectionRefused
+                               : OrderOutcome::kUnknown;
+  }
+
+  // On its clock; its runs end there.
+  int64_t lease_until_ms = 0;
   std::map<TaskId, int64_t> running;
   std::vector<EndedTask> ended;
   int64_t acknowledged_end = 0;
@@ -43,6 +54,17 @@
     ended.push_back({next_end_number++, task, running.at(task), how, ""});
     running.erase(task);
   }
+  void ExtendLease(WorkerTime until) {
+    const int64_t limit = clock_ms + CellSettings{}.max_lease.count();
+    lease_until_ms =
+        std::max(lease_until_ms, std::min(static_cast<int64_t>(until), limit));
+  }
+  void EndExpiredRuns() {
+    if (clock_ms <= lease_until_ms) return;
+    while (!running.empty()) {
+      End(running.begin()->first, TaskOutcome::kLeaseExpired);
+    }
+  }
 };
 
 // Drives a cell in virtual time against fake workers. Advice allows all workers
@@ -123,7 +145,10 @@
     const Time until = now_ + span;
     while (now_ < until) {
       now_ += Milliseconds(10);
-      for (auto& [id, worker] : workers_) worker.clock_ms += 10;
+      for (auto& [id, worker] : workers_) {
+        worker.clock_ms += 10;
+        worker.EndExpiredRuns();
+      }
       cell_->Decide(now_);
       for (const CellAction& action : cell_->TakeActions()) Serve(action);
       if (store_up_) Store();
@@ -161,8 +186,9 @@
   void ServePoll(const PollAction& action) {
     FakeWorker& worker = workers_.at(action.worker.id);
     if (hold_polls_) return;
-    PollAnswer answer;
-    if (!worker.unresponsive) {
+    PollAnswer answer{.outcome = worker.failure()};
+    if (worker.CanBeReached()) {
+      worker.ExtendLease(action.request.lease_until);
       worker.acknowledged_end =
           std::max(worker.acknowledged_end, action.request.acknowledged_end);
       std::erase_if(worker.ended, [&](const EndedTask& ended) {
@@ -188,15 +214,17 @@
   void ServeStart(const StartAction& action) {
     FakeWorker& worker = workers_.at(action.worker.id);
     starts_.push_back(action);
-    OrderAnswer answer;
-    if (start_outcome_ == OrderOutcome::kDone && !worker.unresponsive) {
+    OrderAnswer answer{.outcome = worker.failure()};
+    if (start_outcome_ == OrderOutcome::kDone && worker.CanBeReached()) {
+      worker.ExtendLease(action.order.lease_until);
+      if (IsRunning(action.order.task)) ran_twice_ = true;
       worker.running[action.order.task] = action.order.run;
       const Resources used =
           task_size_ * static_cast<int64_t>(worker.running.size());
       if (!used.FitsIn(worker.entry.capacity)) over_capacity_ = true;
     }
     if (lose_start_answers_) return;
-    if (!worker.unresponsive) {
+    if (worker.CanBeReached()) {
       answer = {start_outcome_, WorkerTime{worker.clock_ms}};
     }
     cell_->OnStartAnswer(action.worker.id, action.order, answer, now_);
@@ -205,8 +233,8 @@
   void ServeStop(const StopAction& action) {
     FakeWorker& worker = workers_.at(action.worker.id);
     ++stops_;
-    OrderAnswer answer;
-    if (!worker.unresponsive) {
+    OrderAnswer answer{.outcome = worker.failure()};
+    if (worker.CanBeReached()) {
       if (worker.running.contains(action.order.task)) {
         worker.End(action.order.task, TaskOutcome::kStopped);
       }
@@ -217,8 +245,8 @@
 
   void ServePace(const PaceAction& action) {
     FakeWorker& worker = workers_.at(action.worker.id);
-    OrderAnswer answer;
-    if (!worker.unresponsive) {
+    OrderAnswer answer{.outcome = worker.failure()};
+    if (worker.CanBeReached()) {
       if (pace_outcome_ == OrderOutcome::kDone) {
         worker.paces[action.order.task] = action.order.percent;
       }
@@ -242,6 +270,11 @@
     for (const auto& [id, worker] : workers_) count += worker.running.size();
     return count;
   }
+  bool IsRunning(const TaskId& task) const {
+    return std::any_of(workers_.begin(), workers_.end(), [&](const auto& each) {
+      return each.second.running.contains(task);
+    });
+  }
   FakeWorker& WorkerOf(const TaskId& task) {
     for (auto& [id, worker] : workers_) {
       if (worker.running.contains(task)) return worker;
@@ -280,6 +313,7 @@
   Resources task_size_{.cpu_milli = 1'000, .memory_mib = 100};
   bool store_up_ = true;
   bool over_capacity_ = false;
+  bool ran_twice_ = false;  // some task, on two workers at the same time
   int stops_ = 0;
   int advice_queries_ = 0;
   int resignations_ = 0;
@@ -287,7 +321,8 @@
  private:
   std::optional<AdviceConfig> advice_;
   Resources limit_;
-  EventLog log_{"test", {.lines_per_second = 0}};
+  EventLog log_{"test",
+                {.lines_per_second = 0, .important_lines_per_second = 0}};
   Metrics metrics_;
   Time now_{Milliseconds(1'000'000)};
   std::unique_ptr<Cell> cell_;
