A refused connection no longer ends a worker's runs

Cause: the placer took a refused poll as proof that the worker's process was gone. It gave up all of the worker's runs at once, counted its capacity as free, and started the tasks elsewhere, while the worker went on behind a partition that refuses or resets connections. After a takeover the same answer made an unreached worker count as empty.

Class of the fault: the absence of an answer is taken as a statement of the worker about its runs. A refused poll is now treated like an unanswered one: runs end when the worker says so, when its next incarnation answers, or when their leases have expired.

--- a/quetzal/cell/internal/workers.cc
+++ b/quetzal/cell/internal/workers.cc
@@ -423,14 +423,9 @@
     }
     return;
   }
-  if (answer.outcome == OrderOutcome::kConnectionRefused) {
-    // Nothing listens there: the worker's process and all its runs are gone.
-    if (worker->reached) EndAllRuns(state, worker, "connection refused", now);
-    ResetIncarnation(state, worker);
-    worker->known_empty = true;
-    return;
-  }
   if (answer.outcome != OrderOutcome::kDone) {
+    // A refused connection is no proof that the worker's process is gone: a
+    // partition may refuse connections while the worker executes its runs.
     if (!worker->unresponsive) {
       state->log->ImportantLine("worker_silent",
                                 {{"worker", worker->entry.id.text()},
--- a/quetzal/http_client/http_client.h
+++ b/quetzal/http_client/http_client.h
@@ -38,7 +38,7 @@
   enum class Kind {
     kAnswered,  // `status` and `body` are valid
     kNotSent,   // no connection in time: the peer can't have acted on it
-    kConnectionRefused,  // nothing listens at the address
+    kConnectionRefused,  // at the address, or on the way to it
     kNoAnswer,           // sent at least in part; the peer may have acted on it
   };
   Kind kind = Kind::kNoAnswer;
--- a/quetzal/worker/worker.h
+++ b/quetzal/worker/worker.h
@@ -97,7 +97,7 @@
   kInvalidTicket,      // missing or expired
   kOtherIncarnation,   // another instance answers at the address
   kNotExecuted,        // certainly without effect, for another reason
-  kConnectionRefused,  // nothing listens there
+  kConnectionRefused,  // not executed; doesn't tell whether the worker runs
   kUnknown,            // no answer: it may have been executed, or may be yet
 };
 
