A takeover waits for leases of workers that left the list

A new placer that couldn't reach a worker of the roster that the list lacks counted it as empty two heartbeat intervals before a lease can end, assuming that no placer had extended its leases since its last heartbeat. But a placer extends leases of a worker for 2.5 s after it has left the list, and for longer if it learns of that late or, cut off from the store, not at all.

Such a worker now counts as empty when every lease that a former placer may have extended has expired, as a listed worker that doesn't answer does. A worker that really is gone delays tasks of before by up to 9 s instead of 3.5 s; the roster drops workers whose leases have expired, so this concerns only those that were lost within the last seconds before a takeover. The heartbeat interval decides nothing any more; the setting worker_beat_ms is accepted and has no effect.

Evidence: LeasesExtendedAfterAWorkerLeftTheListAreWaitedFor fails before: the task runs on two workers. AWorkerMissingForLongIsConsideredGone demanded the second start 4.5 s after the takeover, while the first run's lease went on for 6 s: it now demands that the task never runs twice, that it starts again, and that the roster drops the worker, as before.

--- a/programs/cell_settings/cell_settings.cc
+++ b/programs/cell_settings/cell_settings.cc
@@ -76,8 +76,8 @@
   settings.configuration_apply_bound = Milliseconds(reader.Integer(
       "configuration_apply_ms", {.min = 1'000, .default_value = 3'000}));
   settings.cell.max_lease = ReadMilliseconds(&reader, "most_lease_ms");
-  settings.cell.worker_heartbeat_interval =
-      ReadMilliseconds(&reader, "worker_beat_ms");
+  // Settings of earlier versions may hold it; it has no effect.
+  reader.Integer("worker_beat_ms", {.min = 1, .default_value = 1'500});
   settings.cell.finished_job_retention =
       ReadSeconds(&reader, "keep_finished_s");
   settings.log_lines_per_second =
--- a/quetzal/cell/cell.h
+++ b/quetzal/cell/cell.h
@@ -48,8 +48,6 @@
 struct CellSettings {
   // Longest lease that a worker grants; the platform's limit.
   Milliseconds max_lease{6'000};
-  // Interval at which workers renew their entries in the platform's list.
-  Milliseconds worker_heartbeat_interval{1'500};
   // How long a poll waits at the worker for a run to end. Shorter waits detect
   // a lost connection sooner.
   Milliseconds poll_wait{1'000};
--- a/quetzal/cell/internal/accounting.cc
+++ b/quetzal/cell/internal/accounting.cc
@@ -5,28 +5,6 @@
 #include "quetzal/cell/internal/workers.h"
 
 namespace quetzal::cell {
-namespace {
-
-// The platform removes a worker from its list after three missed heartbeats, so
-// at least two intervals have passed since the last one arrived. It is
-// assumed that no placer has extended the worker's leases since then.
-constexpr int kMinMissedHeartbeats = 2;
-// Entries that expired during an outage of the store are back this soon after
-// its return, if their workers are alive (the platform's specification).
-constexpr Milliseconds kMaxEntryReturnTime{2'000};
-
-// True if the worker has been missing from the list for so long that it is
-// gone, or at least all its leases have expired.
-bool IsConsideredGone(const State& state, const Worker& worker, Time now) {
-  if (worker.listed || !state.workers_listed) return false;
-  const Time since = std::max(worker.unlisted_since, state.workers_listed_at);
-  const Milliseconds expiry =
-      MaxLeaseLifetime(state) -
-      state.settings.worker_heartbeat_interval * kMinMissedHeartbeats;
-  return now - since > std::max(expiry, kMaxEntryReturnTime);
-}
-
-}  // namespace
 
 void LoadRoster(State* state, const RosterEntries& entries, Time now) {
   state->roster.Load(entries);
@@ -82,6 +60,11 @@
 
 void ExpireLeases(State* state, Time now) {
   const Milliseconds lease = MaxLeaseLifetime(*state);
+  // A former placer may have extended leases until the last answers of a
+  // majority no longer confirmed it; also those of workers that have left the
+  // list, as it may have learned of that late or not at all.
+  const bool expired = state->had_majority && now - state->majority_since >
+                                                  lease + kConfirmationLifetime;
   bool all_accounted = state->recovered && state->workers_listed;
   for (auto& [id, worker] : state->workers) {
     if (worker.reached || worker.known_empty) {
@@ -90,7 +73,7 @@
       }
       continue;
     }
-    if (IsConsideredGone(*state, worker, now)) {
+    if (expired && !worker.listed && state->workers_listed) {
       worker.known_empty = true;
       state->log->ImportantLine(
           "worker_gone", {{"worker", id.text()}, {"why", "left the list"}});
@@ -98,10 +81,6 @@
       all_accounted = false;
     }
   }
-  // A former placer may have extended leases until the last answers of a
-  // majority no longer confirmed it.
-  const bool expired = state->had_majority && now - state->majority_since >
-                                                  lease + kConfirmationLifetime;
   if (state->all_workers_accounted || (!all_accounted && !expired)) return;
   if (!state->recovered) return;
   state->all_workers_accounted = true;
--- a/quetzal/cell/lease_expiry_test.cc
+++ b/quetzal/cell/lease_expiry_test.cc
@@ -12,6 +12,8 @@
   CPPUNIT_TEST_SUITE(LeaseExpiryTest);
   CPPUNIT_TEST(ARefusedConnectionDoesntEndRuns);
   CPPUNIT_TEST(ARefusedConnectionDoesntEndRunsOfAFormerTerm);
+  CPPUNIT_TEST(LeasesExtendedAfterAWorkerLeftTheListAreWaitedFor);
+  CPPUNIT_TEST(AWorkerMissingForLongIsConsideredGone);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -44,6 +46,48 @@
     CPPUNIT_ASSERT(!fleet.ran_twice_);
     CPPUNIT_ASSERT_EQUAL(size_t{2}, fleet.starts_.size());
   }
+
+  // Its heartbeats don't reach the store, but the polls of the former placer
+  // reached it until the takeover.
+  void LeasesExtendedAfterAWorkerLeftTheListAreWaitedFor() {
+    FakeFleet fleet(3);
+    fleet.Recover();
+    const AcceptedJob job = FakeFleet::MakeJob("a", {FakeFleet::MakeStep(1)});
+    fleet.cell()->OnJob(job, Revision{1}, std::nullopt, fleet.now());
+    fleet.Run(Milliseconds(100));
+    FakeWorker& cut_off = fleet.WorkerOf(Task("a", 0, 0));
+    fleet.unlisted_ = {cut_off.entry.id};
+    fleet.cell()->OnWorkerEntryRemoved(cut_off.entry.id, fleet.now());
+    fleet.Run(Milliseconds(2'000));
+    cut_off.unresponsive = true;
+    fleet.StartTerm(Fence{9}, 32);
+    fleet.cell()->OnJob(job, Revision{1}, std::nullopt, fleet.now());
+    fleet.Recover();
+    fleet.Run(Milliseconds(10'000));
+    CPPUNIT_ASSERT(!fleet.ran_twice_);
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, fleet.starts_.size());
+  }
+
+  void AWorkerMissingForLongIsConsideredGone() {
+    FakeFleet fleet(2);
+    fleet.Recover();
+    const AcceptedJob job = FakeFleet::MakeJob("a", {FakeFleet::MakeStep(1)});
+    fleet.cell()->OnJob(job, Revision{1}, std::nullopt, fleet.now());
+    fleet.Run(Milliseconds(100));
+    FakeWorker& lost = fleet.WorkerOf(Task("a", 0, 0));
+    lost.unresponsive = true;
+    fleet.unlisted_ = {lost.entry.id};
+    fleet.StartTerm(Fence{9}, 32);
+    fleet.cell()->OnJob(job, Revision{1}, std::nullopt, fleet.now());
+    fleet.Recover();
+    fleet.Run(Milliseconds(5'800));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, fleet.starts_.size());
+    fleet.Run(Milliseconds(4'000));
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, fleet.starts_.size());
+    CPPUNIT_ASSERT(!fleet.ran_twice_);
+    // The next term must not wait for it.
+    CPPUNIT_ASSERT(!fleet.roster_.contains(lost.entry.id));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LeaseExpiryTest);
--- a/quetzal/cell/takeover_test.cc
+++ b/quetzal/cell/takeover_test.cc
@@ -14,7 +14,6 @@
   CPPUNIT_TEST(ANewPlacerAdoptsRunningTasks);
   CPPUNIT_TEST(ANewPlacerWaitsForAnUnreachableWorker);
   CPPUNIT_TEST(ANewPlacerPollsAWorkerMissingFromTheList);
-  CPPUNIT_TEST(AWorkerMissingForLongIsConsideredGone);
   CPPUNIT_TEST(AWorkerOutsideTheStoredRosterGetsNoTasks);
   CPPUNIT_TEST(ANewPlacerAppliesNoEndsBeforeTheConfigurationIsLoaded);
   CPPUNIT_TEST(ARunOfAnUnknownJobIsNeitherStoppedNorStartedAgain);
@@ -81,28 +80,6 @@
     CPPUNIT_ASSERT(fleet.StoredState("a") == JobState::kCompleted);
   }
 
-  // The worker can't be reached either, so its tasks start again only after its
-  // leases have expired.
-  void AWorkerMissingForLongIsConsideredGone() {
-    FakeFleet fleet(2);
-    fleet.Recover();
-    const AcceptedJob job = FakeFleet::MakeJob("a", {FakeFleet::MakeStep(1)});
-    fleet.cell()->OnJob(job, Revision{1}, std::nullopt, fleet.now());
-    fleet.Run(Milliseconds(100));
-    FakeWorker& lost = fleet.WorkerOf(Task("a", 0, 0));
-    lost.unresponsive = true;
-    fleet.unlisted_ = {lost.entry.id};
-    fleet.StartTerm(Fence{9}, 32);
-    fleet.cell()->OnJob(job, Revision{1}, std::nullopt, fleet.now());
-    fleet.Recover();
-    fleet.Run(Milliseconds(3'000));
-    CPPUNIT_ASSERT_EQUAL(size_t{1}, fleet.starts_.size());
-    fleet.Run(Milliseconds(1'500));
-    CPPUNIT_ASSERT_EQUAL(size_t{2}, fleet.starts_.size());
-    // The next term must not wait for it.
-    CPPUNIT_ASSERT(!fleet.roster_.contains(lost.entry.id));
-  }
-
   void AWorkerOutsideTheStoredRosterGetsNoTasks() {
     FakeFleet fleet(2);
     fleet.roster_writes_succeed_ = false;
--- a/tests/support/cell_cluster.cc
+++ b/tests/support/cell_cluster.cc
@@ -119,7 +119,6 @@
                        {"processor_share", "1"},
                        {"grace_s", "6"},
                        {"most_lease_ms", 3'000},
-                       {"worker_beat_ms", 500},
                        {"keep_finished_s", "120"}});
   processes_["entry-" + number] = {
       BuildFolder() + "/programs/job_entry/quetzal-job-entry", file};
