A list entry of a former incarnation no longer ends a worker's runs

If the list named another incarnation than the worker's answers, the placer gave up the worker's runs at once. But a write of a former incarnation may reach the store late, after the present one has answered polls and taken work; incarnations aren't ordered, as clocks jump.

Class of the fault: a copy of what a worker said earlier overrides what it says now. Only answers of the worker itself now end the runs of an incarnation; an entry has the worker polled at once. While the entry is another incarnation's, the worker gets no new tasks, as capacity and labels may differ.

Evidence: ALateEntryOfAFormerIncarnationEndsNoRuns and AnEntryOfAFormerIncarnationAttractsNoTasks fail before: a task runs on two workers, and a task starts by a former entry.

--- a/quetzal/cell/internal/workers.cc
+++ b/quetzal/cell/internal/workers.cc
@@ -313,11 +313,19 @@
          now - worker.no_start_answer_since >= kSlowStartAnswer;
 }
 
+// False if the entry is known to be another incarnation's, which may have had
+// other labels and another capacity.
+bool IsEntryCurrent(const Worker& worker) {
+  return worker.entry.incarnation == Incarnation{0} ||
+         worker.incarnation == Incarnation{0} ||
+         worker.entry.incarnation == worker.incarnation;
+}
+
 bool CanTakeWork(const Worker& worker, Time now) {
   return worker.listed && worker.reached && worker.in_roster &&
-         !worker.unresponsive && !worker.entry.draining &&
-         worker.orphan_runs == 0 && worker.avoided_until <= now &&
-         !MayBeGone(worker, now) &&
+         IsEntryCurrent(worker) && !worker.unresponsive &&
+         !worker.entry.draining && worker.orphan_runs == 0 &&
+         worker.avoided_until <= now && !MayBeGone(worker, now) &&
          now - worker.confirmed_at < kConfirmationLifetime;
 }
 
@@ -391,13 +399,9 @@
                      {{"worker", entry.id.text()},
                       {"least_left_ms", entry.min_time_left.count()}});
   }
-  if (entry.incarnation != Incarnation{0} &&
-      worker.incarnation != Incarnation{0} &&
-      entry.incarnation != worker.incarnation) {
-    EndAllRuns(state, &worker, "started again", now);
-    ResetIncarnation(state, &worker);
-    worker.incarnation = entry.incarnation;
-  }
+  // Only the worker's own answers tell which incarnation runs: the entry may be
+  // an earlier one's, whose write the store carried out late.
+  if (!worker.poll_in_flight) worker.next_poll_at = now;
   state->roster_changed = true;
   worker.entry = entry;
   worker.in_roster = state->roster.Contains(entry.id, entry.address);
--- a/quetzal/cell/lease_expiry_test.cc
+++ b/quetzal/cell/lease_expiry_test.cc
@@ -14,6 +14,8 @@
   CPPUNIT_TEST(ARefusedConnectionDoesntEndRunsOfAFormerTerm);
   CPPUNIT_TEST(LeasesExtendedAfterAWorkerLeftTheListAreWaitedFor);
   CPPUNIT_TEST(AWorkerMissingForLongIsConsideredGone);
+  CPPUNIT_TEST(ALateEntryOfAFormerIncarnationEndsNoRuns);
+  CPPUNIT_TEST(AnEntryOfAFormerIncarnationAttractsNoTasks);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -88,6 +90,40 @@
     // The next term must not wait for it.
     CPPUNIT_ASSERT(!fleet.roster_.contains(lost.entry.id));
   }
+
+  void ALateEntryOfAFormerIncarnationEndsNoRuns() {
+    FakeFleet fleet(2);
+    fleet.Recover();
+    for (auto& [id, worker] : fleet.workers_) {
+      worker.entry.incarnation = Incarnation{2};
+      fleet.cell()->OnWorkerEntry(worker.entry, fleet.now());
+    }
+    fleet.Run(Milliseconds(50));
+    const AcceptedJob job = FakeFleet::MakeJob("a", {FakeFleet::MakeStep(4)});
+    fleet.cell()->OnJob(job, Revision{1}, std::nullopt, fleet.now());
+    fleet.Run(Milliseconds(50));
+    WorkerEntry former = fleet.WorkerOf(Task("a", 0, 0)).entry;
+    former.incarnation = Incarnation{1};
+    fleet.cell()->OnWorkerEntry(former, fleet.now());
+    fleet.Run(Milliseconds(3'000));
+    CPPUNIT_ASSERT(!fleet.ran_twice_);
+    CPPUNIT_ASSERT_EQUAL(size_t{4}, fleet.starts_.size());
+  }
+
+  void AnEntryOfAFormerIncarnationAttractsNoTasks() {
+    FakeFleet fleet(1);
+    FakeWorker& restarted = fleet.workers_.at(WorkerId("w-0"));
+    fleet.Recover();
+    restarted.entry.incarnation = Incarnation{2};
+    fleet.Run(Milliseconds(50));
+    fleet.cell()->OnJob(FakeFleet::MakeJob("a", {FakeFleet::MakeStep(1)}),
+                        Revision{1}, std::nullopt, fleet.now());
+    fleet.Run(Milliseconds(500));
+    CPPUNIT_ASSERT(fleet.starts_.empty());
+    fleet.cell()->OnWorkerEntry(restarted.entry, fleet.now());
+    fleet.Run(Milliseconds(500));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, fleet.starts_.size());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LeaseExpiryTest);
