A start that a restarted worker may yet execute is stopped first

When a worker answered as another incarnation, all of its runs were given up, also those whose start hadn't been answered. Such an order may still be on its way, names the worker by its id only, and is executed by the new incarnation, which knows nothing of earlier stops.

Runs whose start was confirmed end with their incarnation, as before. A start without an answer is now stopped at the new incarnation before its task starts elsewhere, as at a worker that wasn't restarted. Stops carry, inside the placer, the incarnation that they were meant for, as clocks of two incarnations can't be compared. An answer that lacks the incarnation counts as no answer: it looked like a restart before.

Evidence: AStartThatTheNextIncarnationMayExecuteIsStoppedFirst fails before: the task runs on two workers. It remains for starts without an answer whose worker can't be reached until their leases have expired and that is started again meanwhile: nothing bounds how late an order arrives there.

--- a/quetzal/cell/internal/orders.cc
+++ b/quetzal/cell/internal/orders.cc
@@ -14,9 +14,11 @@
 void SendStop(State* state, Worker* worker, Run* run, Time now) {
   run->stop_in_flight = true;
   run->next_stop_at = now + kStopRetry;
-  state->actions.emplace_back(StopAction{
-      worker->entry,
-      {.task = run->task, .run = run->number, .fence = state->fence}});
+  state->actions.emplace_back(StopAction{worker->entry,
+                                         {.task = run->task,
+                                          .run = run->number,
+                                          .fence = state->fence,
+                                          .incarnation = worker->incarnation}});
 }
 
 void RequeueTask(State* state, Worker* worker, const StartOrder& order,
@@ -160,7 +162,8 @@
     return;
   }
   Run* const run = FindRun(worker, order.task, order.run);
-  if (run == nullptr) return;
+  // The clock of a former incarnation can't be compared with the present one's.
+  if (run == nullptr || order.incarnation != worker->incarnation) return;
   run->stop_in_flight = false;
   run->next_stop_at = now + kStopRetry;
   if (answer.outcome == OrderOutcome::kDone ||
--- a/quetzal/cell/internal/workers.cc
+++ b/quetzal/cell/internal/workers.cc
@@ -65,6 +65,18 @@
                   MaxLeaseLifetime(state) - (now - worker.lease_extended_at));
 }
 
+void LogLostRuns(State* state, const Worker& worker, const char* why,
+                 Time now) {
+  if (worker.runs.empty()) return;
+  // With time left on its leases, the worker may still execute the runs.
+  state->log->ImportantLine(
+      "worker_runs_lost",
+      {{"worker", worker.entry.id.text()},
+       {"why", why},
+       {"runs", static_cast<int64_t>(worker.runs.size())},
+       {"lease_left_ms", LeaseLeft(*state, worker, now).count()}});
+}
+
 void DropUnacknowledged(State* state, Worker* worker) {
   for (const UnacknowledgedEnd& end : worker->unacked) {
     if (end.orphan_end) --state->orphans;
@@ -80,6 +92,25 @@
   worker->reached = false;
 }
 
+// Ends the runs of a worker that was started again. A start that got no answer
+// may yet be executed by the new incarnation, so its run is stopped there
+// first.
+void EndFormerIncarnation(State* state, Worker* worker, Time now) {
+  LogLostRuns(state, *worker, "started again", now);
+  for (const auto& [task_id, number] : RunNumbersByTask(*worker)) {
+    Run& run = worker->runs.at(task_id);
+    if (run.start_worker_time != WorkerTime{0}) {
+      EndRun(state, worker, task_id, number, TaskOutcome::kLeaseExpired, "",
+             now);
+      continue;
+    }
+    run.stop_in_flight = false;
+    run.stop_worker_time.reset();
+    ScheduleStop(worker, &run, now);
+  }
+  ResetIncarnation(state, worker);
+}
+
 // Long-running tasks that served may end at any time, also on healthy workers.
 bool HasServed(const Worker& worker, const EndedTask& ended) {
   const auto found = worker.runs.find(ended.task);
@@ -332,15 +363,7 @@
 }  // namespace
 
 void EndAllRuns(State* state, Worker* worker, const char* why, Time now) {
-  if (!worker->runs.empty()) {
-    // With time left on its leases, the worker may still execute the runs.
-    state->log->ImportantLine(
-        "worker_runs_lost",
-        {{"worker", worker->entry.id.text()},
-         {"why", why},
-         {"runs", static_cast<int64_t>(worker->runs.size())},
-         {"lease_left_ms", LeaseLeft(*state, *worker, now).count()}});
-  }
+  LogLostRuns(state, *worker, why, now);
   for (const auto& [task_id, number] : RunNumbersByTask(*worker)) {
     EndRun(state, worker, task_id, number, TaskOutcome::kLeaseExpired, "", now);
   }
@@ -427,14 +450,18 @@
     }
     return;
   }
-  if (answer.outcome != OrderOutcome::kDone) {
+  // Without its incarnation, the lists can't be told from another one's.
+  const bool is_anonymous = answer.incarnation == Incarnation{0} &&
+                            worker->incarnation != Incarnation{0};
+  if (answer.outcome != OrderOutcome::kDone || is_anonymous) {
     // A refused connection is no proof that the worker's process is gone: a
     // partition may refuse connections while the worker executes its runs.
     if (!worker->unresponsive) {
-      state->log->ImportantLine("worker_silent",
-                                {{"worker", worker->entry.id.text()},
-                                 {"how", NameOf(answer.outcome)},
-                                 {"problem", answer.problem}});
+      state->log->ImportantLine(
+          "worker_silent",
+          {{"worker", worker->entry.id.text()},
+           {"how", is_anonymous ? "no_incarnation" : NameOf(answer.outcome)},
+           {"problem", answer.problem}});
     }
     worker->unresponsive = true;
     // By the time it answers it may be another incarnation, whose ends are
@@ -444,8 +471,7 @@
   }
   if (answer.incarnation != worker->incarnation) {
     if (worker->incarnation != Incarnation{0}) {
-      EndAllRuns(state, worker, "started again", now);
-      ResetIncarnation(state, worker);
+      EndFormerIncarnation(state, worker, now);
     }
     worker->incarnation = answer.incarnation;
   }
--- a/quetzal/cell/lease_expiry_test.cc
+++ b/quetzal/cell/lease_expiry_test.cc
@@ -16,6 +16,7 @@
   CPPUNIT_TEST(AWorkerMissingForLongIsConsideredGone);
   CPPUNIT_TEST(ALateEntryOfAFormerIncarnationEndsNoRuns);
   CPPUNIT_TEST(AnEntryOfAFormerIncarnationAttractsNoTasks);
+  CPPUNIT_TEST(AStartThatTheNextIncarnationMayExecuteIsStoppedFirst);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -124,6 +125,26 @@
     fleet.Run(Milliseconds(500));
     CPPUNIT_ASSERT_EQUAL(size_t{1}, fleet.starts_.size());
   }
+
+  void AStartThatTheNextIncarnationMayExecuteIsStoppedFirst() {
+    FakeFleet fleet(2);
+    fleet.Recover();
+    fleet.hold_starts_ = true;
+    const AcceptedJob job = FakeFleet::MakeJob("a", {FakeFleet::MakeStep(1)});
+    fleet.cell()->OnJob(job, Revision{1}, std::nullopt, fleet.now());
+    fleet.Run(Milliseconds(50));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, fleet.held_starts_.size());
+    fleet.hold_starts_ = false;
+    FakeWorker& restarted = fleet.workers_.at(fleet.held_starts_[0].worker.id);
+    restarted.Restart();
+    fleet.cell()->OnWorkerEntry(restarted.entry, fleet.now());
+    fleet.Run(Milliseconds(100));
+    fleet.DeliverHeldStarts();
+    fleet.Run(Milliseconds(500));
+    CPPUNIT_ASSERT(!fleet.ran_twice_);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, fleet.running());
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, fleet.starts_.size());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LeaseExpiryTest);
--- a/quetzal/cell/testing/fake_fleet.h
+++ b/quetzal/cell/testing/fake_fleet.h
@@ -46,14 +46,28 @@
   int64_t lease_until_ms = 0;
   std::map<TaskId, int64_t> running;
   std::vector<EndedTask> ended;
+  std::map<TaskId, int64_t> ended_runs;  // highest that ended or was stopped
   int64_t acknowledged_end = 0;
   std::map<TaskId, int> paces;                    // as ordered
   std::map<TaskId, Milliseconds> response_tails;  // of serving tasks
 
   void End(const TaskId& task, TaskOutcome how) {
     ended.push_back({next_end_number++, task, running.at(task), how, ""});
+    ended_runs[task] = running.at(task);
     running.erase(task);
   }
+  // Starts again under its id: it then holds and knows nothing of before.
+  void Restart() {
+    entry.incarnation =
+        Incarnation{static_cast<int64_t>(entry.incarnation) + 1};
+    clock_ms = 1;
+    next_end_number = 1;
+    lease_until_ms = 0;
+    running.clear();
+    ended.clear();
+    ended_runs.clear();
+    acknowledged_end = 0;
+  }
   void ExtendLease(WorkerTime until) {
     const int64_t limit = clock_ms + CellSettings{}.max_lease.count();
     lease_until_ms =
@@ -212,24 +226,41 @@
   }
 
   void ServeStart(const StartAction& action) {
-    FakeWorker& worker = workers_.at(action.worker.id);
     starts_.push_back(action);
-    OrderAnswer answer{.outcome = worker.failure()};
-    if (start_outcome_ == OrderOutcome::kDone && worker.CanBeReached()) {
-      worker.ExtendLease(action.order.lease_until);
-      if (IsRunning(action.order.task)) ran_twice_ = true;
-      worker.running[action.order.task] = action.order.run;
-      const Resources used =
-          task_size_ * static_cast<int64_t>(worker.running.size());
-      if (!used.FitsIn(worker.entry.capacity)) over_capacity_ = true;
+    if (hold_starts_) {
+      held_starts_.push_back(action);
+      return;
     }
+    const OrderAnswer answer = ExecuteStart(action);
     if (lose_start_answers_) return;
-    if (worker.CanBeReached()) {
-      answer = {start_outcome_, WorkerTime{worker.clock_ms}};
-    }
     cell_->OnStartAnswer(action.worker.id, action.order, answer, now_);
   }
 
+  // Starts that were held reach their workers. Their answers are lost.
+  void DeliverHeldStarts() {
+    for (const StartAction& action : held_starts_) ExecuteStart(action);
+    held_starts_.clear();
+  }
+
+  OrderAnswer ExecuteStart(const StartAction& action) {
+    FakeWorker& worker = workers_.at(action.worker.id);
+    if (!worker.CanBeReached()) return {.outcome = worker.failure()};
+    const WorkerTime clock{worker.clock_ms};
+    const TaskId& task = action.order.task;
+    if (start_outcome_ != OrderOutcome::kDone) return {start_outcome_, clock};
+    const auto ended = worker.ended_runs.find(task);
+    if (ended != worker.ended_runs.end() && ended->second >= action.order.run) {
+      return {OrderOutcome::kStaleRun, clock};
+    }
+    worker.ExtendLease(action.order.lease_until);
+    if (IsRunning(task)) ran_twice_ = true;
+    worker.running[task] = action.order.run;
+    const Resources used =
+        task_size_ * static_cast<int64_t>(worker.running.size());
+    if (!used.FitsIn(worker.entry.capacity)) over_capacity_ = true;
+    return {OrderOutcome::kDone, clock};
+  }
+
   void ServeStop(const StopAction& action) {
     FakeWorker& worker = workers_.at(action.worker.id);
     ++stops_;
@@ -238,6 +269,8 @@
       if (worker.running.contains(action.order.task)) {
         worker.End(action.order.task, TaskOutcome::kStopped);
       }
+      int64_t& ended_run = worker.ended_runs[action.order.task];
+      ended_run = std::max(ended_run, action.order.run);
       answer = {OrderOutcome::kDone, WorkerTime{worker.clock_ms}};
     }
     cell_->OnStopAnswer(action.worker.id, action.order, answer, now_);
@@ -310,6 +343,8 @@
   bool hold_polls_ = false;  // polls get no answer, nor a timeout
   // Starts are carried out, and the test reports their outcomes to the cell.
   bool lose_start_answers_ = false;
+  bool hold_starts_ = false;  // starts don't reach their workers yet
+  std::vector<StartAction> held_starts_;
   Resources task_size_{.cpu_milli = 1'000, .memory_mib = 100};
   bool store_up_ = true;
   bool over_capacity_ = false;
--- a/quetzal/worker/worker.h
+++ b/quetzal/worker/worker.h
@@ -124,6 +124,8 @@
   TaskId task;
   int64_t run = 0;
   Fence fence{0};
+  // Of the worker when the order was sent. Not transmitted.
+  Incarnation incarnation{0};
 };
 
 // Lets a task work at a share of its full speed. Its memory stays in use.
