A start that failed in one copy may have been executed in another

An order may arrive more than once: the HTTP client, or the network, repeats it. A start that was answered with 'stale run' was taken for not executed, though the run itself may have been executed and have ended there; and a start whose last copy failed ended its run even if the worker had listed it as running.

A stale run is now stopped and looked up in the worker's lists, like a start without an answer, so that its end counts. A failed order no longer ends a run that the worker has listed.

Evidence: AStaleRunMayHaveRunAlready and AFailedCopyOfAStartDoesntEndItsRun fail before: the task starts a second time.

--- a/quetzal/cell/internal/orders.cc
+++ b/quetzal/cell/internal/orders.cc
@@ -119,6 +119,8 @@
         Resign(state, "a worker has a higher fence");
       }
       return;
+    // The run itself may have ended there, after an earlier copy of the order.
+    case OrderOutcome::kStaleRun:
     case OrderOutcome::kUnknown:
       if (present && worker->clock_received_at < found->second.ordered_at) {
         worker->avoided_until = now + kAvoidAfterRefusal;
@@ -131,7 +133,6 @@
         if (job != nullptr) BreakGang(state, job, order.task.step, now);
       }
       return;
-    case OrderOutcome::kStaleRun:
     case OrderOutcome::kInvalidTicket:
     case OrderOutcome::kLeaseExpired:
       break;
@@ -143,6 +144,8 @@
       break;
   }
   if (!present) return;
+  // The worker has listed the run: another copy of the order was executed.
+  if (found->second.start_worker_time != WorkerTime{0}) return;
   Job* const job = found->second.job;
   if (job != nullptr) {
     Step& step = job->steps[static_cast<size_t>(order.task.step)];
--- a/quetzal/cell/lease_expiry_test.cc
+++ b/quetzal/cell/lease_expiry_test.cc
@@ -17,6 +17,8 @@
   CPPUNIT_TEST(ALateEntryOfAFormerIncarnationEndsNoRuns);
   CPPUNIT_TEST(AnEntryOfAFormerIncarnationAttractsNoTasks);
   CPPUNIT_TEST(AStartThatTheNextIncarnationMayExecuteIsStoppedFirst);
+  CPPUNIT_TEST(AStaleRunMayHaveRunAlready);
+  CPPUNIT_TEST(AFailedCopyOfAStartDoesntEndItsRun);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -145,6 +147,42 @@
     CPPUNIT_ASSERT_EQUAL(size_t{1}, fleet.running());
     CPPUNIT_ASSERT_EQUAL(size_t{2}, fleet.starts_.size());
   }
+
+  // A copy of the start was executed, and the run has ended since.
+  void AStaleRunMayHaveRunAlready() {
+    FakeFleet fleet(2);
+    fleet.Recover();
+    fleet.lose_start_answers_ = true;
+    fleet.cell()->OnJob(FakeFleet::MakeJob("a", {FakeFleet::MakeStep(1)}),
+                        Revision{1}, std::nullopt, fleet.now());
+    fleet.Run(Milliseconds(20));
+    fleet.hold_polls_ = true;
+    fleet.Run(Milliseconds(20));
+    const StartAction start = fleet.starts_.at(0);
+    FakeWorker& worker = fleet.WorkerOf(start.order.task);
+    worker.End(start.order.task, TaskOutcome::kDone);
+    fleet.cell()->OnStartAnswer(
+        worker.entry.id, start.order,
+        {OrderOutcome::kStaleRun, WorkerTime{worker.clock_ms}}, fleet.now());
+    fleet.Run(Milliseconds(500));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, fleet.starts_.size());
+  }
+
+  void AFailedCopyOfAStartDoesntEndItsRun() {
+    FakeFleet fleet(2);
+    fleet.Recover();
+    fleet.lose_start_answers_ = true;
+    fleet.cell()->OnJob(FakeFleet::MakeJob("a", {FakeFleet::MakeStep(1)}),
+                        Revision{1}, std::nullopt, fleet.now());
+    fleet.Run(Milliseconds(100));
+    const StartAction start = fleet.starts_.at(0);
+    fleet.cell()->OnStartAnswer(start.worker.id, start.order,
+                                {OrderOutcome::kConnectionRefused, {}},
+                                fleet.now());
+    fleet.Run(Milliseconds(3'000));
+    CPPUNIT_ASSERT(!fleet.ran_twice_);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, fleet.starts_.size());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LeaseExpiryTest);
