A former placer no longer starts jobs that its successor knows

A placer whose lease of the leader key has ended goes on while most workers obey it, so that work continues without the store. If its watch still delivers, it learned of jobs accepted meanwhile and started them; a successor starts jobs accepted in its own term at once. Workers that the successor's fence hasn't reached execute both.

A job that arrives while the store may have given the leadership to another placer now waits until the lease is known to hold. Jobs from before go on: a successor starts those only after all workers are accounted for.

Evidence: AFormerPlacerDoesntStartJobsOfItsSuccessor fails without the check.

--- a/programs/cell_placer/main.cc
+++ b/programs/cell_placer/main.cc
@@ -123,6 +123,8 @@
         .metrics = &metrics_,
         .may_send_orders =
             [this](const Cell& cell) { return MaySendOrders(cell); },
+        .leadership_is_certain =
+            [this] { return election_->HasValidLease(Now()); },
         .on_leadership_lost =
             [this](const std::string& reason) { election_->StepDown(reason); }};
     advice_.Start();
--- a/programs/cell_placer/term.cc
+++ b/programs/cell_placer/term.cc
@@ -270,6 +270,7 @@
           {{"job", id.text()}, {"problems", Describe(decoded.error())}});
     }
   }
+  cell_.OnLeadership(dependencies_.leadership_is_certain());
   cell_.OnJob(job.value(), item.created, progress, AcceptanceTime(job.value()));
 }
 
@@ -291,6 +292,7 @@
   Defer(kDecisionDelay, [this] {
     decision_pending_ = false;
     if (!dependencies_.may_send_orders(cell_)) return;
+    cell_.OnLeadership(dependencies_.leadership_is_certain());
     cell_.Decide(Now());
     for (const CellAction& action : cell_.TakeActions()) {
       Execute(action);
--- a/programs/cell_placer/term.h
+++ b/programs/cell_placer/term.h
@@ -35,6 +35,8 @@
   Metrics* metrics = nullptr;
   // False while another placer may be the leader: no orders are sent then.
   std::function<bool(const Cell& cell)> may_send_orders;
+  // True while the store can't have elected another placer.
+  std::function<bool()> leadership_is_certain;
   // The store or a worker showed that another placer is the leader.
   std::function<void(const std::string& reason)> on_leadership_lost;
 };
--- a/quetzal/cell/cell.cc
+++ b/quetzal/cell/cell.cc
@@ -117,6 +117,10 @@
   MarkRecoveredIfReady(&parts_->state, now);
 }
 
+void Cell::OnLeadership(bool is_certain) {
+  parts_->state.leadership_is_certain = is_certain;
+}
+
 void Cell::OnFenceRaised(Fence fence) { parts_->state.fence = fence; }
 
 void Cell::OnPollAnswer(const WorkerId& id, const PollRequest& request,
--- a/quetzal/cell/cell.h
+++ b/quetzal/cell/cell.h
@@ -24,6 +24,7 @@
 //  - Ends of runs are acknowledged to workers only after they are stored.
 //  - Tasks of jobs that a former placer may have started wait until every
 //    worker was reached or its leases have expired.
+//  - Jobs that arrive while another placer may lead aren't started meanwhile.
 #ifndef QUETZAL_CELL_CELL_H_
 #define QUETZAL_CELL_CELL_H_
 
@@ -110,6 +111,11 @@
   // list contained at the start of the term.
   void OnWorkersListed(Time now);
 
+  // Whether the store can't have given the leadership to another placer.
+  // Without that, a placer that the workers still obey continues with the jobs
+  // that it knows; a successor may start those that arrive now.
+  void OnLeadership(bool is_certain);
+
   // `created` is the revision of the job's acceptance; `progress` is what an
   // earlier term stored.
   void OnJob(const AcceptedJob& job, Revision created,
--- a/quetzal/cell/internal/state.h
+++ b/quetzal/cell/internal/state.h
@@ -200,6 +200,8 @@
   bool write_in_flight = false;
   // Accepted before this term, so a former placer may have started it.
   bool may_have_unknown_runs = false;
+  // It arrived when another placer may have led, which starts it itself.
+  bool may_be_successors = false;
 };
 
 struct State {
@@ -212,6 +214,7 @@
   bool jobs_listed = false;
   bool recovered = false;     // jobs, catalog and roster are loaded
   bool newly_stored = false;  // some ends may be ready to be acknowledged
+  bool leadership_is_certain = true;
   bool workers_listed = false;
   Time workers_listed_at;
   Roster roster;
--- a/quetzal/cell/takeover_test.cc
+++ b/quetzal/cell/takeover_test.cc
@@ -20,6 +20,7 @@
   CPPUNIT_TEST(AnEndOfAnUnknownJobIsNotLost);
   CPPUNIT_TEST(FailuresReportedInAnyOrderCountOnceEach);
   CPPUNIT_TEST(AppliesACancelThatArrivesBeforeItsJob);
+  CPPUNIT_TEST(AFormerPlacerDoesntStartJobsOfItsSuccessor);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -187,6 +188,27 @@
     CPPUNIT_ASSERT(fleet.starts_.empty());
     CPPUNIT_ASSERT(fleet.StoredState("a") == JobState::kCancelled);
   }
+
+  // Its lease of the leader key has ended, but workers obey it until they learn
+  // of the successor.
+  void AFormerPlacerDoesntStartJobsOfItsSuccessor() {
+    FakeFleet fleet(1);
+    fleet.Recover();
+    fleet.cell()->OnJob(FakeFleet::MakeJob("a", {FakeFleet::MakeStep(4)}),
+                        Revision{1}, std::nullopt, fleet.now());
+    fleet.cell()->OnLeadership(/*is_certain=*/false);
+    fleet.cell()->OnJob(FakeFleet::MakeJob("b", {FakeFleet::MakeStep(1)}),
+                        Revision{2}, std::nullopt, fleet.now());
+    fleet.Run(Milliseconds(100));
+    CPPUNIT_ASSERT_EQUAL(size_t{4}, fleet.starts_.size());
+    fleet.WorkerOf(Task("a", 0, 0)).End(Task("a", 0, 0), TaskOutcome::kDone);
+    fleet.Run(Milliseconds(500));
+    CPPUNIT_ASSERT_EQUAL(size_t{4}, fleet.starts_.size());
+    // The store renewed its lease after all, so no other placer was elected.
+    fleet.cell()->OnLeadership(/*is_certain=*/true);
+    fleet.Run(Milliseconds(500));
+    CPPUNIT_ASSERT_EQUAL(size_t{5}, fleet.starts_.size());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TakeoverTest);
