A request that may have been executed no longer counts as not sent

Cause: libcurl repeats a request, also a POST, if a reused connection ended without a byte of the response. The client looked only at how the last attempt failed. Class of the fault: the result of a repetition is taken as the result of the request.

Now the client records that a copy of a request is about to be written (libcurl's pre-request callback, called on new and reused connections). From then on every failure is kNoAnswer. kNotSent and kConnectionRefused mean that nothing was written; the latter only stands for ECONNREFUSED, no longer for every failure to connect.

Requests other than GET aren't repeated any more. A repetition may reach the next process at the address: an order or a poll that was meant for the previous one. The second copy of a conditional write that the first copy fulfilled gets 412: a standby whose acquisition of the leader key succeeded would read "another placer was first" and give the lease back. (Job entry, progress writer, roster and cancels take a conflict with their own write correctly.) The client ends such a request before a socket is opened for the repetition, or before it is sent on another idle connection. What callers do about lost answers covers it: orders are stopped or confirmed by a poll, writes are repeated with their conditions, an acquisition is verified by a read.

Idle connections: libcurl notices that the peer closed one, but takes one that was reset for alive until the pending error has been read, and then depends on the repetition. The client now reads the error when epoll reports it, so that such a connection isn't reused. An order gets kNoAnswer if the peer closes or resets the connection in the moment when the order is on its way.

What remains: a poll whose connection is reset is no longer repeated at once, so its worker counts as unresponsive until the next poll (200 ms). A leader that acquires its key again still steps down if that write gets no answer.

--- a/quetzal/http_client/http_client.cc
+++ b/quetzal/http_client/http_client.cc
@@ -47,8 +47,30 @@
   HttpClient::Callback callback;
   HttpClientResult result;
   gint64 started_us = 0;
+  SocketSet* sockets = nullptr;
+  bool is_read = false;      // may be repeated
+  bool may_be_sent = false;  // at least in part
+  bool was_repetition_prevented = false;
 };
 
+// libcurl repeats a request, with any method, if a reused connection ended
+// without an answer. The peer may have executed the first copy, and a second
+// copy may reach another process at the address, or conflict with the first.
+bool PreventsRepetition(Transfer* transfer) {
+  if (transfer->is_read || !transfer->may_be_sent) return false;
+  transfer->was_repetition_prevented = true;
+  return true;
+}
+
+// Called before each copy of the request, on new and reused connections.
+int OnBeforeRequest(void* data, char* /*peer*/, char* /*local*/,
+                    int /*peer_port*/, int /*local_port*/) {
+  auto* const transfer = static_cast<Transfer*>(data);
+  if (PreventsRepetition(transfer)) return CURL_PREREQFUNC_ABORT;
+  transfer->may_be_sent = true;
+  return CURL_PREREQFUNC_OK;
+}
+
 size_t AppendBody(char* data, size_t size, size_t count, void* transfer) {
   static_cast<Transfer*>(transfer)->result.body.append(data, size * count);
   return size * count;
@@ -65,16 +87,13 @@
   return CURL_SOCKOPT_OK;
 }
 
-HttpClientResult::Kind FailureKind(CURLcode code, CURL* easy) {
-  if (code == CURLE_COULDNT_CONNECT) {
-    return HttpClientResult::Kind::kConnectionRefused;
-  }
-  double connected_s = 0;
-  curl_easy_getinfo(easy, CURLINFO_PRETRANSFER_TIME, &connected_s);
-  if (code == CURLE_OPERATION_TIMEDOUT && connected_s == 0) {
-    return HttpClientResult::Kind::kNotSent;
-  }
-  return HttpClientResult::Kind::kNoAnswer;
+HttpClientResult::Kind FailureKind(CURLcode code, const Transfer& transfer) {
+  if (transfer.may_be_sent) return HttpClientResult::Kind::kNoAnswer;
+  CurlNumber error = 0;
+  curl_easy_getinfo(transfer.easy, CURLINFO_OS_ERRNO, &error);
+  return code == CURLE_COULDNT_CONNECT && error == ECONNREFUSED
+             ? HttpClientResult::Kind::kConnectionRefused
+             : HttpClientResult::Kind::kNotSent;
 }
 
 class CurlClient : public HttpClient {
@@ -106,6 +125,8 @@
     transfer->callback = std::move(callback);
     transfer->body = request.body;
     transfer->started_us = g_get_monotonic_time();
+    transfer->sockets = &sockets_;
+    transfer->is_read = request.method == "GET";
     transfer->easy = AcquireHandle();
     Prepare(request, transfer);
     transfers_.insert(transfer);
@@ -160,9 +181,11 @@
     curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
     curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &SetSocketOptions);
     curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, &OnSocketOpened);
-    curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, this);
+    curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, transfer);
     curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &OnSocketClosed);
     curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, this);
+    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &OnBeforeRequest);
+    curl_easy_setopt(easy, CURLOPT_PREREQDATA, transfer);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &AppendBody);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer);
     curl_easy_setopt(easy, CURLOPT_PRIVATE, transfer);
@@ -179,15 +202,18 @@
 
   // Not every socket that is opened is passed to `OnSocketClosed`: those of
   // failed connection attempts aren't.
-  static curl_socket_t OnSocketOpened(void* self, curlsocktype /*purpose*/,
+  static curl_socket_t OnSocketOpened(void* data, curlsocktype /*purpose*/,
                                       curl_sockaddr* address) {
+    auto* const transfer = static_cast<Transfer*>(data);
+    // Saves the connection that the repetition would be sent on.
+    if (PreventsRepetition(transfer)) return CURL_SOCKET_BAD;
     const int descriptor = socket(
         address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
     if (descriptor < 0) {
       LOG(WARNING) << "a socket can't be opened: " << g_strerror(errno);
       return CURL_SOCKET_BAD;
     }
-    static_cast<CurlClient*>(self)->sockets_.OnOpened(descriptor);
+    transfer->sockets->OnOpened(descriptor);
     return descriptor;
   }
 
@@ -247,8 +273,10 @@
       result.kind = HttpClientResult::Kind::kAnswered;
       result.status = static_cast<int>(status);
     } else {
-      result.kind = FailureKind(code, transfer->easy);
-      result.problem = curl_easy_strerror(code);
+      result.kind = FailureKind(code, *transfer);
+      result.problem = transfer->was_repetition_prevented
+                           ? "the connection ended without an answer"
+                           : curl_easy_strerror(code);
     }
     curl_multi_remove_handle(multi_, transfer->easy);
     transfers_.erase(transfer);
--- a/quetzal/http_client/http_client.h
+++ b/quetzal/http_client/http_client.h
@@ -8,6 +8,9 @@
 // Connections are reused. Each request calls its callback exactly once, with
 // the response or the kind of failure. The callbacks of requests that are
 // pending when the client is destroyed are not called.
+//
+// GET requests may be sent twice: again if a reused connection ended without an
+// answer. Others are sent at most once.
 #ifndef QUETZAL_HTTP_CLIENT_HTTP_CLIENT_H_
 #define QUETZAL_HTTP_CLIENT_HTTP_CLIENT_H_
 
@@ -36,15 +39,15 @@
 
 struct HttpClientResult {
   enum class Kind {
-    kAnswered,  // `status` and `body` are valid
-    kNotSent,   // no connection in time: the peer can't have acted on it
-    kConnectionRefused,  // at the address, or on the way to it
-    kNoAnswer,           // sent at least in part; the peer may have acted on it
+    kAnswered,           // `status` and `body` are valid
+    kNotSent,            // no connection: the peer can't have acted on it
+    kConnectionRefused,  // like kNotSent; refused at the address or on the way
+    kNoAnswer,           // may have been sent; the peer may have acted on it
   };
   Kind kind = Kind::kNoAnswer;
   int status = 0;
   std::string body;
-  std::string problem;  // libcurl's error message, if not `kAnswered`
+  std::string problem;  // of the connection, if not `kAnswered`
   Milliseconds took{0};
 
   bool ok() const { return kind == Kind::kAnswered && status / 100 == 2; }
--- a/quetzal/http_client/http_client_test.cc
+++ b/quetzal/http_client/http_client_test.cc
@@ -7,7 +7,6 @@
 #include <unistd.h>
 
 #include <array>
-#include <cerrno>
 #include <chrono>
 #include <optional>
 #include <thread>
@@ -20,6 +19,7 @@
 
 using testing::Listener;
 using testing::SlowServer;
+using testing::UnresponsivePort;
 
 constexpr gint64 kTimeoutUs = 10'000'000;
 
@@ -31,30 +31,6 @@
   return condition();
 }
 
-// A port that answers no connection attempt: its queue of connections is full.
-class UnresponsivePort {
- public:
-  UnresponsivePort() {
-    for (int& filler : fillers_) {
-      filler = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-      const int result =
-          connect(filler, listener_.address(), sizeof(sockaddr_in));
-      CPPUNIT_ASSERT(result == 0 || errno == EINPROGRESS);
-    }
-  }
-  ~UnresponsivePort() {
-    for (const int filler : fillers_) close(filler);
-  }
-  UnresponsivePort(const UnresponsivePort&) = delete;
-  UnresponsivePort& operator=(const UnresponsivePort&) = delete;
-
-  std::string url() const { return listener_.url(); }
-
- private:
-  Listener listener_{/*backlog=*/0};
-  std::array<int, 4> fillers_{};
-};
-
 // Answers the first request of each of two connections and ignores later ones.
 class OneAnswerServer {
  public:
@@ -97,6 +73,7 @@
   CPPUNIT_TEST(SendsMethodBodyAndHeaders);
   CPPUNIT_TEST(ConcurrentRequestsAreEachAnsweredOnce);
   CPPUNIT_TEST(RefusedWhenNothingListens);
+  CPPUNIT_TEST(AnUnreachableAddressDoesntCountAsRefusal);
   CPPUNIT_TEST(TimesOutWithoutResponse);
   CPPUNIT_TEST(DestroyedWithRequestsPending);
   CPPUNIT_TEST(SendsFromWithinACallback);
@@ -226,6 +203,12 @@
     CPPUNIT_ASSERT(answer.kind == HttpClientResult::Kind::kConnectionRefused);
   }
 
+  // TCP has no connections to multicast addresses.
+  void AnUnreachableAddressDoesntCountAsRefusal() {
+    const HttpClientResult answer = Answer({.url = "http://224.0.0.1:9/"});
+    CPPUNIT_ASSERT(answer.kind == HttpClientResult::Kind::kNotSent);
+  }
+
   void TimesOutWithoutResponse() {
     const HttpClientResult answer =
         Answer({.url = Url("/silent"), .timeout = Milliseconds(100)});
--- a/quetzal/http_client/internal/socket_set.cc
+++ b/quetzal/http_client/internal/socket_set.cc
@@ -3,6 +3,7 @@
 #include <glib.h>
 #include <glog/logging.h>
 #include <sys/epoll.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <array>
@@ -13,6 +14,14 @@
 
 constexpr size_t kMaxReadyPerRound = 256;  // the rest follow in the next round
 
+// libcurl takes an unused connection that was reset for alive until the error
+// has been read.
+void ClearError(int descriptor) {
+  int error = 0;
+  socklen_t size = sizeof(error);
+  getsockopt(descriptor, SOL_SOCKET, SO_ERROR, &error, &size);
+}
+
 }  // namespace
 
 SocketSet::SocketSet() : epoll_(epoll_create1(EPOLL_CLOEXEC)) {
@@ -76,6 +85,9 @@
       // An event on an unused connection, such as the peer closing it. While
       // registered, it would be reported again and again.
       Register(descriptor, &socket, 0);
+      if ((events[static_cast<size_t>(i)].events & EPOLLERR) != 0) {
+        ClearError(descriptor);
+      }
       continue;
     }
     ready.push_back({descriptor, events[static_cast<size_t>(i)].events});
--- a/quetzal/http_client/testing/loopback_servers.h
+++ b/quetzal/http_client/testing/loopback_servers.h
@@ -2,6 +2,9 @@
 //
 //   SlowServer server(/*bytes=*/2, /*announced=*/30, milliseconds(10));
 //   client->Send({.url = server.url()}, ...);
+//
+//   UnresponsivePort port;
+//   client->Send({.url = port.url()}, ...);
 #ifndef QUETZAL_HTTP_CLIENT_TESTING_LOOPBACK_SERVERS_H_
 #define QUETZAL_HTTP_CLIENT_TESTING_LOOPBACK_SERVERS_H_
 
@@ -11,6 +14,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <cerrno>
 #include <chrono>
 #include <string>
 #include <thread>
@@ -44,6 +48,39 @@
   sockaddr_in address_{};
 };
 
+// Fills a listener's queue of connections, so that it answers no more
+// connection attempts.
+class QueueFiller {
+ public:
+  // Must have a backlog of 0.
+  explicit QueueFiller(Listener* listener) {
+    for (int& filler : fillers_) {
+      filler = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+      const int result =
+          connect(filler, listener->address(), sizeof(sockaddr_in));
+      CPPUNIT_ASSERT(result == 0 || errno == EINPROGRESS);
+    }
+  }
+  ~QueueFiller() {
+    for (const int filler : fillers_) close(filler);
+  }
+  QueueFiller(const QueueFiller&) = delete;
+  QueueFiller& operator=(const QueueFiller&) = delete;
+
+ private:
+  std::array<int, 4> fillers_{};
+};
+
+// A port that answers no connection attempt.
+class UnresponsivePort {
+ public:
+  std::string url() const { return listener_.url(); }
+
+ private:
+  Listener listener_{/*backlog=*/0};
+  QueueFiller filler_{&listener_};
+};
+
 // Answers one request with `bytes` of body, one each `interval`, but announces
 // `announced`.
 class SlowServer {
