A start that a restarted worker has executed is stopped first, too

If the new incarnation answered a start before the placer got the answer to an earlier poll that names that incarnation, the run counted as the former one's and was given up. Answers to orders don't name the incarnation; only lists of runs do.

Only runs that the former incarnation has listed now end with it; others are stopped at the new one before their tasks start elsewhere.

Evidence: AStartThatTheNextIncarnationExecutedIsStoppedFirst fails before: the task runs on two workers.

--- a/quetzal/cell/internal/workers.cc
+++ b/quetzal/cell/internal/workers.cc
@@ -92,18 +92,19 @@
   worker->reached = false;
 }
 
-// Ends the runs of a worker that was started again. A start that got no answer
-// may yet be executed by the new incarnation, so its run is stopped there
-// first.
+// Ends the runs that the former incarnation of a restarted worker has listed.
+// Other starts may yet be executed, or were, by the new incarnation (answers to
+// orders don't name it), so their runs are stopped there first.
 void EndFormerIncarnation(State* state, Worker* worker, Time now) {
   LogLostRuns(state, *worker, "started again", now);
   for (const auto& [task_id, number] : RunNumbersByTask(*worker)) {
     Run& run = worker->runs.at(task_id);
-    if (run.start_worker_time != WorkerTime{0}) {
+    if (run.last_run_list > 0) {
       EndRun(state, worker, task_id, number, TaskOutcome::kLeaseExpired, "",
              now);
       continue;
     }
+    run.start_worker_time = WorkerTime{0};
     run.stop_in_flight = false;
     run.stop_worker_time.reset();
     ScheduleStop(worker, &run, now);
@@ -451,7 +452,8 @@
     return;
   }
   // Without its incarnation, the lists can't be told from another one's.
-  const bool is_anonymous = answer.incarnation == Incarnation{0} &&
+  const bool is_anonymous = answer.outcome == OrderOutcome::kDone &&
+                            answer.incarnation == Incarnation{0} &&
                             worker->incarnation != Incarnation{0};
   if (answer.outcome != OrderOutcome::kDone || is_anonymous) {
     // A refused connection is no proof that the worker's process is gone: a
--- a/quetzal/cell/lease_expiry_test.cc
+++ b/quetzal/cell/lease_expiry_test.cc
@@ -19,6 +19,7 @@
   CPPUNIT_TEST(AStartThatTheNextIncarnationMayExecuteIsStoppedFirst);
   CPPUNIT_TEST(AStaleRunMayHaveRunAlready);
   CPPUNIT_TEST(AFailedCopyOfAStartDoesntEndItsRun);
+  CPPUNIT_TEST(AStartThatTheNextIncarnationExecutedIsStoppedFirst);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -183,6 +184,32 @@
     CPPUNIT_ASSERT(!fleet.ran_twice_);
     CPPUNIT_ASSERT_EQUAL(size_t{1}, fleet.starts_.size());
   }
+
+  // The answer to the start arrives before that to a poll, which the worker
+  // answered earlier.
+  void AStartThatTheNextIncarnationExecutedIsStoppedFirst() {
+    FakeFleet fleet(2);
+    fleet.Recover();
+    fleet.hold_polls_ = true;
+    for (auto& [id, worker] : fleet.workers_) worker.Restart();
+    fleet.cell()->OnJob(FakeFleet::MakeJob("a", {FakeFleet::MakeStep(1)}),
+                        Revision{1}, std::nullopt, fleet.now());
+    fleet.Run(Milliseconds(20));
+    const StartAction start = fleet.starts_.at(0);
+    fleet.cell()->OnPollAnswer(start.worker.id, {.fence = testing::kFence},
+                               fleet.now(),
+                               {.outcome = OrderOutcome::kDone,
+                                .clock = WorkerTime{1},
+                                .incarnation = Incarnation{2}},
+                               fleet.now());
+    fleet.hold_polls_ = false;
+    for (const auto& [id, worker] : fleet.workers_) {
+      fleet.cell()->OnWorkerEntry(worker.entry, fleet.now());
+    }
+    fleet.Run(Milliseconds(2'000));
+    CPPUNIT_ASSERT(!fleet.ran_twice_);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, fleet.running());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LeaseExpiryTest);
