A start that the placer's own higher fence overtook is repeated

If the placer acquired the leader key again, a start that was on its way under the former fence could be overtaken by a poll under the new one. The worker rejected it, and the placer left the run as it was, waiting for an answer, for ever.

A fenced worker has done nothing, so the task is started again.

Evidence: AStartThatOurOwnHigherFenceRejectedIsRepeated fails before: the task doesn't run.

--- a/quetzal/cell/internal/orders.cc
+++ b/quetzal/cell/internal/orders.cc
@@ -117,8 +117,10 @@
     case OrderOutcome::kFenced:
       if (order.fence == state->fence) {
         Resign(state, "a worker has a higher fence");
+        return;
       }
-      return;
+      // This placer has raised its fence since, and the order was overtaken.
+      break;
     // The run itself may have ended there, after an earlier copy of the order.
     case OrderOutcome::kStaleRun:
     case OrderOutcome::kUnknown:
--- a/quetzal/cell/takeover_test.cc
+++ b/quetzal/cell/takeover_test.cc
@@ -21,6 +21,7 @@
   CPPUNIT_TEST(FailuresReportedInAnyOrderCountOnceEach);
   CPPUNIT_TEST(AppliesACancelThatArrivesBeforeItsJob);
   CPPUNIT_TEST(AFormerPlacerDoesntStartJobsOfItsSuccessor);
+  CPPUNIT_TEST(AStartThatOurOwnHigherFenceRejectedIsRepeated);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -209,6 +210,23 @@
     fleet.Run(Milliseconds(500));
     CPPUNIT_ASSERT_EQUAL(size_t{5}, fleet.starts_.size());
   }
+
+  void AStartThatOurOwnHigherFenceRejectedIsRepeated() {
+    FakeFleet fleet(1);
+    fleet.Recover();
+    fleet.hold_starts_ = true;
+    fleet.cell()->OnJob(FakeFleet::MakeJob("a", {FakeFleet::MakeStep(1)}),
+                        Revision{1}, std::nullopt, fleet.now());
+    fleet.Run(Milliseconds(50));
+    const StartAction start = fleet.starts_.at(0);
+    fleet.hold_starts_ = false;
+    fleet.cell()->OnFenceRaised(Fence{9});
+    fleet.cell()->OnStartAnswer(start.worker.id, start.order,
+                                {OrderOutcome::kFenced, {}}, fleet.now());
+    fleet.Run(Milliseconds(500));
+    CPPUNIT_ASSERT_EQUAL(0, fleet.resignations_);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, fleet.running());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TakeoverTest);
