Another worker at a worker's address ends its runs at once

Unlike a refused connection, this is an answer: the address belongs to another worker, the former one is gone, and orders to it that are still on their way are rejected by the new one.

Such an answer to a poll now ends the runs and accounts for the worker after a takeover. AnotherWorkerAtTheAddressEndsRunsAtOnce fails before: the second start comes only when the leases have expired.

--- a/quetzal/cell/internal/workers.cc
+++ b/quetzal/cell/internal/workers.cc
@@ -451,6 +451,13 @@
     }
     return;
   }
+  if (answer.outcome == OrderOutcome::kOtherIncarnation) {
+    // Its address belongs to another worker, which also rejects orders that are
+    // still on their way to this one.
+    EndAllRuns(state, worker, "another worker at its address", now);
+    ResetIncarnation(state, worker);
+    return;
+  }
   // Without its incarnation, the lists can't be told from another one's.
   const bool is_anonymous = answer.outcome == OrderOutcome::kDone &&
                             answer.incarnation == Incarnation{0} &&
--- a/quetzal/cell/lease_expiry_test.cc
+++ b/quetzal/cell/lease_expiry_test.cc
@@ -20,6 +20,7 @@
   CPPUNIT_TEST(AStaleRunMayHaveRunAlready);
   CPPUNIT_TEST(AFailedCopyOfAStartDoesntEndItsRun);
   CPPUNIT_TEST(AStartThatTheNextIncarnationExecutedIsStoppedFirst);
+  CPPUNIT_TEST(AnotherWorkerAtTheAddressEndsRunsAtOnce);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -210,6 +211,28 @@
     CPPUNIT_ASSERT(!fleet.ran_twice_);
     CPPUNIT_ASSERT_EQUAL(size_t{1}, fleet.running());
   }
+
+  // Guards the fast way: no lease has to expire.
+  void AnotherWorkerAtTheAddressEndsRunsAtOnce() {
+    FakeFleet fleet(2);
+    fleet.Recover();
+    const AcceptedJob job = FakeFleet::MakeJob("a", {FakeFleet::MakeStep(1)});
+    fleet.cell()->OnJob(job, Revision{1}, std::nullopt, fleet.now());
+    fleet.Run(Milliseconds(50));
+    FakeWorker& replaced = fleet.WorkerOf(Task("a", 0, 0));
+    replaced.running.clear();
+    replaced.is_replaced = true;
+    fleet.Run(Milliseconds(500));
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, fleet.starts_.size());
+    // A new placer doesn't wait for it either.
+    fleet.StartTerm(Fence{9}, 32);
+    fleet.cell()->OnJob(job, Revision{1}, std::nullopt, fleet.now());
+    fleet.cell()->OnJob(FakeFleet::MakeJob("b", {FakeFleet::MakeStep(1)}),
+                        Revision{2}, std::nullopt, fleet.now());
+    fleet.Recover();
+    fleet.Run(Milliseconds(500));
+    CPPUNIT_ASSERT_EQUAL(size_t{3}, fleet.starts_.size());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LeaseExpiryTest);
--- a/quetzal/cell/testing/fake_fleet.h
+++ b/quetzal/cell/testing/fake_fleet.h
@@ -35,9 +35,14 @@
   bool refuses_connections = false;
   std::optional<int> fixed_percent;
 
-  bool CanBeReached() const { return !unresponsive && !refuses_connections; }
+  bool is_replaced = false;  // another worker answers at its address
+
+  bool CanBeReached() const {
+    return !unresponsive && !refuses_connections && !is_replaced;
+  }
   // Of an order that doesn't reach the worker.
   OrderOutcome failure() const {
+    if (is_replaced) return OrderOutcome::kOtherIncarnation;
     return refuses_connections ? OrderOutcome::kConnectionRefused
                                : OrderOutcome::kUnknown;
   }
