A job counts as begun once a worker confirmed a start

A job was marked as running when its first start was ordered.

A job is now marked when a worker's answer or list shows that a task began.

--- a/quetzal/cell/internal/workers.cc
+++ b/quetzal/cell/internal/workers.cc
@@ -220,10 +220,7 @@
                                : "no");
   AddRun(state, worker, std::move(run));
   if (wanted) {
-    if (job->state == JobState::kQueued) {
-      job->state = JobState::kRunning;
-      MarkProgressChanged(state, job);
-    }
+    MarkBegun(state, job, now);
     UpdateReadiness(state, job, now);
   }
 }
@@ -295,6 +292,7 @@
     if (run.state == RunState::kStarting) {
       run.state = RunState::kRunning;
       run.start_worker_time = answer.clock;
+      if (run.job != nullptr) MarkBegun(state, run.job, now);
     }
   }
 }
