--- a/standins/users_platform/main.cc
+++ b/standins/users_platform/main.cc
@@ -6,6 +6,8 @@
 // stop and resume the store. POST /publish writes the next version N of the
 // configuration, also while the store is down for callers, and returns
 // {"version": N}: it adds the queue "/added-N/" and the key "key-added-N".
+// POST /entry?id=ID writes the body as the entry of a worker, as another writer
+// may; POST /add-worker adds a worker.
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
@@ -20,6 +22,7 @@
 
 constexpr Milliseconds kHeartbeatInterval{500};
 constexpr Milliseconds kAdviceDelay{3};
+constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
 // A step may run on about this many in ten of the workers in a query.
@@ -91,10 +94,7 @@
         [this](HttpCallId call, const HttpRequest& r) { Control(call, r); });
     if (!advice_ || !control_) return false;
     for (int i = 0; i < settings_.workers; ++i) {
-      auto worker =
-          std::make_unique<PoolWorker>("i-" + std::to_string(i), &judgement_);
-      if (!worker->Listen("127.0.0.1:0")) return false;
-      workers_.push_back(std::move(worker));
+      if (!AddWorker()) return false;
     }
     Publish();
     WriteHeartbeats();
@@ -113,6 +113,14 @@
                           .on_disconnect = [](HttpCallId) {}});
   }
 
+  bool AddWorker() {
+    auto worker = std::make_unique<PoolWorker>(
+        "i-" + std::to_string(workers_.size()), &judgement_);
+    if (!worker->Listen("127.0.0.1:0")) return false;
+    workers_.push_back(std::move(worker));
+    return true;
+  }
+
   void Publish() {
     ++version_;
     store_.Put("op/config", Configuration(version_).dump());
@@ -163,6 +171,7 @@
           call,
           {.body = Json{{"done", judgement_.done.size()},
                         {"started", judgement_.started.size()},
+                        {"polled", judgement_.polled.size()},
                         {"started_twice", judgement_.started_twice},
                         {"started_after_end", judgement_.started_after_end},
                         {"over_capacity", judgement_.over_capacity},
@@ -176,6 +185,11 @@
     } else if (request.path == "/publish") {
       Publish();
       control_->Reply(call, {.body = Json{{"version", version_}}.dump()});
+    } else if (request.path == "/entry" && request.query.contains("id")) {
+      store_.Put("servers/" + request.query.at("id"), request.body);
+      control_->Reply(call, {});
+    } else if (request.path == "/add-worker") {
+      control_->Reply(call, {.status = AddWorker() ? kOk : kBadRequest});
     } else {
       control_->Reply(call, {.status = kNotFound});
     }
--- a/standins/users_platform/worker_pool.cc
+++ b/standins/users_platform/worker_pool.cc
@@ -82,6 +82,7 @@
     return;
   }
   if (request.path == "/hold") {
+    judgement_->polled.insert(id_);
     Poll(call, order);
     return;
   }
--- a/standins/users_platform/worker_pool.h
+++ b/standins/users_platform/worker_pool.h
@@ -29,8 +29,9 @@
   // these don't count, and the task may run again.
   std::set<std::string> done;
   std::set<std::string> started;
-  int started_twice = 0;      // starts while another run of the task runs
-  int started_after_end = 0;  // starts after a run of the task is done
+  std::set<std::string> polled;  // ids of workers
+  int started_twice = 0;         // starts while another run of the task runs
+  int started_after_end = 0;     // starts after a run of the task is done
   int over_capacity = 0;
   int fenced = 0;  // orders of a placer that has been replaced by another
 };
--- a/tests/cell_process_test.cc
+++ b/tests/cell_process_test.cc
@@ -2,6 +2,9 @@
 
 #include <csignal>
 #include <cstdio>
+#include <map>
+#include <string>
+#include <vector>
 
 #include "tests/support/cell_cluster.h"
 
@@ -51,6 +54,7 @@
   CPPUNIT_TEST(ALongRunningJobRestartsUntilItIsCancelled);
   CPPUNIT_TEST(ARemovedRouteStaysRemovedAfterARestart);
   CPPUNIT_TEST(AResumedEntryDeniesNoAddedRoute);
+  CPPUNIT_TEST(OddEntriesAmongTheWorkersDisturbNothing);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -248,7 +252,106 @@
     }));
   }
 
+  // Another writer leaves them, also in place of a worker's own entry.
+  void OddEntriesAmongTheWorkersDisturbNothing() {
+    const int workers = 6;
+    const auto are_polled = [&](int count) {
+      return cluster_->WaitFor(kWaitSeconds, [&] {
+        ExpectAllAreRunning();
+        return cluster_->StandinReport().value("polled", 0) == count;
+      });
+    };
+    CPPUNIT_ASSERT(are_polled(workers));
+    for (int i = 0; i < 6; ++i) Submit(i);
+    for (int round = 0; round < 3; ++round) {
+      int number = 0;
+      for (const std::string& text : OddEntries()) {
+        WriteWorkerEntry("odd-" + std::to_string(number++), text);
+        WriteWorkerEntry("i-" + std::to_string(number % workers), text);
+      }
+      for (const std::string& id :
+           {std::string(), std::string("a/b"), std::string("a b"),
+            std::string("a\r\nX-Odd: 1"), std::string("\xc3\xa9"),
+            std::string(150, 'a')}) {
+        WriteWorkerEntry(id, EntryWith("zone", "\"a\""));
+      }
+    }
+    cluster_->AddWorker();
+    CPPUNIT_ASSERT(are_polled(workers + 1));
+    for (int i = 6; i < 18; ++i) Submit(i);
+    ExpectAllCompleted(18);
+    ExpectNoViolations(3 * 18);
+    ExpectAllAreRunning();
+  }
+
  private:
+  // An entry as workers write them, with `value` in one of its fields.
+  static std::string EntryWith(const std::string& field,
+                               const std::string& value) {
+    std::map<std::string, std::string> fields = {
+        {"service", "\"desk\""},
+        {"address", "\"127.0.0.1:9\""},
+        {"zone", "\"a\""},
+        {"state", "\"ready\""},
+        {"capacity", R"({"cpu":4000,"task-memory-mb":4096,"gpu":0})"},
+        {"labels", R"(["k","r1"])"},
+        {"born", "1764900000000"}};
+    fields[field] = value;
+    std::string text;
+    for (const auto& [name, member] : fields) {
+      text += text.empty() ? "{\"" : ",\"";
+      text.append(name).append("\":").append(member);
+    }
+    return text + "}";
+  }
+  static std::vector<std::string> OddEntries() {
+    constexpr size_t kLevels = 100'000;
+    const std::string deep =
+        std::string(kLevels, '[') + std::string(kLevels, ']');
+    std::vector<std::string> entries = {
+        "",
+        "{",
+        "7",
+        "null",
+        "\xff\xfe",
+        std::string(20, '\0'),
+        std::string(kLevels, '['),
+        deep,
+        EntryWith("state", "\"odd\""),
+        EntryWith("service", "7"),
+        EntryWith("service", "\"\xff\""),
+        EntryWith("remaining-ms", "9223372036854775807"),
+        EntryWith("born", "1e300")};
+    for (const char* const field :
+         {"labels", "zone", "capacity", "address", "x"}) {
+      entries.push_back(EntryWith(field, deep));
+    }
+    for (const std::string number :
+         {"9223372036854775807", "18446744073709551615", "1e300", "1e400",
+          "-9223372036854775808", "0.5", "\"x\"", "null"}) {
+      std::string amounts = R"({"cpu":)" + number;
+      amounts.append(R"(,"task-memory-mb":)").append(number).append("}");
+      entries.push_back(EntryWith("capacity", amounts));
+    }
+    for (const std::string address :
+         {"127.0.0.1:65536", "127.0.0.1:0", "127.0.0.1:99999999999",
+          "127.0.0.1", "127.0.0.1:x", ":80", "127.0.0.1/x:80",
+          R"(127.0.0.1\r\nX-Odd: 1:80)"}) {
+      entries.push_back(EntryWith("address", "\"" + address + "\""));
+    }
+    return entries;
+  }
+  void WriteWorkerEntry(const std::string& id, const std::string& text) {
+    CPPUNIT_ASSERT_MESSAGE(id, cluster_->WriteWorkerEntry(id, text));
+  }
+  void ExpectAllAreRunning() {
+    for (int i = 0; i < kMachines; ++i) {
+      for (const char* const program : {"entry-", "placer-"}) {
+        const std::string name = program + std::to_string(i);
+        CPPUNIT_ASSERT_MESSAGE(name, cluster_->IsRunning(name));
+      }
+    }
+  }
   void Submit(int number) {
     const HttpClientResult answer =
         cluster_->Submit(number % kMachines, IdOf(number), JobBody(60));
--- a/tests/support/cell_cluster.cc
+++ b/tests/support/cell_cluster.cc
@@ -258,6 +258,29 @@
   return nlohmann::json::parse(answer.body).at("version").get<int>();
 }
 
+bool CellCluster::WriteWorkerEntry(const std::string& id,
+                                   const std::string& text) {
+  gchar* const escaped = g_uri_escape_string(id.c_str(), nullptr, FALSE);
+  const std::string url =
+      "http://" + Address(first_port_ + kControlPort) + "/entry?id=" + escaped;
+  g_free(escaped);
+  return Send({.method = "POST", .url = url, .body = text}).ok();
+}
+
+void CellCluster::AddWorker() {
+  Send(
+      {.method = "POST",
+       .url = "http://" + Address(first_port_ + kControlPort) + "/add-worker"});
+}
+
+bool CellCluster::IsRunning(const std::string& name) {
+  Process& process = processes_.at(name);
+  if (process.pid == 0) return false;
+  if (waitpid(process.pid, nullptr, WNOHANG) == 0) return true;
+  process.pid = 0;
+  return false;
+}
+
 int CellCluster::StatusOfAddedQueue(int machine, int version) {
   const std::string name = "added-" + std::to_string(version);
   return Call(machine, "GET", "/" + name + "/", "", "key-" + name).status;
--- a/tests/support/cell_cluster.h
+++ b/tests/support/cell_cluster.h
@@ -60,6 +60,12 @@
   void SetStoreDown(bool down);
   // Writes the next version of the configuration and returns its number.
   int PublishConfiguration();
+  // Writes the entry of a worker, as another writer than the worker may. True
+  // if the store holds it.
+  bool WriteWorkerEntry(const std::string& id, const std::string& text);
+  void AddWorker();
+  // False if the process ended by itself.
+  bool IsRunning(const std::string& name);
   // Asks an entry for a queue, by a key, that this version added: the status.
   int StatusOfAddedQueue(int machine, int version);
   // Index of the machine whose placer is the leader; -1 if none is.
