--- a/tests/cell_process_test.cc
+++ b/tests/cell_process_test.cc
@@ -193,6 +193,14 @@
     CPPUNIT_ASSERT_EQUAL(
         kBadRequest,
         cluster_->Call(0, "POST", path, R"({"steps":[{"count":"x"}]})").status);
+    const std::string nested =
+        std::string(120'000, '[') + std::string(120'000, ']');
+    CPPUNIT_ASSERT_EQUAL(
+        kBadRequest,
+        cluster_
+            ->Call(0, "POST", path,
+                   R"({"steps":[{"count":1,"after":[)" + nested + "]}]}")
+            .status);
     CPPUNIT_ASSERT_EQUAL(
         kUnprocessable,
         cluster_
