A takeover waits only for workers that a former placer may have used

A new placer waited for each listed worker, or for a majority of the listed ones and the end of leases. Entries with no one at their address, left by another writer, hold that up: one for up to 9 s, as many as there are workers for good.

Only workers in the stored roster get work, so only those can hold runs of a former placer, whether they are listed or not. The new placer now waits for them alone, and the majority is one of them. A worker that never answered isn't put into the roster, and one whose leases have expired is taken out, so that the next placer doesn't wait for it either. If the roster can't be read, every listed worker counts, as before.

Evidence: EntriesThatNeverAnsweredHoldUpNoTakeover (takeover_test) fails before, and so did cell_process_test with 20 entries of a service beside 6 workers and the leader killed: the first job wasn't completed after 40 s. Now EntriesWithoutWorkersHoldUpNoTakeover passes, with a known service and an unknown one. WithoutAReadableRosterAllListedWorkersCount guards the other way.

--- a/programs/cell_placer/term.cc
+++ b/programs/cell_placer/term.cc
@@ -148,16 +148,14 @@
           Defer(kRetryDelay, [this] { ReadRoster(); });
           return;
         }
-        RosterEntries entries;
+        std::optional<RosterEntries> entries = RosterEntries{};
         if (!a.items.empty()) {
           roster_revision_ = a.items[0].revision;
-          auto decoded = DecodeRoster(a.items[0].value);
-          // Probably written by another version. Its workers are unknown, so
-          // the term begins with an empty roster.
-          if (!decoded) {
-            dependencies_.log->Line("roster_unreadable", {});
+          // Unreadable if it was written by another version.
+          entries = DecodeRoster(a.items[0].value);
+          if (!entries) {
+            dependencies_.log->ImportantLine("roster_unreadable", {});
           }
-          entries = std::move(decoded).value_or(RosterEntries{});
         }
         cell_.OnRoster(entries, Now());
         ScheduleDecision();
--- a/quetzal/cell/cell.cc
+++ b/quetzal/cell/cell.cc
@@ -77,7 +77,7 @@
   parts_->state.workers_listed_at = now;
 }
 
-void Cell::OnRoster(const RosterEntries& entries, Time now) {
+void Cell::OnRoster(const std::optional<RosterEntries>& entries, Time now) {
   cell::LoadRoster(&parts_->state, entries, now);
   MarkRecoveredIfReady(&parts_->state, now);
 }
--- a/quetzal/cell/cell.h
+++ b/quetzal/cell/cell.h
@@ -18,7 +18,8 @@
 //    or when its lease has certainly expired. Until then it is charged to its
 //    worker and team, and its task isn't started elsewhere.
 //  - Only workers in the stored roster get work, so that the next placer
-//    accounts for them even if the platform's list no longer has them.
+//    accounts for them even if the platform's list no longer has them, and
+//    doesn't wait for others. Workers that never answered aren't in it.
 //  - A start without an answer is stopped, and counts as running until the
 //    worker's reports show that it is not.
 //  - Ends of runs are acknowledged to workers only after they are stored.
@@ -123,9 +124,10 @@
   // A job that is stored as ended; remembered until it expires.
   void OnEndedJob(const JobId& id, Time now);
   void OnCancel(const JobId& id, Time now);
-  // The workers that a former placer may have used. Those that are missing from
-  // the platform's list are polled too, as they may still run tasks.
-  void OnRoster(const RosterEntries& entries, Time now);
+  // The workers that a former placer may have used; nothing if they aren't
+  // known, so that all listed ones count. Those that are missing from the
+  // platform's list are polled too, as they may still run tasks.
+  void OnRoster(const std::optional<RosterEntries>& entries, Time now);
   // The roster to store, if it changed. New workers get no work until it is
   // stored.
   std::optional<std::string> TakeRosterWrite(Time now);
--- a/quetzal/cell/internal/accounting.cc
+++ b/quetzal/cell/internal/accounting.cc
@@ -6,10 +6,16 @@
 
 namespace quetzal::cell {
 
-void LoadRoster(State* state, const RosterEntries& entries, Time now) {
-  state->roster.Load(entries);
+void LoadRoster(State* state, const std::optional<RosterEntries>& entries,
+                Time now) {
+  state->roster.Load(entries.value_or(RosterEntries{}));
   state->roster_changed = true;
-  for (const auto& [id, entry] : entries) {
+  if (!entries) {
+    state->is_former_roster_known = false;
+    for (auto& [id, worker] : state->workers) worker.in_former_roster = true;
+    return;
+  }
+  for (const auto& [id, entry] : *entries) {
     const bool is_new = state->FindWorker(id) == nullptr;
     Worker& worker = *state->FindOrAddWorker(id);
     if (is_new) {
@@ -22,6 +28,18 @@
   }
 }
 
+namespace {
+
+// True if the next placer has to account for the worker. One that this placer
+// never reached holds no leases, unless it may hold those of a former placer.
+bool MayHoldLeases(const Worker& worker) {
+  return MayHaveUnknownRuns(worker) ||
+         (worker.reached && !worker.known_empty) || !worker.runs.empty() ||
+         !worker.unacked.empty();
+}
+
+}  // namespace
+
 std::optional<std::string> TakeRosterWrite(State* state, Time now) {
   if (!state->recovered || !state->roster_changed ||
       !state->roster.CanWrite(now)) {
@@ -30,6 +48,7 @@
   state->roster_changed = false;
   RosterEntries wanted;
   for (const auto& [id, worker] : state->workers) {
+    if (!MayHoldLeases(worker)) continue;
     wanted[id] = {worker.entry.address, worker.entry.capacity};
   }
   auto text = state->roster.BeginWrite(wanted, now);
@@ -54,8 +73,7 @@
 }
 
 bool MayHaveUnknownRuns(const Worker& worker) {
-  return (worker.listed || worker.in_former_roster) && !worker.reached &&
-         !worker.known_empty;
+  return worker.in_former_roster && !worker.reached && !worker.known_empty;
 }
 
 void ExpireLeases(State* state, Time now) {
@@ -94,7 +112,10 @@
   size_t listed = 0;
   size_t confirmed = 0;
   for (const auto& [id, worker] : state.workers) {
-    if (!worker.listed) continue;
+    // No placer can have counted on a worker outside the roster.
+    if (!worker.listed || !(worker.in_roster || worker.in_former_roster)) {
+      continue;
+    }
     ++listed;
     if (worker.reached && now - worker.confirmed_at < age) ++confirmed;
   }
--- a/quetzal/cell/internal/accounting.h
+++ b/quetzal/cell/internal/accounting.h
@@ -11,7 +11,9 @@
 
 namespace quetzal::cell {
 
-void LoadRoster(State* state, const RosterEntries& entries, Time now);
+// Nothing if the stored roster can't be read.
+void LoadRoster(State* state, const std::optional<RosterEntries>& entries,
+                Time now);
 std::optional<std::string> TakeRosterWrite(State* state, Time now);
 void ApplyRosterWriteResult(State* state, bool stored);
 // True if the worker may have runs of a former placer that aren't known yet.
--- a/quetzal/cell/internal/state.h
+++ b/quetzal/cell/internal/state.h
@@ -218,6 +218,9 @@
   bool workers_listed = false;
   Time workers_listed_at;
   Roster roster;
+  // False if the former placer's roster can't be read: then every listed worker
+  // counts as one of it.
+  bool is_former_roster_known = true;
   bool roster_changed = false;  // since the last write was taken
   // Every worker was reached or its leases expired.
   bool all_workers_accounted = false;
--- a/quetzal/cell/internal/workers.cc
+++ b/quetzal/cell/internal/workers.cc
@@ -368,6 +368,7 @@
   }
   DropUnacknowledged(state, worker);
   worker->known_empty = true;
+  state->roster_changed = true;
 }
 
 void AttachOrphans(State* state, const JobId& id, Time now) {
@@ -412,6 +413,7 @@
   Worker& worker = *state->FindOrAddWorker(entry.id);
   if (!worker.listed) {
     worker.listed = true;
+    if (!state->is_former_roster_known) worker.in_former_roster = true;
     worker.next_poll_at = now;
     state->log->Line("worker_listed",
                      {{"worker", entry.id.text()}, {"address", entry.address}});
@@ -486,6 +488,7 @@
     state->log->ImportantLine("worker_back",
                               {{"worker", worker->entry.id.text()}});
   }
+  if (!worker->reached || worker->known_empty) state->roster_changed = true;
   worker->unresponsive = false;
   worker->known_empty = false;
   // A former placer may have extended its leases in full until now.
--- a/quetzal/cell/takeover_test.cc
+++ b/quetzal/cell/takeover_test.cc
@@ -22,6 +22,8 @@
   CPPUNIT_TEST(AppliesACancelThatArrivesBeforeItsJob);
   CPPUNIT_TEST(AFormerPlacerDoesntStartJobsOfItsSuccessor);
   CPPUNIT_TEST(AStartThatOurOwnHigherFenceRejectedIsRepeated);
+  CPPUNIT_TEST(EntriesThatNeverAnsweredHoldUpNoTakeover);
+  CPPUNIT_TEST(WithoutAReadableRosterAllListedWorkersCount);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -227,6 +229,42 @@
     CPPUNIT_ASSERT_EQUAL(0, fleet.resignations_);
     CPPUNIT_ASSERT_EQUAL(size_t{1}, fleet.running());
   }
+
+  void EntriesThatNeverAnsweredHoldUpNoTakeover() {
+    FakeFleet fleet(6);
+    for (int i = 1; i < 6; ++i) {
+      fleet.workers_.at(WorkerId("w-" + std::to_string(i))).unresponsive = true;
+    }
+    fleet.Recover();
+    const AcceptedJob job = FakeFleet::MakeJob("a", {FakeFleet::MakeStep(1)});
+    fleet.cell()->OnJob(job, Revision{1}, std::nullopt, fleet.now());
+    fleet.Run(Milliseconds(500));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, fleet.running());
+    fleet.StartTerm(Fence{9}, 32);
+    fleet.cell()->OnJob(job, Revision{1}, std::nullopt, fleet.now());
+    fleet.cell()->OnJob(FakeFleet::MakeJob("b", {FakeFleet::MakeStep(1)}),
+                        Revision{2}, std::nullopt, fleet.now());
+    fleet.Recover();
+    fleet.Run(Milliseconds(500));
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, fleet.running());
+    CPPUNIT_ASSERT(fleet.cell()->HasMajority(Milliseconds(2'000), fleet.now()));
+  }
+
+  void WithoutAReadableRosterAllListedWorkersCount() {
+    FakeFleet fleet(3);
+    fleet.Recover();
+    const AcceptedJob job = FakeFleet::MakeJob("a", {FakeFleet::MakeStep(1)});
+    fleet.cell()->OnJob(job, Revision{1}, std::nullopt, fleet.now());
+    fleet.Run(Milliseconds(500));
+    fleet.WorkerOf(Task("a", 0, 0)).unresponsive = true;
+    fleet.is_roster_readable_ = false;
+    fleet.StartTerm(Fence{9}, 32);
+    fleet.cell()->OnJob(job, Revision{1}, std::nullopt, fleet.now());
+    fleet.Recover();
+    fleet.Run(Milliseconds(10'000));
+    CPPUNIT_ASSERT(!fleet.ran_twice_);
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, fleet.starts_.size());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TakeoverTest);
--- a/quetzal/cell/testing/fake_fleet.h
+++ b/quetzal/cell/testing/fake_fleet.h
@@ -118,7 +118,8 @@
       if (!unlisted_.contains(id)) cell_->OnWorkerEntry(worker.entry, now_);
     }
     cell_->OnWorkersListed(now_);
-    cell_->OnRoster(roster_, now_);
+    cell_->OnRoster(is_roster_readable_ ? std::optional(roster_) : std::nullopt,
+                    now_);
     cell_->OnHelpers({HelperId("vm-1")});
   }
   void Configure() { cell_->OnCatalog(MakeCatalog(), now_); }
@@ -339,6 +340,7 @@
   std::map<WorkerId, FakeWorker> workers_;
   RosterEntries roster_;
   bool roster_writes_succeed_ = true;
+  bool is_roster_readable_ = true;
   std::set<WorkerId> unlisted_;  // not in the platform's list
   std::map<JobId, ProgressWrite> stored_;
   std::vector<StartAction> starts_;
--- a/tests/cell_process_test.cc
+++ b/tests/cell_process_test.cc
@@ -55,6 +55,7 @@
   CPPUNIT_TEST(ARemovedRouteStaysRemovedAfterARestart);
   CPPUNIT_TEST(AResumedEntryDeniesNoAddedRoute);
   CPPUNIT_TEST(OddEntriesAmongTheWorkersDisturbNothing);
+  CPPUNIT_TEST(EntriesWithoutWorkersHoldUpNoTakeover);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -292,6 +293,21 @@
     ExpectAllAreRunning();
   }
 
+  // No one answers at their addresses.
+  void EntriesWithoutWorkersHoldUpNoTakeover() {
+    for (int i = 0; i < 20; ++i) {
+      WriteWorkerEntry(
+          "odd-" + std::to_string(i),
+          EntryWith("service", i % 2 == 0 ? "\"desk\"" : "\"odd\""));
+    }
+    for (int i = 0; i < 6; ++i) Submit(i);
+    const int leader = WaitForLeader();
+    cluster_->Signal("placer-" + std::to_string(leader), SIGKILL);
+    for (int i = 6; i < 12; ++i) Submit(i);
+    ExpectAllCompleted(12);
+    ExpectNoViolations(3 * 12);
+  }
+
  private:
   // An entry as workers write them, with `value` in one of its fields.
   static std::string EntryWith(const std::string& field,
