Another worker at a wrong address ends no runs

A list entry may name an address that isn't the worker's: that of a former incarnation, written late, or another writer's.

The rejection counts only at the address where the worker itself last answered this placer or, by the roster, a former one. The roster holds that address instead of the listed one.

Evidence: AnotherWorkerAtAWrongAddressEndsNoRuns fails before, in the term and after a takeover: the task runs on two workers.

--- a/quetzal/cell/internal/accounting.cc
+++ b/quetzal/cell/internal/accounting.cc
@@ -24,7 +24,8 @@
       worker.unlisted_since = now;
     }
     worker.in_former_roster = true;
-    worker.in_roster = entry.address == worker.entry.address;
+    worker.answered_at = entry.address;
+    worker.in_roster = true;
   }
 }
 
@@ -49,12 +50,14 @@
   RosterEntries wanted;
   for (const auto& [id, worker] : state->workers) {
     if (!MayHoldLeases(worker)) continue;
-    wanted[id] = {worker.entry.address, worker.entry.capacity};
+    wanted[id] = {
+        worker.answered_at.empty() ? worker.entry.address : worker.answered_at,
+        worker.entry.capacity};
   }
   auto text = state->roster.BeginWrite(wanted, now);
   if (text) {
     for (auto& [id, worker] : state->workers) {
-      worker.in_roster = state->roster.Contains(id, worker.entry.address);
+      worker.in_roster = state->roster.Contains(id, worker.answered_at);
     }
   }
   return text;
@@ -68,7 +71,7 @@
   }
   state->roster.OnStored();
   for (auto& [id, worker] : state->workers) {
-    worker.in_roster = state->roster.Contains(id, worker.entry.address);
+    worker.in_roster = state->roster.Contains(id, worker.answered_at);
   }
 }
 
--- a/quetzal/cell/internal/state.h
+++ b/quetzal/cell/internal/state.h
@@ -106,6 +106,10 @@
   int64_t last_acknowledged = 0;
   int64_t last_applied_end = 0;
   std::deque<UnacknowledgedEnd> unacked;
+  // Where it last answered this placer or, by the roster, a former one. The
+  // entry's address may be another writer's, or that of a former incarnation.
+  std::string answered_at;
+  std::string polled_at;  // of the newest poll
   bool poll_in_flight = false;
   bool unresponsive = false;  // its last poll got no answer
   Time next_poll_at;
--- a/quetzal/cell/internal/workers.cc
+++ b/quetzal/cell/internal/workers.cc
@@ -332,6 +332,7 @@
     }
   }
   worker->poll_in_flight = true;
+  worker->polled_at = worker->entry.address;
   state->actions.emplace_back(PollAction{worker->entry, request});
 }
 
@@ -428,7 +429,6 @@
   if (!worker.poll_in_flight) worker.next_poll_at = now;
   state->roster_changed = true;
   worker.entry = entry;
-  worker.in_roster = state->roster.Contains(entry.id, entry.address);
 }
 
 void RemoveEntry(State* state, const WorkerId& id, Time now) {
@@ -451,7 +451,8 @@
     }
     return;
   }
-  if (answer.outcome == OrderOutcome::kOtherIncarnation) {
+  if (answer.outcome == OrderOutcome::kOtherIncarnation &&
+      worker->polled_at == worker->answered_at) {
     // Its address belongs to another worker, which also rejects orders that are
     // still on their way to this one.
     EndAllRuns(state, worker, "another worker at its address", now);
@@ -495,6 +496,12 @@
   if (!worker->reached) {
     worker->lease_extended_at = std::max(worker->lease_extended_at, now);
   }
+  if (worker->answered_at != worker->polled_at) {
+    worker->answered_at = worker->polled_at;
+    worker->in_roster =
+        state->roster.Contains(worker->entry.id, worker->answered_at);
+    state->roster_changed = true;
+  }
   worker->confirmed_at = sent;
   worker->clock = answer.clock;
   worker->clock_received_at = now;
--- a/quetzal/cell/lease_expiry_test.cc
+++ b/quetzal/cell/lease_expiry_test.cc
@@ -21,6 +21,7 @@
   CPPUNIT_TEST(AFailedCopyOfAStartDoesntEndItsRun);
   CPPUNIT_TEST(AStartThatTheNextIncarnationExecutedIsStoppedFirst);
   CPPUNIT_TEST(AnotherWorkerAtTheAddressEndsRunsAtOnce);
+  CPPUNIT_TEST(AnotherWorkerAtAWrongAddressEndsNoRuns);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -233,6 +234,27 @@
     fleet.Run(Milliseconds(500));
     CPPUNIT_ASSERT_EQUAL(size_t{3}, fleet.starts_.size());
   }
+
+  // The list names an address that isn't the worker's, or no longer.
+  void AnotherWorkerAtAWrongAddressEndsNoRuns() {
+    FakeFleet fleet(3);
+    fleet.Recover();
+    const AcceptedJob job = FakeFleet::MakeJob("a", {FakeFleet::MakeStep(1)});
+    fleet.cell()->OnJob(job, Revision{1}, std::nullopt, fleet.now());
+    fleet.Run(Milliseconds(500));
+    FakeWorker& worker = fleet.WorkerOf(Task("a", 0, 0));
+    worker.entry.address = "10.0.1.1:1";
+    worker.is_replaced = true;
+    fleet.cell()->OnWorkerEntry(worker.entry, fleet.now());
+    fleet.Run(Milliseconds(3'000));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, fleet.starts_.size());
+    fleet.StartTerm(Fence{9}, 32);
+    fleet.cell()->OnJob(job, Revision{1}, std::nullopt, fleet.now());
+    fleet.Recover();
+    fleet.Run(Milliseconds(10'000));
+    CPPUNIT_ASSERT(!fleet.ran_twice_);
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, fleet.starts_.size());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LeaseExpiryTest);
