--- a/quetzal/cell/internal/workers.cc
+++ b/quetzal/cell/internal/workers.cc
@@ -215,9 +215,10 @@
     ScheduleStop(worker, &run, now);
   }
   LogAdoption(state, *worker, row,
-              wanted           ? "yes"
-              : job == nullptr ? "job unknown"
-                               : "no");
+              wanted                ? "yes"
+              : job == nullptr      ? "job unknown"
+              : IsFinal(job->state) ? "job ended"
+                                    : "no");
   AddRun(state, worker, std::move(run));
   if (wanted) {
     MarkBegun(state, job, now);
