An end is acknowledged again after a poll was lost

The worker returned the end to each poll at once.

The number of the acknowledged end is kept; polls to a silent worker, which may be another incarnation, still acknowledge nothing.

Evidence: AnEndIsAcknowledgedAgainAfterALostPoll fails before.

--- a/quetzal/cell/internal/workers.cc
+++ b/quetzal/cell/internal/workers.cc
@@ -316,8 +316,11 @@
   const bool extends =
       !worker->unresponsive && worker->reached &&
       (worker->listed || now - worker->unlisted_since < kUnlistedGrace);
-  PollRequest request{.fence = state->fence,
-                      .acknowledged_end = worker->last_acknowledged};
+  // A worker that was silent may be another incarnation, whose ends are
+  // numbered from 1 again and must not count as acknowledged.
+  PollRequest request{
+      .fence = state->fence,
+      .acknowledged_end = worker->unresponsive ? 0 : worker->last_acknowledged};
   if (extends) {
     request.lease_until =
         WorkerTime{static_cast<int64_t>(EstimateClock(*worker, now)) +
@@ -475,9 +478,6 @@
            {"problem", answer.problem}});
     }
     worker->unresponsive = true;
-    // By the time it answers it may be another incarnation, whose ends are
-    // numbered from 1 again and must not count as acknowledged.
-    worker->last_acknowledged = 0;
     return;
   }
   if (answer.incarnation != worker->incarnation) {
