An end that isn't stored is not acknowledged after a lapse

What callers may see: a task that was done, and whose end was taken note of, runs again (TWICE). When a worker's leases had expired, the placer dropped its unacknowledged ends but kept them marked as applied. If the worker came back, a later end that needed no write was acknowledged at once, and the unstored one with it; after a takeover the task would start again.

Such ends are now applied again when the worker comes back.

Evidence: AnUnstoredEndIsNotAcknowledgedAfterALapse fails before.

--- a/quetzal/cell/internal/workers.cc
+++ b/quetzal/cell/internal/workers.cc
@@ -372,6 +372,8 @@
     EndRun(state, worker, task_id, number, TaskOutcome::kLeaseExpired, "", now);
   }
   DropUnacknowledged(state, worker);
+  // If the worker comes back, ends that aren't acknowledged are applied again.
+  worker->last_applied_end = worker->last_acknowledged;
   worker->known_empty = true;
   state->roster_changed = true;
 }
