Tasks whose ends aren't listed yet don't run again

What callers may see: a task runs again after it was done (TWICE). While ends can't be acknowledged, as the store is away, runs that are in neither list had counted as lost, and their tasks started again.

A run is no longer taken for lost while a worker may have ends that it hasn't listed. Its task and capacity stay charged until then.

Evidence: TasksWhoseEndsAreNotListedYetDontRunAgain fails before.

--- a/quetzal/cell/acknowledgement_test.cc
+++ b/quetzal/cell/acknowledgement_test.cc
@@ -13,6 +13,7 @@
   CPPUNIT_TEST_SUITE(AcknowledgementTest);
   CPPUNIT_TEST(AnEndIsAcknowledgedAgainAfterALostPoll);
   CPPUNIT_TEST(AnUnstoredEndIsNotAcknowledgedAfterALapse);
+  CPPUNIT_TEST(TasksWhoseEndsAreNotListedYetDontRunAgain);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -60,6 +61,31 @@
     fleet.Run(Milliseconds(2'000));
     CPPUNIT_ASSERT(worker.acknowledged_end >= 2);
   }
+
+  // Without the store nothing is acknowledged, so the worker has more ends than
+  // fit into an answer.
+  void TasksWhoseEndsAreNotListedYetDontRunAgain() {
+    constexpr int kTasks = 60;
+    FakeFleet fleet(1);
+    fleet.Recover();
+    fleet.cell()->OnJob(FakeFleet::MakeJob("a", {FakeFleet::MakeStep(kTasks)}),
+                        Revision{1}, std::nullopt, fleet.now());
+    fleet.store_up_ = false;
+    FakeWorker& worker = fleet.workers_.begin()->second;
+    std::set<TaskId> done;
+    for (int i = 0; i < kTasks; ++i) {
+      // Meanwhile the store is back, and the ends are stored.
+      fleet.store_up_ = i > kTasks / 2;
+      fleet.Run(Milliseconds(500));
+      while (!worker.running.empty()) {
+        const TaskId task = worker.running.begin()->first;
+        CPPUNIT_ASSERT_MESSAGE("started again", done.insert(task).second);
+        worker.End(task, TaskOutcome::kDone);
+      }
+    }
+    fleet.Run(Milliseconds(5'000));
+    CPPUNIT_ASSERT(fleet.StoredState("a") == JobState::kCompleted);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(AcknowledgementTest);
--- a/quetzal/cell/internal/workers.cc
+++ b/quetzal/cell/internal/workers.cc
@@ -230,6 +230,8 @@
 // after it confirmed their start or their stop.
 void EndMissingRuns(State* state, Worker* worker, const PollAnswer& answer,
                     Time now) {
+  // A run that is in neither list may have an end that isn't listed yet.
+  if (!answer.ends_are_complete) return;
   for (const auto& [task_id, number] : RunNumbersByTask(*worker)) {
     const Run& run = worker->runs.at(task_id);
     if (run.last_run_list == worker->run_lists) continue;
--- a/quetzal/cell/testing/fake_fleet.h
+++ b/quetzal/cell/testing/fake_fleet.h
@@ -25,6 +25,7 @@
 
 inline constexpr Fence kFence{7};
 inline constexpr int64_t kRunFloor = 16;
+inline constexpr size_t kMaxEndsInAnswer = 20;
 
 // A worker that carries out all orders at once, with its own clock.
 struct FakeWorker {
@@ -218,6 +219,10 @@
                 .clock = WorkerTime{worker.clock_ms},
                 .incarnation = worker.entry.incarnation,
                 .ended = worker.ended};
+      if (answer.ended.size() >= kMaxEndsInAnswer) {
+        answer.ended.resize(kMaxEndsInAnswer);
+        answer.ends_are_complete = false;
+      }
       for (const auto& [task, run] : worker.running) {
         const int percent = worker.fixed_percent.value_or(
             static_cast<int>(worker.clock_ms % 97));
--- a/quetzal/worker/worker.h
+++ b/quetzal/worker/worker.h
@@ -107,6 +107,8 @@
   Incarnation incarnation{0};
   std::vector<RunningTask> running;
   std::vector<EndedTask> ended;
+  // False if the worker may have more ends than fit into an answer.
+  bool ends_are_complete = true;
   std::string problem;  // of the connection, for the log; empty if answered
 };
 
