A late list of a former incarnation ends no runs

Whether a list is newer than the answer to a start was decided by the worker's clock alone. Answers to orders don't name the incarnation: if the new one answered the start, its clock began anew, and an earlier list of the former incarnation, with a higher clock, ended the run.

A list now ends a run only if its poll was sent after the start's answer arrived.

Evidence: ALateListOfTheFormerIncarnationEndsNoRuns fails before: the task runs on two workers.

--- a/quetzal/cell/internal/orders.cc
+++ b/quetzal/cell/internal/orders.cc
@@ -108,6 +108,7 @@
     case OrderOutcome::kDone:
       if (present) {
         found->second.start_worker_time = answer.clock;
+        found->second.start_answered_at = now;
         if (found->second.state == RunState::kStarting) {
           found->second.state = RunState::kRunning;
           found->second.progressed_at = now;
--- a/quetzal/cell/internal/state.h
+++ b/quetzal/cell/internal/state.h
@@ -45,8 +45,9 @@
   Resources charge;
   Time ordered_at;
   WorkerTime start_worker_time{0};  // in the answer to the start
-  int percent = 0;                  // of its work, as last reported
-  Time progressed_at;               // when `percent` last changed
+  Time start_answered_at;
+  int percent = 0;     // of its work, as last reported
+  Time progressed_at;  // when `percent` last changed
   // The newest of its worker's run lists that contains it.
   uint64_t last_run_list = 0;
   bool stop_in_flight = false;
--- a/quetzal/cell/internal/workers.cc
+++ b/quetzal/cell/internal/workers.cc
@@ -228,15 +228,17 @@
 
 // Ends runs that are missing from a run list although the worker made the list
 // after it confirmed their start or their stop.
-void EndMissingRuns(State* state, Worker* worker, const PollAnswer& answer,
-                    Time now) {
+void EndMissingRuns(State* state, Worker* worker, Time sent,
+                    const PollAnswer& answer, Time now) {
   // A run that is in neither list may have an end that isn't listed yet.
   if (!answer.ends_are_complete) return;
   for (const auto& [task_id, number] : RunNumbersByTask(*worker)) {
     const Run& run = worker->runs.at(task_id);
     if (run.last_run_list == worker->run_lists) continue;
-    const bool was_there =
-        run.state == RunState::kRunning && run.start_worker_time < answer.clock;
+    // Answers to orders don't name the incarnation whose clock they show.
+    const bool was_there = run.state == RunState::kRunning &&
+                           run.start_worker_time < answer.clock &&
+                           run.start_answered_at <= sent;
     const bool was_stopped =
         run.stop_worker_time && *run.stop_worker_time < answer.clock;
     if (!was_there && !was_stopped) continue;
@@ -516,7 +518,7 @@
   }
   // The list of runs is complete, that of ends may come in parts.
   ApplyRunList(state, worker, answer, now);
-  EndMissingRuns(state, worker, answer, now);
+  EndMissingRuns(state, worker, sent, answer, now);
   worker->reached = true;
   AcknowledgeStored(state, worker, now);
   if (!worker->unacked.empty()) worker->next_poll_at = now + kPollWhileStoring;
--- a/quetzal/cell/lease_expiry_test.cc
+++ b/quetzal/cell/lease_expiry_test.cc
@@ -22,6 +22,7 @@
   CPPUNIT_TEST(AStartThatTheNextIncarnationExecutedIsStoppedFirst);
   CPPUNIT_TEST(AnotherWorkerAtTheAddressEndsRunsAtOnce);
   CPPUNIT_TEST(AnotherWorkerAtAWrongAddressEndsNoRuns);
+  CPPUNIT_TEST(ALateListOfTheFormerIncarnationEndsNoRuns);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -255,6 +256,29 @@
     CPPUNIT_ASSERT(!fleet.ran_twice_);
     CPPUNIT_ASSERT_EQUAL(size_t{2}, fleet.starts_.size());
   }
+
+  void ALateListOfTheFormerIncarnationEndsNoRuns() {
+    FakeFleet fleet(2);
+    fleet.Recover();
+    fleet.hold_polls_ = true;
+    fleet.Run(Milliseconds(20));
+    const Time polled_at = fleet.now();
+    for (auto& [id, worker] : fleet.workers_) worker.Restart();
+    fleet.cell()->OnJob(FakeFleet::MakeJob("a", {FakeFleet::MakeStep(1)}),
+                        Revision{1}, std::nullopt, fleet.now());
+    fleet.Run(Milliseconds(20));
+    const StartAction start = fleet.starts_.at(0);
+    // The clock of the new incarnation began anew.
+    fleet.cell()->OnPollAnswer(start.worker.id, {.fence = testing::kFence},
+                               polled_at,
+                               {.outcome = OrderOutcome::kDone,
+                                .clock = WorkerTime{200'000},
+                                .incarnation = Incarnation{1}},
+                               fleet.now());
+    fleet.hold_polls_ = false;
+    fleet.Run(Milliseconds(2'000));
+    CPPUNIT_ASSERT(!fleet.ran_twice_);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LeaseExpiryTest);
