A majority counts the workers that can obey two placers

A placer goes on without the store while a majority of the workers obeys it, and its successor relies on that. The majority was one of the listed workers in the roster of each placer.

Until all workers are accounted for, the listed workers of the former placer's roster count; later all listed ones that ever answered. A listed worker that doesn't answer leaves the roster once its leases have expired, so that the next placer doesn't wait for it.

Evidence: AFormerPlacerWithAMinorityDoesntGoOn, NewWorkersDontMakeAMajority and ASilentListedWorkerLeavesTheRoster fail before.

--- a/quetzal/cell/internal/accounting.cc
+++ b/quetzal/cell/internal/accounting.cc
@@ -94,10 +94,13 @@
       }
       continue;
     }
-    if (expired && !worker.listed && state->workers_listed) {
+    if (expired && state->workers_listed) {
       worker.known_empty = true;
+      state->roster_changed = true;
       state->log->ImportantLine(
-          "worker_gone", {{"worker", id.text()}, {"why", "left the list"}});
+          "worker_gone",
+          {{"worker", id.text()},
+           {"why", worker.listed ? "doesn't answer" : "left the list"}});
     } else if (MayHaveUnknownRuns(worker)) {
       all_accounted = false;
     }
@@ -111,14 +114,23 @@
        {"how", all_accounted ? "reached" : "lapsed"}});
 }
 
+namespace {
+
+// Until all workers are accounted for, those that a former placer may have used
+// count: a majority of them can't obey both placers. Later those that answered
+// count, reachable or not, but no entries of others.
+bool CountsForMajority(const State& state, const Worker& worker) {
+  return state.all_workers_accounted ? !worker.answered_at.empty()
+                                     : worker.in_former_roster;
+}
+
+}  // namespace
+
 bool HasMajority(const State& state, Milliseconds age, Time now) {
   size_t listed = 0;
   size_t confirmed = 0;
   for (const auto& [id, worker] : state.workers) {
-    // No placer can have counted on a worker outside the roster.
-    if (!worker.listed || !(worker.in_roster || worker.in_former_roster)) {
-      continue;
-    }
+    if (!worker.listed || !CountsForMajority(state, worker)) continue;
     ++listed;
     if (worker.reached && now - worker.confirmed_at < age) ++confirmed;
   }
--- a/quetzal/cell/takeover_test.cc
+++ b/quetzal/cell/takeover_test.cc
@@ -24,6 +24,9 @@
   CPPUNIT_TEST(AStartThatOurOwnHigherFenceRejectedIsRepeated);
   CPPUNIT_TEST(EntriesThatNeverAnsweredHoldUpNoTakeover);
   CPPUNIT_TEST(WithoutAReadableRosterAllListedWorkersCount);
+  CPPUNIT_TEST(AFormerPlacerWithAMinorityDoesntGoOn);
+  CPPUNIT_TEST(NewWorkersDontMakeAMajority);
+  CPPUNIT_TEST(ASilentListedWorkerLeavesTheRoster);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -265,6 +268,51 @@
     CPPUNIT_ASSERT(!fleet.ran_twice_);
     CPPUNIT_ASSERT_EQUAL(size_t{2}, fleet.starts_.size());
   }
+
+  // The leases of the others have expired there, not their fences.
+  void AFormerPlacerWithAMinorityDoesntGoOn() {
+    FakeFleet fleet(5);
+    fleet.Recover();
+    fleet.cell()->OnJob(FakeFleet::MakeJob("a", {FakeFleet::MakeStep(20)}),
+                        Revision{1}, std::nullopt, fleet.now());
+    fleet.Run(Milliseconds(500));
+    int reachable = 1;
+    for (auto& [id, worker] : fleet.workers_) {
+      worker.unresponsive = reachable-- <= 0;
+    }
+    fleet.Run(Milliseconds(10'000));
+    CPPUNIT_ASSERT(
+        !fleet.cell()->HasMajority(Milliseconds(2'400), fleet.now()));
+  }
+
+  // Three of the former placer's five workers may still obey it.
+  void NewWorkersDontMakeAMajority() {
+    FakeFleet fleet(8);
+    for (auto& [id, worker] : fleet.workers_) {
+      if (id >= WorkerId("w-5")) continue;
+      fleet.roster_[id] = {worker.entry.address, worker.entry.capacity};
+      worker.unresponsive = id >= WorkerId("w-2");
+    }
+    fleet.StartTerm(Fence{9}, 32);
+    fleet.Recover();
+    fleet.Run(Milliseconds(2'000));
+    CPPUNIT_ASSERT(
+        !fleet.cell()->HasMajority(Milliseconds(2'400), fleet.now()));
+  }
+
+  void ASilentListedWorkerLeavesTheRoster() {
+    FakeFleet fleet(3);
+    for (const auto& [id, worker] : fleet.workers_) {
+      fleet.roster_[id] = {worker.entry.address, worker.entry.capacity};
+    }
+    fleet.workers_.at(WorkerId("w-2")).unresponsive = true;
+    fleet.StartTerm(Fence{9}, 32);
+    fleet.Recover();
+    fleet.Run(Milliseconds(5'000));
+    CPPUNIT_ASSERT(fleet.roster_.contains(WorkerId("w-2")));
+    fleet.Run(Milliseconds(5'000));
+    CPPUNIT_ASSERT(!fleet.roster_.contains(WorkerId("w-2")));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TakeoverTest);
