Soak: unreachable and restarted workers, lost and late heartbeats

Placers reached workers directly, workers never crashed, and their heartbeats always arrived, so no poll of a worker was ever refused.

Now placers reach each worker through a proxy, which delays, blocks in one or both directions, resets or refuses for 0.3 to 8 s. Before a rejection, answers are sometimes held back, so that calls were executed whose connection is then reset. Workers crash and start again under their id, with heartbeats lost for a while and a late one of the former incarnation; heartbeats of up to three workers are lost around the end of the active placer. Every other stretch of the soak has faults of workers only, as otherwise a placer is rarely active long enough. The judge is in the stand-in, which the proxies don't cut off from its own runs: it counts runs of unreachable workers. It logs each broken promise with task, run and worker. A crash in the stand-in drops ends that nobody took note of, and leases are cut to hold-max-ms. Resets are now sent as RST; before, a FIN came first.

--- a/standins/users_platform/main.cc
+++ b/standins/users_platform/main.cc
@@ -8,8 +8,17 @@
 // {"version": N}: it adds the queue "/added-N/" and the key "key-added-N".
 // POST /entry?id=ID writes the body as the entry of a worker, as another writer
 // may; POST /add-worker adds a worker.
+//
+// POST /silence?worker=I&silent-ms=S loses a worker's heartbeats for a while.
+// POST /crash?worker=I&down-ms=D&silent-ms=S&late-ms=L ends a worker, which
+// starts again under its id after D. Until S the store receives no heartbeat of
+// the new incarnation, and at L a late one of the former.
+#include <glib.h>
+#include <glog/logging.h>
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 #include "quetzal/program/program.h"
 #include "standins/users_platform/store_front.h"
@@ -22,9 +31,11 @@
 
 constexpr Milliseconds kHeartbeatInterval{500};
 constexpr Milliseconds kAdviceDelay{3};
-constexpr int kOk = 200;
+// An entry is removed after this time without a heartbeat.
+constexpr Milliseconds kEntryExpiry = 3 * kHeartbeatInterval;
 constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
+constexpr int kOk = 200;
 // A step may run on about this many in ten of the workers in a query.
 constexpr size_t kAllowedInTen = 7;
 
@@ -33,15 +44,23 @@
   std::string advice_address;
   std::string control_address;
   int workers = 0;
+  // Consecutive ports: on which workers listen, and which their entries name.
+  int first_worker_port = 0;
+  int first_worker_link_port = 0;
 };
 
 PlatformSettings ReadSettings(const Json& json, Problems* problems) {
   ObjectReader reader(json, "settings", problems);
-  PlatformSettings settings{.store_address = reader.Text("store_address"),
-                            .advice_address = reader.Text("advice_address"),
-                            .control_address = reader.Text("control_address"),
-                            .workers = static_cast<int>(reader.Integer(
-                                "workers", {.min = 1, .max = 200}))};
+  PlatformSettings settings{
+      .store_address = reader.Text("store_address"),
+      .advice_address = reader.Text("advice_address"),
+      .control_address = reader.Text("control_address"),
+      .workers =
+          static_cast<int>(reader.Integer("workers", {.min = 1, .max = 200})),
+      .first_worker_port = static_cast<int>(
+          reader.Integer("first_worker_port", {.min = 1, .max = 65'535})),
+      .first_worker_link_port = static_cast<int>(
+          reader.Integer("first_worker_link_port", {.min = 1, .max = 65'535}))};
   reader.ReportUnknownFields();
   return settings;
 }
@@ -105,6 +124,11 @@
   void BeginShutdown() override { Quit(kExitDone); }
 
  private:
+  struct Heartbeats {
+    Time last{};
+    Time silent_until{};
+  };
+
   static std::unique_ptr<HttpServer> Serve(
       const std::string& address,
       std::function<void(HttpCallId, const HttpRequest&)> on_request) {
@@ -114,10 +138,10 @@
   }
 
   bool AddWorker() {
-    auto worker = std::make_unique<PoolWorker>(
-        "i-" + std::to_string(workers_.size()), &judgement_);
-    if (!worker->Listen("127.0.0.1:0")) return false;
+    auto worker = StartWorker(static_cast<int>(workers_.size()));
+    if (!worker) return false;
     workers_.push_back(std::move(worker));
+    heartbeats_.emplace_back();
     return true;
   }
 
@@ -126,11 +150,53 @@
     store_.Put("op/config", Configuration(version_).dump());
   }
 
+  std::unique_ptr<PoolWorker> StartWorker(int index) {
+    auto worker =
+        std::make_unique<PoolWorker>("i-" + std::to_string(index), &judgement_);
+    const bool listens =
+        worker->Listen(settings_.first_worker_port + index,
+                       settings_.first_worker_link_port + index);
+    return listens ? std::move(worker) : nullptr;
+  }
+
   void WriteHeartbeats() {
-    for (const auto& worker : workers_) {
-      store_.Put("servers/" + worker->id(), worker->Entry().dump());
+    for (size_t i = 0; i < workers_.size(); ++i) {
+      if (heartbeats_[i].silent_until <= Now()) {
+        heartbeats_[i].last = Now();
+        WriteEntry(*workers_[i]);
+      } else if (Now() - heartbeats_[i].last >= kEntryExpiry) {
+        store_.Remove("servers/" + workers_[i]->id());
+      }
     }
   }
+  void WriteEntry(const PoolWorker& worker) {
+    store_.Put("servers/" + worker.id(), worker.Entry().dump());
+  }
+
+  // Returns false if the request names no worker.
+  bool InjectWorkerFault(const HttpRequest& request) {
+    auto query = request.query;
+    const auto number = [&](const char* name) {
+      return g_ascii_strtoull(query[name].c_str(), nullptr, 10);
+    };
+    const auto time = [&](const char* name) {
+      return Milliseconds(static_cast<int64_t>(number(name)));
+    };
+    const size_t index = number("worker");
+    if (index >= workers_.size()) return false;
+    Time& silent_until = heartbeats_[index].silent_until;
+    silent_until = std::max(silent_until, Now() + time("silent-ms"));
+    if (request.path == "/silence") return true;
+    PoolWorker* const crashed = workers_[index].get();
+    crashed->Crash();
+    RunAfter(time("down-ms"), [this, index] {
+      auto next = StartWorker(static_cast<int>(index));
+      CHECK(next) << "a worker can't listen again";
+      former_.push_back(std::exchange(workers_[index], std::move(next)));
+    });
+    RunAfter(time("late-ms"), [this, crashed] { WriteEntry(*crashed); });
+    return true;
+  }
 
   // Whether the worker may run the step: seven in ten, and at least one.
   bool IsAllowed(const std::string& step, const std::string& worker) const {
@@ -185,6 +251,9 @@
     } else if (request.path == "/publish") {
       Publish();
       control_->Reply(call, {.body = Json{{"version", version_}}.dump()});
+    } else if (request.path == "/silence" || request.path == "/crash") {
+      const bool known = InjectWorkerFault(request);
+      control_->Reply(call, {.status = known ? kOk : kBadRequest});
     } else if (request.path == "/entry" && request.query.contains("id")) {
       store_.Put("servers/" + request.query.at("id"), request.body);
       control_->Reply(call, {});
@@ -202,6 +271,8 @@
   Judgement judgement_;
   int version_ = 0;  // of the configuration
   std::vector<std::unique_ptr<PoolWorker>> workers_;
+  std::vector<Heartbeats> heartbeats_;               // of `workers_`
+  std::vector<std::unique_ptr<PoolWorker>> former_;  // crashed incarnations
 };
 
 }  // namespace
--- a/standins/users_platform/store_front.cc
+++ b/standins/users_platform/store_front.cc
@@ -82,6 +82,10 @@
                [](const TransactionAnswer&) {});
 }
 
+void StoreFront::Remove(const std::string& key) {
+  store_.Apply({.removes = {key}}, [](const TransactionAnswer&) {});
+}
+
 void StoreFront::Answer(HttpCallId call, int status, const Json& body) {
   server_->Reply(call, {.status = status, .body = body.dump()});
 }
--- a/standins/users_platform/store_front.h
+++ b/standins/users_platform/store_front.h
@@ -19,6 +19,7 @@
   bool Listen(const std::string& address);
   // Writes a key as the operator or a worker would.
   void Put(const std::string& key, const std::string& value);
+  void Remove(const std::string& key);
   // While the store is down, every call is answered with 503.
   void SetDown(bool down) { down_ = down; }
 
--- a/standins/users_platform/worker_pool.cc
+++ b/standins/users_platform/worker_pool.cc
@@ -1,6 +1,7 @@
 #include "standins/users_platform/worker_pool.h"
 
 #include <glib.h>
+#include <glog/logging.h>
 
 #include <algorithm>
 #include <utility>
@@ -19,6 +20,8 @@
 constexpr size_t kMaxTasks = 4;  // at a time, whatever their size
 constexpr int64_t kTaskCpuMilli = 1'000;
 constexpr Milliseconds kLeaseCheckInterval{100};
+// The platform's `hold-max-ms`.
+constexpr int64_t kMaxLeaseMs = 3'000;
 
 Json MakeRefusal(const char* reason, int* status) {
   *status = kConflict;
@@ -32,18 +35,35 @@
       judgement_(judgement),
       started_at_ms_(g_get_real_time() / 1'000) {}
 
-bool PoolWorker::Listen(const std::string& address) {
+bool PoolWorker::Listen(int port, int link_port) {
   server_ = ListenForHttp(
-      address, {},
+      "127.0.0.1:" + std::to_string(port), {},
       {.on_request = [this](HttpCallId call,
                             const HttpRequest& r) { OnRequest(call, r); },
        .on_disconnect = [](HttpCallId) {}});
   if (!server_) return false;
-  address_ = "127.0.0.1:" + std::to_string(server_->port());
+  address_ = "127.0.0.1:" + std::to_string(link_port);
   RunEvery(kLeaseCheckInterval, [this] { CheckLease(); });
   return true;
 }
 
+void PoolWorker::Crash() {
+  server_.reset();
+  pending_polls_.clear();
+  for (const auto& [task, run] : std::exchange(running_, {})) {
+    --judgement_->running[task];
+  }
+  // Nobody can take note of these ends any more.
+  for (const std::string& task : std::exchange(unacknowledged_done_, {})) {
+    judgement_->done.erase(task);
+  }
+}
+
+void PoolWorker::ExtendLease(int64_t until_ms) {
+  lease_expires_at_ms_ = std::max(lease_expires_at_ms_,
+                                  std::min(until_ms, ClockMs() + kMaxLeaseMs));
+}
+
 void PoolWorker::CheckLease() {
   if (ClockMs() <= lease_expires_at_ms_) return;
   for (const std::string& task : std::exchange(unacknowledged_done_, {})) {
@@ -123,13 +143,22 @@
   if (order.value("ticket", "") != "t-" + id_) {
     return MakeRefusal("ticket", status);
   }
-  lease_expires_at_ms_ = std::max(lease_expires_at_ms_, until);
-  if (++judgement_->running[task] > 1) ++judgement_->started_twice;
-  if (judgement_->done.contains(task)) ++judgement_->started_after_end;
+  ExtendLease(until);
+  const auto count = [&](const char* rule, bool is_broken, int* counter) {
+    if (!is_broken) return;
+    ++*counter;
+    LOG(ERROR) << rule << ": " << task << " run " << number << " on " << id_
+               << " born " << started_at_ms_ << " by fence " << highest_fence_;
+  };
+  count("started twice", ++judgement_->running[task] > 1,
+        &judgement_->started_twice);
+  count("started after end", judgement_->done.contains(task),
+        &judgement_->started_after_end);
   judgement_->started.insert(task);
   const uint64_t serial = next_serial_++;
   running_[task] = {number, serial};
-  if (running_.size() > kMaxTasks) ++judgement_->over_capacity;
+  count("over capacity", running_.size() > kMaxTasks,
+        &judgement_->over_capacity);
   const std::string specification = order.value("specification", "");
   const auto run_ms = static_cast<int64_t>(
       g_ascii_strtoull(specification.c_str(), nullptr, 10));
@@ -180,8 +209,7 @@
          .body = Json{{"reason", "fence"}, {"clock-ms", ClockMs()}}.dump()});
     return;
   }
-  lease_expires_at_ms_ =
-      std::max(lease_expires_at_ms_, order.value("deadline-ms", int64_t{0}));
+  ExtendLease(order.value("deadline-ms", int64_t{0}));
   const int64_t acknowledged = order.value("last-seen", int64_t{0});
   while (!ended_.empty() &&
          ended_.front().at(0).get<int64_t>() <= acknowledged) {
--- a/standins/users_platform/worker_pool.h
+++ b/standins/users_platform/worker_pool.h
@@ -39,7 +39,10 @@
 class PoolWorker {
  public:
   PoolWorker(std::string id, Judgement* judgement);
-  bool Listen(const std::string& address);
+  // Listens on `port`; the worker's entry names `link_port`.
+  bool Listen(int port, int link_port);
+  // Ends all runs and stops listening for good, as the process's end would.
+  void Crash();
   const std::string& id() const { return id_; }
   nlohmann::json Entry() const;
 
@@ -62,6 +65,7 @@
   void AnswerPoll(HttpCallId call);
   // Ends all runs if the lease has expired.
   void CheckLease();
+  void ExtendLease(int64_t until_ms);
   bool IsFenced(const nlohmann::json& order);
   int64_t ClockMs() const;
 
--- a/tests/soak/cell_soak.cc
+++ b/tests/soak/cell_soak.cc
@@ -1,9 +1,10 @@
 // Randomized soak of the cell: the shipped programs as processes on this
 // machine, the stand-in for the users' platform, and injected faults: signals
-// to processes, outages of the store, and proxies that delay, block in one or
-// both directions, or reset machines' links to the store. The soak checks what
-// workers and callers see while it runs; afterwards, every accepted job must
-// end.
+// to processes, outages of the store, workers that crash or whose heartbeats
+// are lost, and proxies that delay, block in one or both directions, reset or
+// refuse machines' links to the store and placers' links to single workers. The
+// soak checks what workers and callers see while it runs, also on workers that
+// can't be reached; afterwards, every accepted job must end.
 //
 //   cell_soak --seed 7 --seconds 30
 //
@@ -24,6 +25,9 @@
 namespace {
 
 constexpr int kMachines = 3;
+constexpr int kWorkers = CellCluster::kWorkers;
+constexpr int kMaxStoreLinkFaultMs = 4'000;
+constexpr int kMaxWorkerFaultMs = 8'000;
 constexpr int kOk = 200;
 constexpr int kBusy = 429;
 constexpr int kGone = 410;
@@ -59,15 +63,22 @@
   // Returns the number of violated guarantees.
   int Run(int seconds) {
     for (int i = 0; i < kMachines; ++i) {
-      proxies_.push_back(std::make_unique<LoopbackProxy>(
+      store_links_.push_back(std::make_unique<LoopbackProxy>(
           cluster_.StoreLinkPort(i), cluster_.StorePort()));
-      if (!proxies_.back()->is_listening()) {
-        return ReportViolation("no port", "proxy");
+    }
+    for (int i = 0; i < kWorkers; ++i) {
+      worker_links_.push_back(std::make_unique<LoopbackProxy>(
+          cluster_.WorkerLinkPort(i), cluster_.WorkerPort(i)));
+    }
+    for (const auto* const links : {&store_links_, &worker_links_}) {
+      for (const auto& link : *links) {
+        if (!link->is_listening()) return ReportViolation("no port", "proxy");
       }
     }
     if (!cluster_.Start()) return ReportViolation("the cell doesn't start", "");
     const gint64 until = g_get_monotonic_time() + seconds * kUsPerSecond;
-    while (g_get_monotonic_time() < until) {
+    for (int i = 0; g_get_monotonic_time() < until; ++i) {
+      only_workers_ = i / kStretchRounds % 2 == 1;
       RunDueHeals();
       if (Chance(kFaultProbability)) InjectFault();
       Submit();
@@ -88,7 +99,10 @@
   }
 
  private:
-  static constexpr double kFaultProbability = 0.12;
+  using Links = std::vector<std::unique_ptr<LoopbackProxy>>;
+  static constexpr double kFaultProbability = 0.18;
+  // Every other stretch has faults of workers only, while a placer is active.
+  static constexpr int kStretchRounds = 80;
   static constexpr double kCancelProbability = 0.05;
   static constexpr double kPublishProbability = 0.1;
 
@@ -119,12 +133,17 @@
   }
 
   void InjectFault() {
+    constexpr int kKinds = 9;
+    constexpr int kFirstWorkerKind = 6;
+    const int kind = Draw(0, kKinds - 1);
+    const bool is_worker_fault = kind >= kFirstWorkerKind && kind != kKinds - 1;
+    if (only_workers_ && !is_worker_fault) return;
     ++faults_;
     const int machine = Draw(0, kMachines - 1);
     const std::string name =
         (Chance(0.6) ? "placer-" : "entry-") + std::to_string(machine);
-    constexpr int kKinds = 6;
-    switch (Draw(0, kKinds - 1)) {
+    const int worker = Draw(0, kWorkers - 1);
+    switch (kind) {
       case 0:
         EndProcess(name, SIGKILL);
         break;
@@ -135,15 +154,24 @@
         Suspend(name);
         break;
       case 3:
-        DegradeLink(machine);
+        DegradeLink("machine", machine, store_links_, kMaxStoreLinkFaultMs);
         break;
       case 4:
         std::printf("reset of machine %d's link\n", machine);
-        proxies_[static_cast<size_t>(machine)]->ResetAll();
+        store_links_[static_cast<size_t>(machine)]->ResetAll();
         break;
       case 5:
         StopStore();
         break;
+      case 6:
+        DegradeLink("worker", worker, worker_links_, kMaxWorkerFaultMs);
+        break;
+      case 7:
+        CrashWorker(worker);
+        break;
+      case 8:
+        SilenceWorkersAroundHandover();
+        break;
     }
   }
   void EndProcess(const std::string& name, int signal) {
@@ -166,16 +194,58 @@
       cluster_.Signal(name, SIGCONT);
     });
   }
-  void DegradeLink(int machine) {
-    LoopbackProxy* const proxy = proxies_[static_cast<size_t>(machine)].get();
-    const auto fault = static_cast<LinkFault>(
-        Draw(static_cast<int>(LinkFault::kSlow),
-             static_cast<int>(LinkFault::kRepliesBlocked)));
-    std::printf("fault %d of machine %d's link\n", static_cast<int>(fault),
-                machine);
-    proxy->SetFault(fault);
-    ScheduleHeal(Draw(300, 4'000),
-                 [proxy] { proxy->SetFault(LinkFault::kNone); });
+  void DegradeLink(const std::string& whose, int index, const Links& links,
+                   int max_ms) {
+    const std::string name = "link of " + whose + " " + std::to_string(index);
+    if (!unavailable_.insert(name).second) return;
+    LoopbackProxy* const link = links[static_cast<size_t>(index)].get();
+    const auto fault =
+        static_cast<LinkFault>(Draw(static_cast<int>(LinkFault::kSlow),
+                                    static_cast<int>(LinkFault::kRefused)));
+    // Calls whose answers are held back have been executed when their
+    // connections are reset.
+    const int held_ms = fault >= LinkFault::kReset ? Draw(0, 200) : 0;
+    std::printf("fault %d of %s\n", static_cast<int>(fault), name.c_str());
+    if (held_ms > 0) link->SetFault(LinkFault::kRepliesBlocked);
+    ScheduleHeal(held_ms, [link, fault] { link->SetFault(fault); });
+    ScheduleHeal(held_ms + Draw(300, max_ms), [this, name, link] {
+      unavailable_.erase(name);
+      link->SetFault(LinkFault::kNone);
+    });
+  }
+  void InjectWorkerFault(const std::string& request) {
+    std::printf("%s\n", request.c_str());
+    cluster_.InjectWorkerFault(request);
+  }
+  void CrashWorker(int worker) {
+    const std::string name = "worker-" + std::to_string(worker);
+    if (!unavailable_.insert(name).second) return;
+    const int down_ms = Draw(1, 1'500);
+    const int silent_ms = down_ms + Draw(0, 4'000);
+    const int late_ms = silent_ms + Draw(0, 1'500);
+    InjectWorkerFault("/crash?worker=" + std::to_string(worker) +
+                      "&down-ms=" + std::to_string(down_ms) +
+                      "&silent-ms=" + std::to_string(silent_ms) +
+                      "&late-ms=" + std::to_string(late_ms));
+    ScheduleHeal(late_ms, [this, name] { unavailable_.erase(name); });
+  }
+  // Loses heartbeats of some workers, and ends the active placer meanwhile.
+  void SilenceWorkersAroundHandover() {
+    for (int i = Draw(1, 3); i > 0; --i) {
+      InjectWorkerFault(
+          "/silence?worker=" + std::to_string(Draw(0, kWorkers - 1)) +
+          "&silent-ms=" + std::to_string(Draw(500, kMaxWorkerFaultMs)));
+    }
+    const int signal = Chance(0.5) ? SIGKILL : SIGTERM;
+    ScheduleHeal(Draw(0, 5'000), [this, signal] {
+      // A suspended placer wouldn't tell whether it is active.
+      const auto placer = unavailable_.lower_bound("placer-");
+      const bool any_down =
+          placer != unavailable_.end() && placer->starts_with("placer-");
+      const int active = any_down ? -1 : cluster_.Leader();
+      if (active < 0) return;
+      EndProcess("placer-" + std::to_string(active), signal);
+    });
   }
   void StopStore() {
     if (!unavailable_.insert("store").second) return;
@@ -311,15 +381,18 @@
 
   std::mt19937_64 random_;
   CellCluster cluster_;
-  std::vector<std::unique_ptr<LoopbackProxy>> proxies_;
+  Links store_links_;
+  Links worker_links_;
   // By monotonic time in microseconds.
   std::multimap<gint64, std::function<void()>> heals_;
-  // Processes that are down or suspended, and "store" during an outage.
+  // Processes that are down or suspended, links and workers with faults, and
+  // "store" during an outage.
   std::set<std::string> unavailable_;
   std::vector<SentJob> jobs_;
   std::map<std::string, int> last_counts_;
   // When versions of the configuration were confirmed, in microseconds.
   std::map<int, gint64> published_;
+  bool only_workers_ = false;
   int faults_ = 0;
   int violations_ = 0;
 };
--- a/tests/soak/loopback_proxy.cc
+++ b/tests/soak/loopback_proxy.cc
@@ -3,12 +3,12 @@
 #include <sys/socket.h>
 
 #include <array>
+#include <cerrno>
 #include <thread>
 
 namespace quetzal::testing {
 namespace {
 
-constexpr int kMaxConnections = 256;
 constexpr size_t kChunkBytes = 16 * 1024;
 // More than a round trip between distant regions.
 constexpr gulong kDelayPerChunkUs = 120'000;
@@ -23,39 +23,47 @@
   return result;
 }
 
-// Makes the close discard unsent data, so that the peer sees a reset.
+// Sends the peer a reset at once. On Linux, connecting to no address does so.
 void ResetSocket(GSocket* socket) {
-  const linger at_once{.l_onoff = 1, .l_linger = 0};
-  setsockopt(g_socket_get_fd(socket), SOL_SOCKET, SO_LINGER, &at_once,
-             sizeof(at_once));
-  shutdown(g_socket_get_fd(socket), SHUT_RDWR);
+  const sockaddr none{.sa_family = AF_UNSPEC, .sa_data = {}};
+  if (connect(g_socket_get_fd(socket), &none, sizeof(none)) != 0) {
+    g_warning("a connection isn't reset: %s", g_strerror(errno));
+  }
+}
+
+GSocket* NewSocket() {
+  return g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
+                      G_SOCKET_PROTOCOL_TCP, nullptr);
 }
 
 }  // namespace
 
 LoopbackProxy::LoopbackProxy(int listen_port, int target_port)
-    : target_port_(target_port),
-      service_(g_threaded_socket_service_new(kMaxConnections)) {
+    : target_port_(target_port), listener_(NewSocket()) {
   GSocketAddress* const address = LoopbackAddress(listen_port);
-  listening_ = g_socket_listener_add_address(
-      G_SOCKET_LISTENER(service_), address, G_SOCKET_TYPE_STREAM,
-      G_SOCKET_PROTOCOL_TCP, nullptr, nullptr, nullptr);
+  listening_ = g_socket_bind(listener_, address, TRUE, nullptr) == TRUE &&
+               g_socket_listen(listener_, nullptr) == TRUE;
   g_object_unref(address);
-  g_signal_connect(service_, "run", G_CALLBACK(&OnConnection), this);
-  g_socket_service_start(service_);
+  accepting_ = std::thread([this] { AcceptConnections(); });
 }
 
 LoopbackProxy::~LoopbackProxy() {
   stopping_ = true;
-  g_socket_service_stop(service_);
-  g_socket_listener_close(G_SOCKET_LISTENER(service_));
+  accepting_.join();
   ResetAll();
-  while (true) {
-    const std::lock_guard<std::mutex> lock(mutex_);
-    if (sockets_.empty()) break;
-    g_usleep(kCheckIntervalUs);
+  while (forwarded_ > 0) g_usleep(kCheckIntervalUs);
+  g_object_unref(listener_);
+}
+
+void LoopbackProxy::SetFault(LinkFault fault) {
+  const LinkFault former = fault_.exchange(fault);
+  // A shut down listener refuses connections and keeps its port.
+  if (fault == LinkFault::kRefused) {
+    shutdown(g_socket_get_fd(listener_), SHUT_RDWR);
+  } else if (former == LinkFault::kRefused) {
+    g_socket_listen(listener_, nullptr);
   }
-  g_object_unref(service_);
+  if (rejects()) ResetAll();
 }
 
 void LoopbackProxy::ResetAll() {
@@ -63,23 +71,31 @@
   for (GSocket* const socket : sockets_) ResetSocket(socket);
 }
 
-gboolean LoopbackProxy::OnConnection(GThreadedSocketService* /*service*/,
-                                     GSocketConnection* caller,
-                                     GObject* /*source*/, gpointer self) {
-  static_cast<LoopbackProxy*>(self)->Forward(
-      g_socket_connection_get_socket(caller));
-  return TRUE;
+void LoopbackProxy::AcceptConnections() {
+  while (!stopping_) {
+    if (fault_ == LinkFault::kRefused) {
+      g_usleep(kCheckIntervalUs);
+      continue;
+    }
+    if (!g_socket_condition_timed_wait(listener_, G_IO_IN, kCheckIntervalUs,
+                                       nullptr, nullptr)) {
+      continue;
+    }
+    GSocket* const caller = g_socket_accept(listener_, nullptr, nullptr);
+    if (caller == nullptr) continue;
+    ++forwarded_;
+    std::thread([this, caller] { Forward(caller); }).detach();
+  }
 }
 
 void LoopbackProxy::Forward(GSocket* caller) {
-  GSocket* const target =
-      g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
-                   G_SOCKET_PROTOCOL_TCP, nullptr);
+  GSocket* const target = NewSocket();
   GSocketAddress* const address = LoopbackAddress(target_port_);
   if (g_socket_connect(target, address, nullptr, nullptr)) {
     {
       const std::lock_guard<std::mutex> lock(mutex_);
       sockets_.insert({caller, target});
+      if (rejects()) ResetSocket(caller);
     }
     std::thread replies([&] { CopyBytes(target, caller, true); });
     CopyBytes(caller, target, false);
@@ -90,6 +106,8 @@
   }
   g_object_unref(address);
   g_object_unref(target);
+  g_object_unref(caller);
+  --forwarded_;
 }
 
 void LoopbackProxy::DelayOrBlock(bool to_caller) const {
--- a/tests/soak/loopback_proxy.h
+++ b/tests/soak/loopback_proxy.h
@@ -3,6 +3,7 @@
 //   LoopbackProxy proxy(listen_port, target_port);
 //   proxy.SetFault(LinkFault::kBlocked);  // delivers no data, closes nothing
 //   proxy.SetFault(LinkFault::kNone);     // delivers the data held back
+//   proxy.SetFault(LinkFault::kRefused);  // rejects connections
 //   proxy.ResetAll();
 //
 // Two threads forward each connection, one for each direction.
@@ -15,6 +16,7 @@
 #include <memory>
 #include <mutex>
 #include <set>
+#include <thread>
 
 namespace quetzal::testing {
 
@@ -23,6 +25,8 @@
   kSlow,            // delays each chunk of data
   kBlocked,         // holds back data of both directions
   kRepliesBlocked,  // holds back only data to the caller
+  kReset,           // resets connections, new ones when they are accepted
+  kRefused,         // resets connections and refuses new ones
 };
 
 class LoopbackProxy {
@@ -33,15 +37,17 @@
   LoopbackProxy& operator=(const LoopbackProxy&) = delete;
 
   bool is_listening() const { return listening_; }
-  void SetFault(LinkFault fault) { fault_ = fault; }
+  void SetFault(LinkFault fault);
   // Resets all connections, as if the peers had crashed.
   void ResetAll();
 
  private:
-  static gboolean OnConnection(GThreadedSocketService* service,
-                               GSocketConnection* caller, GObject* source,
-                               gpointer self);
+  void AcceptConnections();
   void Forward(GSocket* caller);
+  bool rejects() const {
+    return stopping_ || fault_ == LinkFault::kReset ||
+           fault_ == LinkFault::kRefused;
+  }
   void CopyBytes(GSocket* from, GSocket* to, bool to_caller);
   void DelayOrBlock(bool to_caller) const;
 
@@ -51,7 +57,9 @@
   std::atomic<bool> stopping_{false};
   std::mutex mutex_;
   std::set<GSocket*> sockets_;
-  GSocketService* service_;
+  std::atomic<int> forwarded_{0};  // connections
+  GSocket* listener_;
+  std::thread accepting_;
 };
 
 }  // namespace quetzal::testing
--- a/tests/support/cell_cluster.cc
+++ b/tests/support/cell_cluster.cc
@@ -76,14 +76,18 @@
   std::string pattern =
       (std::filesystem::temp_directory_path() / "quetzal-cell-XXXXXX").string();
   folder_ = mkdtemp(pattern.data());
-  first_port_ = FreePorts((machines + 1) * kPortsPerMachine);
+  first_port_ = FreePorts((machines + 1) * kPortsPerMachine + 2 * kWorkers);
   processes_["platform"] = {
       BuildFolder() + "/standins/users_platform/standin-users-platform",
-      WriteSettings("platform",
-                    {{"store_address", Address(first_port_ + kStorePort)},
-                     {"advice_address", Address(first_port_ + kAdvicePort)},
-                     {"control_address", Address(first_port_ + kControlPort)},
-                     {"workers", 6}})};
+      WriteSettings(
+          "platform",
+          {{"store_address", Address(first_port_ + kStorePort)},
+           {"advice_address", Address(first_port_ + kAdvicePort)},
+           {"control_address", Address(first_port_ + kControlPort)},
+           {"workers", kWorkers},
+           {"first_worker_port", WorkerPort(0)},
+           {"first_worker_link_port",
+            links == LinkKind::kDirect ? WorkerPort(0) : WorkerLinkPort(0)}})};
   for (int i = 0; i < machines; ++i) AddMachine(i);
 }
 
@@ -221,15 +225,19 @@
   });
 }
 
+HttpClientResult CellCluster::Control(const std::string& method,
+                                      const std::string& path) {
+  return Send({.method = method,
+               .url = "http://" + Address(first_port_ + kControlPort) + path});
+}
+
 nlohmann::json CellCluster::StandinReport() {
-  const HttpClientResult answer = Send(
-      {.url = "http://" + Address(first_port_ + kControlPort) + "/judgement"});
-  return nlohmann::json::parse(answer.body, nullptr, false);
+  return nlohmann::json::parse(Control("GET", "/judgement").body, nullptr,
+                               false);
 }
 
 std::set<std::string> CellCluster::StartedJobs() {
-  const HttpClientResult answer = Send(
-      {.url = "http://" + Address(first_port_ + kControlPort) + "/started"});
+  const HttpClientResult answer = Control("GET", "/started");
   std::set<std::string> jobs;
   for (const nlohmann::json& task :
        nlohmann::json::parse(answer.body, nullptr, false)) {
@@ -245,16 +253,24 @@
   return first_port_ + (machine + 1) * kPortsPerMachine + kStoreLinkPort;
 }
 
+int CellCluster::WorkerPort(int worker) const {
+  return first_port_ + (machines_ + 1) * kPortsPerMachine + worker;
+}
+
+int CellCluster::WorkerLinkPort(int worker) const {
+  return WorkerPort(worker) + kWorkers;
+}
+
 void CellCluster::SetStoreDown(bool down) {
-  Send({.method = "POST",
-        .url = "http://" + Address(first_port_ + kControlPort) +
-               (down ? "/down" : "/up")});
+  Control("POST", down ? "/down" : "/up");
+}
+
+void CellCluster::InjectWorkerFault(const std::string& request) {
+  Control("POST", request);
 }
 
 int CellCluster::PublishConfiguration() {
-  const HttpClientResult answer = Send(
-      {.method = "POST",
-       .url = "http://" + Address(first_port_ + kControlPort) + "/publish"});
+  const HttpClientResult answer = Control("POST", "/publish");
   return nlohmann::json::parse(answer.body).at("version").get<int>();
 }
 
--- a/tests/support/cell_cluster.h
+++ b/tests/support/cell_cluster.h
@@ -22,12 +22,15 @@
 
 namespace quetzal::testing {
 
-// How machines reach the store: directly, or through a proxy that the test runs
-// at a port per machine, `StoreLinkPort`.
+// How machines reach the store and the workers: directly, or through proxies
+// that the test runs at `StoreLinkPort` of each machine and `WorkerLinkPort` of
+// each worker.
 enum class LinkKind { kDirect, kThroughProxies };
 
 class CellCluster {
  public:
+  static constexpr int kWorkers = 6;
+
   explicit CellCluster(int machines, LinkKind links = LinkKind::kDirect);
   ~CellCluster();
 
@@ -57,7 +60,13 @@
   std::set<std::string> StartedJobs();
   int StorePort() const;
   int StoreLinkPort(int machine) const;
+  // The port on which a worker listens, and the one that its entry names.
+  int WorkerPort(int worker) const;
+  int WorkerLinkPort(int worker) const;
   void SetStoreDown(bool down);
+  // Sends a request for a fault, "/silence?..." or "/crash?...", to the
+  // stand-in for the users' platform, which describes them.
+  void InjectWorkerFault(const std::string& request);
   // Writes the next version of the configuration and returns its number.
   int PublishConfiguration();
   // Writes the entry of a worker, as another writer than the worker may. True
@@ -79,6 +88,8 @@
   };
 
   HttpClientResult Send(const HttpClientRequest& call);
+  // Calls the control port of the stand-in for the users' platform.
+  HttpClientResult Control(const std::string& method, const std::string& path);
   void AddMachine(int index);
   std::string WriteSettings(const std::string& name,
                             const nlohmann::json& settings);
