A worker that left the list is polled at intervals

What callers may see (prices: looks at workers; processor time): a worker that answers but has been missing from the list for over 2.5 s was polled again at once after each answer, as polls that extend no leases don't wait there. Cut off from the store only, it was polled at the rate of round trips until its leases ended. Such polls are now 200 ms apart.

Evidence: AWorkerThatLeftTheListIsNotPolledWithoutPause fails before.

--- a/quetzal/cell/cell.h
+++ b/quetzal/cell/cell.h
@@ -14,9 +14,10 @@
 //  - A worker gets work only after it answered a poll, which also renews its
 //    leases, under this cell's fence (its fencing token). Runs that it reports
 //    are adopted, or stopped if no job needs them.
-//  - A run ends when its worker reports so, when its worker's incarnation ends,
-//    or when its lease has certainly expired. Until then it is charged to its
-//    worker and team, and its task isn't started elsewhere.
+//  - A run ends when its worker reports so, when the worker's next incarnation
+//    or another worker at its address answers, or when its lease has certainly
+//    expired. Until then it is charged to its worker and team, and its task
+//    isn't started elsewhere. Silence and entries of the list end no runs.
 //  - Only workers in the stored roster get work, so that the next placer
 //    accounts for them even if the platform's list no longer has them, and
 //    doesn't wait for others. Workers that never answered aren't in it.
--- a/quetzal/cell/internal/accounting.cc
+++ b/quetzal/cell/internal/accounting.cc
@@ -81,9 +81,9 @@
 
 void ExpireLeases(State* state, Time now) {
   const Milliseconds lease = MaxLeaseLifetime(*state);
-  // A former placer may have extended leases until the last answers of a
-  // majority no longer confirmed it; also those of workers that have left the
-  // list, as it may have learned of that late or not at all.
+  // Two placers can't both have a majority, so a former one sent its last
+  // orders before its confirmations of the time of this majority ended. It may
+  // have extended leases of any worker of its roster, listed or not.
   const bool expired = state->had_majority && now - state->majority_since >
                                                   lease + kConfirmationLifetime;
   bool all_accounted = state->recovered && state->workers_listed;
--- a/quetzal/cell/internal/jobs.cc
+++ b/quetzal/cell/internal/jobs.cc
@@ -168,7 +168,7 @@
   job->created = created;
   job->known_since = now;
   job->may_have_unknown_runs = !state->recovered;
-  job->may_be_successors = !state->leadership_is_certain;
+  job->may_be_started_by_successor = !state->leadership_is_certain;
   job->queue_config.name = accepted.queue;
   job->queue_config.service = accepted.service;
   if (state->catalog) {
--- a/quetzal/cell/internal/orders.cc
+++ b/quetzal/cell/internal/orders.cc
@@ -59,7 +59,7 @@
       return "no_room";
     case OrderOutcome::kInvalidTicket:
       return "no_ticket";
-    case OrderOutcome::kOtherIncarnation:
+    case OrderOutcome::kOtherWorker:
       return "other_incarnation";
     case OrderOutcome::kNotExecuted:
       return "not_done";
@@ -143,7 +143,7 @@
     case OrderOutcome::kLeaseExpired:
       break;
     case OrderOutcome::kInsufficientCapacity:
-    case OrderOutcome::kOtherIncarnation:
+    case OrderOutcome::kOtherWorker:
     case OrderOutcome::kNotExecuted:
     case OrderOutcome::kConnectionRefused:
       worker->avoided_until = now + kAvoidAfterRefusal;
--- a/quetzal/cell/internal/state.h
+++ b/quetzal/cell/internal/state.h
@@ -99,7 +99,7 @@
   bool in_roster = false;         // the stored roster contains it
   bool in_former_roster = false;  // a former placer may have used it
   bool reached = false;      // answered a poll in this term and incarnation
-  bool known_empty = false;  // its incarnation ended or its leases expired
+  bool known_empty = false;  // it is gone, or its leases expired
   Incarnation incarnation{0};
   WorkerTime clock{0};     // in its newest answer
   Time clock_received_at;  // when that answer arrived
@@ -206,7 +206,7 @@
   // Accepted before this term, so a former placer may have started it.
   bool may_have_unknown_runs = false;
   // It arrived when another placer may have led, which starts it itself.
-  bool may_be_successors = false;
+  bool may_be_started_by_successor = false;
 };
 
 struct State {
--- a/quetzal/cell/internal/workers.cc
+++ b/quetzal/cell/internal/workers.cc
@@ -461,7 +461,7 @@
     }
     return;
   }
-  if (answer.outcome == OrderOutcome::kOtherIncarnation &&
+  if (answer.outcome == OrderOutcome::kOtherWorker &&
       worker->polled_at == worker->answered_at) {
     // Its address belongs to another worker, which also rejects orders that are
     // still on their way to this one.
@@ -512,7 +512,10 @@
   worker->confirmed_at = sent;
   worker->clock = answer.clock;
   worker->clock_received_at = now;
-  worker->next_poll_at = now;
+  // A poll that extends no leases doesn't wait at the worker.
+  const bool waited = request.lease_until != WorkerTime{0};
+  worker->next_poll_at =
+      worker->reached && !waited ? now + kPollRetryDelay : now;
   for (const EndedTask& ended : answer.ended) {
     ApplyEndedTask(state, worker, ended, now);
   }
--- a/quetzal/cell/lease_expiry_test.cc
+++ b/quetzal/cell/lease_expiry_test.cc
@@ -23,6 +23,8 @@
   CPPUNIT_TEST(AnotherWorkerAtTheAddressEndsRunsAtOnce);
   CPPUNIT_TEST(AnotherWorkerAtAWrongAddressEndsNoRuns);
   CPPUNIT_TEST(ALateListOfTheFormerIncarnationEndsNoRuns);
+  CPPUNIT_TEST(AnotherRunOfATaskDoesntStartItAgain);
+  CPPUNIT_TEST(AWorkerThatLeftTheListIsNotPolledWithoutPause);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -279,6 +281,39 @@
     fleet.Run(Milliseconds(2'000));
     CPPUNIT_ASSERT(!fleet.ran_twice_);
   }
+
+  void AnotherRunOfATaskDoesntStartItAgain() {
+    FakeFleet fleet(1);
+    fleet.Recover();
+    fleet.cell()->OnJob(FakeFleet::MakeJob("a", {FakeFleet::MakeStep(1)}),
+                        Revision{1}, std::nullopt, fleet.now());
+    fleet.Run(Milliseconds(50));
+    FakeWorker& worker = fleet.WorkerOf(Task("a", 0, 0));
+    worker.running.at(Task("a", 0, 0)) += 5;
+    fleet.Run(Milliseconds(500));
+    worker.End(Task("a", 0, 0), TaskOutcome::kDone);
+    fleet.Run(Milliseconds(500));
+    CPPUNIT_ASSERT(fleet.StoredState("a") == JobState::kCompleted);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, fleet.starts_.size());
+    // Its capacity is free again.
+    fleet.cell()->OnJob(FakeFleet::MakeJob("b", {FakeFleet::MakeStep(4)}),
+                        Revision{2}, std::nullopt, fleet.now());
+    fleet.Run(Milliseconds(500));
+    CPPUNIT_ASSERT_EQUAL(size_t{4}, fleet.running());
+  }
+
+  void AWorkerThatLeftTheListIsNotPolledWithoutPause() {
+    FakeFleet fleet(1);
+    fleet.Recover();
+    fleet.cell()->OnJob(FakeFleet::MakeJob("a", {FakeFleet::MakeStep(1)}),
+                        Revision{1}, std::nullopt, fleet.now());
+    fleet.Run(Milliseconds(50));
+    fleet.cell()->OnWorkerEntryRemoved(WorkerId("w-0"), fleet.now());
+    fleet.Run(Milliseconds(3'000));
+    const int polls = fleet.polls_;
+    fleet.Run(Milliseconds(2'000));
+    CPPUNIT_ASSERT(fleet.polls_ - polls <= 11);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LeaseExpiryTest);
--- a/quetzal/cell/testing/fake_fleet.h
+++ b/quetzal/cell/testing/fake_fleet.h
@@ -43,7 +43,7 @@
   }
   // Of an order that doesn't reach the worker.
   OrderOutcome failure() const {
-    if (is_replaced) return OrderOutcome::kOtherIncarnation;
+    if (is_replaced) return OrderOutcome::kOtherWorker;
     return refuses_connections ? OrderOutcome::kConnectionRefused
                                : OrderOutcome::kUnknown;
   }
@@ -206,6 +206,7 @@
 
   void ServePoll(const PollAction& action) {
     FakeWorker& worker = workers_.at(action.worker.id);
+    ++polls_;
     if (hold_polls_) return;
     PollAnswer answer{.outcome = worker.failure()};
     if (worker.CanBeReached()) {
@@ -362,6 +363,7 @@
   bool over_capacity_ = false;
   bool ran_twice_ = false;  // some task, on two workers at the same time
   int stops_ = 0;
+  int polls_ = 0;
   int advice_queries_ = 0;
   int resignations_ = 0;
 
--- a/quetzal/worker/worker.h
+++ b/quetzal/worker/worker.h
@@ -95,7 +95,7 @@
   kLeaseExpired,  // the lease had expired when the order arrived
   kInsufficientCapacity,
   kInvalidTicket,      // missing or expired
-  kOtherIncarnation,   // another worker answers at the address; not executed
+  kOtherWorker,        // another worker answers at the address; not executed
   kNotExecuted,        // certainly without effect, for another reason
   kConnectionRefused,  // not executed; doesn't tell whether the worker runs
   kUnknown,            // no answer: it may have been executed, or may be yet
