--- a/quetzal/cell/internal/placement.cc
+++ b/quetzal/cell/internal/placement.cc
@@ -354,8 +354,9 @@
   std::vector<Entry> entries;
   for (Job* const job : state.waiting) {
     if (job->may_have_unknown_runs && !state.all_workers_accounted) continue;
-    if (job->may_be_started_by_successor && !state.leadership_is_certain)
+    if (job->may_be_started_by_successor && !state.leadership_is_certain) {
       continue;
+    }
     for (size_t i = 0; i < job->steps.size(); ++i) {
       if (!HasWaitingTasks(job->steps[i])) continue;
       entries.push_back({{job, static_cast<int>(i)}, RankOf(*job, i, now)});
