--- a/quetzal/cell/internal/jobs.cc
+++ b/quetzal/cell/internal/jobs.cc
@@ -119,15 +119,6 @@
   state->dirty_jobs.push_back(job->accepted.id);
 }
 
-void MarkBegun(State* state, Job* job, Time now) {
-  if (job->state != JobState::kQueued) return;
-  job->state = JobState::kRunning;
-  state->metrics->Observe(
-      "quetzal_wait_ms", {{"queue", job->queue_config.name.text()}},
-      static_cast<double>((now - job->known_since).count()));
-  MarkProgressChanged(state, job);
-}
-
 bool HasWaitingTasks(const Step& step) {
   if (!step.ready) return false;
   if (step.spec->gang) {
@@ -263,9 +254,6 @@
   }
   MarkProgressChanged(state, job);
   if (IsFinal(job->state)) return;
-  if (how == TaskOutcome::kDone || how == TaskOutcome::kFailed) {
-    MarkBegun(state, job, now);
-  }
   if (step.spec->gang) {
     ApplyGangEnd(state, job, task_id.step, run, how, now);
   } else if (how == TaskOutcome::kDone) {
--- a/quetzal/cell/internal/jobs.h
+++ b/quetzal/cell/internal/jobs.h
@@ -12,9 +12,6 @@
 void SetQueueConfig(Job* job, const Queue& config);
 // Marks the job's progress as changed, so that it is stored.
 void MarkProgressChanged(State* state, Job* job);
-// Called when a worker has confirmed that a task of the job began: an order may
-// not arrive.
-void MarkBegun(State* state, Job* job, Time now);
 void AddJob(State* state, const AcceptedJob& accepted, Revision created,
             const std::optional<JobProgress>& progress, Time now);
 void CancelJob(State* state, Job* job, Time now);
--- a/quetzal/cell/internal/orders.cc
+++ b/quetzal/cell/internal/orders.cc
@@ -113,9 +113,6 @@
           found->second.state = RunState::kRunning;
           found->second.progressed_at = now;
         }
-        if (found->second.job != nullptr) {
-          MarkBegun(state, found->second.job, now);
-        }
       }
       return;
     case OrderOutcome::kFenced:
--- a/quetzal/cell/internal/workers.cc
+++ b/quetzal/cell/internal/workers.cc
@@ -221,7 +221,10 @@
                                     : "no");
   AddRun(state, worker, std::move(run));
   if (wanted) {
-    MarkBegun(state, job, now);
+    if (job->state == JobState::kQueued) {
+      job->state = JobState::kRunning;
+      MarkProgressChanged(state, job);
+    }
     UpdateReadiness(state, job, now);
   }
 }
@@ -297,7 +300,6 @@
     if (run.state == RunState::kStarting) {
       run.state = RunState::kRunning;
       run.start_worker_time = answer.clock;
-      if (run.job != nullptr) MarkBegun(state, run.job, now);
     }
   }
 }
