A takeover waits only for what may run on workers that can't be reached

Cause: the roster names the workers that may hold leases, but not what runs there, so any task of before might.

Change: the acting placer closes the entries of workers that get no tasks anyway: those that drain, and those that were silent for 2.5 s. A closed entry lists all runs that the worker may execute. A worker gets tasks only while its entry is open in the store, so the list stays complete. The next placer adopts the listed runs: they are charged, and their tasks wait for the worker or the end of its leases; nothing else does. Closed workers still count for the majority and are waited for before their runs are given up. Lists are relied on only if the preceding term wrote the roster, as a placer of an earlier version keeps closed entries and assigns tasks to their workers. Earlier versions ignore the lists and wait as before. At most 4,000 runs are listed.

Ruled out: leaving silent workers without runs out of the roster. They may obey the former placer again, so that two placers could each have a majority.

--- a/bench/support/virtual_cell.cc
+++ b/bench/support/virtual_cell.cc
@@ -73,7 +73,7 @@
   }
   cell_->OnHelpers(helpers);
   cell_->OnWorkersListed(events_.now());
-  cell_->OnRoster(RosterEntries{}, events_.now());
+  cell_->OnRoster(StoredRoster{}, events_.now());
   cell_->OnJobsListed(events_.now());
   DrawJobs();
   MarkWithinWeight();
--- a/programs/cell_placer/main.cc
+++ b/programs/cell_placer/main.cc
@@ -16,9 +16,6 @@
 namespace quetzal {
 namespace {
 
-// A term numbers its runs from a multiple of this, above those of earlier
-// terms. If an earlier term used more numbers, the workers report them.
-constexpr int64_t kRunsPerTerm = 16;
 // Maximum age of the answers that count for Cell::HasMajority.
 constexpr Milliseconds kMaxMajorityAge{2'400};
 // After a longer suspension of the machine the placer steps down.
--- a/programs/cell_placer/term.cc
+++ b/programs/cell_placer/term.cc
@@ -148,16 +148,16 @@
           Defer(kRetryDelay, [this] { ReadRoster(); });
           return;
         }
-        std::optional<RosterEntries> entries = RosterEntries{};
+        std::optional<StoredRoster> roster = StoredRoster{};
         if (!a.items.empty()) {
           roster_revision_ = a.items[0].revision;
           // Unreadable if it was written by another version.
-          entries = DecodeRoster(a.items[0].value);
-          if (!entries) {
+          roster = DecodeRoster(a.items[0].value);
+          if (!roster) {
             dependencies_.log->ImportantLine("roster_unreadable", {});
           }
         }
-        cell_.OnRoster(entries, Now());
+        cell_.OnRoster(roster, Now());
         ScheduleDecision();
       }));
 }
--- a/quetzal/cell/cell.cc
+++ b/quetzal/cell/cell.cc
@@ -32,6 +32,7 @@
       "jobs_recovered", {{"jobs", static_cast<int64_t>(state->jobs.size())},
                          {"version", state->catalog->version()},
                          {"after_ms", (now - state->term_started_at).count()}});
+  cell::AdoptFormerRuns(state, now);
 }
 
 }  // namespace
@@ -47,6 +48,7 @@
   state.settings = settings;
   state.fence = fence;
   state.run_floor = run_floor;
+  state.roster = Roster(run_floor / kRunsPerTerm);
   state.term_started_at = now;
   state.log = log;
   state.metrics = metrics;
@@ -77,8 +79,8 @@
   parts_->state.workers_listed_at = now;
 }
 
-void Cell::OnRoster(const std::optional<RosterEntries>& entries, Time now) {
-  cell::LoadRoster(&parts_->state, entries, now);
+void Cell::OnRoster(const std::optional<StoredRoster>& roster, Time now) {
+  cell::LoadRoster(&parts_->state, roster, now);
   MarkRecoveredIfReady(&parts_->state, now);
 }
 
--- a/quetzal/cell/cell.h
+++ b/quetzal/cell/cell.h
@@ -18,14 +18,16 @@
 //    or another worker at its address answers, or when its lease has certainly
 //    expired. Until then it is charged to its worker and team, and its task
 //    isn't started elsewhere. Silence and entries of the list end no runs.
-//  - Only workers in the stored roster get work, so that the next placer
-//    accounts for them even if the platform's list no longer has them, and
-//    doesn't wait for others. Workers that never answered aren't in it.
+//  - Only workers that are open in the stored roster get work, so that the next
+//    placer accounts for them even if the platform's list no longer has them,
+//    and doesn't wait for others. Workers that never answered aren't in it.
+//    Silent and draining ones are closed, with the list of their runs.
 //  - A start without an answer is stopped, and counts as running until the
 //    worker's reports show that it is not.
 //  - Ends of runs are acknowledged to workers only after they are stored.
-//  - Tasks of jobs that a former placer may have started wait until every
-//    worker was reached or its leases have expired.
+//  - Tasks of jobs that a former placer may have started wait until every open
+//    worker was reached or its leases have expired. Runs of closed workers
+//    count as running for as long.
 //  - Jobs that arrive while another placer may lead aren't started meanwhile.
 #ifndef QUETZAL_CELL_CELL_H_
 #define QUETZAL_CELL_CELL_H_
@@ -48,6 +50,11 @@
 
 namespace quetzal {
 
+// A term numbers its runs from a multiple of this, its own number times it, and
+// so above those of earlier terms. If an earlier term used more numbers, the
+// workers report them.
+inline constexpr int64_t kRunsPerTerm = 16;
+
 struct CellSettings {
   // Longest lease that a worker grants; the platform's limit.
   Milliseconds max_lease{6'000};
@@ -128,7 +135,7 @@
   // The workers that a former placer may have used; nothing if they aren't
   // known, so that all listed ones count. Those that are missing from the
   // platform's list are polled too, as they may still run tasks.
-  void OnRoster(const std::optional<RosterEntries>& entries, Time now);
+  void OnRoster(const std::optional<StoredRoster>& roster, Time now);
   // The roster to store, if it changed. New workers get no work until it is
   // stored.
   std::optional<std::string> TakeRosterWrite(Time now);
--- /dev/null
+++ b/quetzal/cell/closed_worker_test.cc
@@ -0,0 +1,270 @@
+// Tests that a takeover waits only for the runs that the former placer stored
+// for workers that it couldn't reach or that drained.
+#include "quetzal/cell/testing/fake_fleet.h"
+
+namespace quetzal {
+namespace {
+
+using testing::FakeFleet;
+using testing::FakeWorker;
+using testing::Task;
+
+constexpr Milliseconds kUntilClosed{4'000};
+constexpr Milliseconds kShortly{500};
+constexpr Milliseconds kUntilLeasesExpired{10'000};
+
+class ClosedWorkerTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ClosedWorkerTest);
+  CPPUNIT_TEST(ASilentWorkerDelaysOnlyItsOwnTasks);
+  CPPUNIT_TEST(AWorkerThatDrainsDelaysOnlyItsOwnTasks);
+  CPPUNIT_TEST(AnIdleSilentWorkerDelaysNothing);
+  CPPUNIT_TEST(AWorkerThatIsBackGetsNoTasksBeforeItIsOpenInTheStore);
+  CPPUNIT_TEST(AWorkerThatIsBackIsAccountedForAgain);
+  CPPUNIT_TEST(ATaskOfASilentWorkerThatRunsElsewhereGoesOn);
+  CPPUNIT_TEST(AGangOfASilentWorkerThatRunsElsewhereGoesOn);
+  CPPUNIT_TEST(RunsOfASilentWorkerCountAgainstTheTeamsLimit);
+  CPPUNIT_TEST(RunsOfASilentWorkerAreAdoptedWhenItIsBack);
+  CPPUNIT_TEST(ClosedWorkersCountForTheMajority);
+  CPPUNIT_TEST(ALaterTakeoverKnowsTheRunsToo);
+  CPPUNIT_TEST(AListOfAnOlderTermIsNotReliedOn);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void ASilentWorkerDelaysOnlyItsOwnTasks() {
+    FakeFleet fleet(3);
+    FakeWorker& silent = StartAndSilence(&fleet);
+    TakeOver(&fleet);
+    fleet.Run(kShortly);
+    CPPUNIT_ASSERT(fleet.IsRunning(Task("b", 0, 0)));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, StartsOf(fleet, "a"));
+    fleet.Run(kUntilLeasesExpired);
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, StartsOf(fleet, "a"));
+    CPPUNIT_ASSERT(!fleet.ran_twice_);
+    CPPUNIT_ASSERT(silent.running.empty());
+  }
+
+  void AWorkerThatDrainsDelaysOnlyItsOwnTasks() {
+    FakeFleet fleet(3);
+    fleet.Recover();
+    AddJob(&fleet, "a");
+    fleet.Run(kShortly);
+    FakeWorker& leaving = fleet.WorkerOf(Task("a", 0, 0));
+    leaving.entry.draining = true;
+    fleet.cell()->OnWorkerEntry(leaving.entry, fleet.now());
+    fleet.Run(kShortly);
+    leaving.unresponsive = true;
+    TakeOver(&fleet);
+    fleet.Run(kShortly);
+    CPPUNIT_ASSERT(fleet.IsRunning(Task("b", 0, 0)));
+    fleet.Run(kUntilLeasesExpired);
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, StartsOf(fleet, "a"));
+    CPPUNIT_ASSERT(!fleet.ran_twice_);
+  }
+
+  void AnIdleSilentWorkerDelaysNothing() {
+    FakeFleet fleet(3);
+    fleet.Recover();
+    AddJob(&fleet, "a");
+    fleet.Run(kShortly);
+    FakeWorker* idle = nullptr;
+    for (auto& [id, worker] : fleet.workers_) {
+      if (worker.running.empty()) idle = &worker;
+    }
+    idle->unresponsive = true;
+    fleet.Run(kUntilClosed);
+    TakeOver(&fleet);
+    fleet.Run(kShortly);
+    CPPUNIT_ASSERT(fleet.IsRunning(Task("b", 0, 0)));
+    CPPUNIT_ASSERT(fleet.roster_.contains(idle->entry.id));
+  }
+
+  void AWorkerThatIsBackGetsNoTasksBeforeItIsOpenInTheStore() {
+    FakeFleet fleet(1);
+    FakeWorker& worker = StartAndSilence(&fleet);
+    fleet.roster_writes_succeed_ = false;
+    worker.unresponsive = false;
+    AddJob(&fleet, "b");
+    fleet.Run(kUntilClosed);
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, StartsOf(fleet, "b"));
+    fleet.roster_writes_succeed_ = true;
+    fleet.Run(kShortly);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, StartsOf(fleet, "b"));
+  }
+
+  void AWorkerThatIsBackIsAccountedForAgain() {
+    FakeFleet fleet(3);
+    FakeWorker& worker = StartAndSilence(&fleet);
+    worker.unresponsive = false;
+    fleet.Run(kUntilClosed);
+    for (auto& [id, other] : fleet.workers_) {
+      other.entry.draining = &other != &worker;
+      fleet.cell()->OnWorkerEntry(other.entry, fleet.now());
+    }
+    AddJob(&fleet, "c");
+    fleet.Run(kShortly);
+    CPPUNIT_ASSERT(worker.running.contains(Task("c", 0, 0)));
+    worker.unresponsive = true;
+    for (auto& [id, other] : fleet.workers_) other.entry.draining = false;
+    fleet.StartTerm(Fence{9}, 32);
+    AddJob(&fleet, "a");
+    AddJob(&fleet, "c");
+    fleet.Recover();
+    fleet.Run(kUntilLeasesExpired);
+    CPPUNIT_ASSERT(!fleet.ran_twice_);
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, StartsOf(fleet, "c"));
+  }
+
+  // Its leases expired and the task was started elsewhere, but the store still
+  // holds the list of before.
+  void ATaskOfASilentWorkerThatRunsElsewhereGoesOn() {
+    FakeFleet fleet(3);
+    StartAndSilence(&fleet);
+    fleet.roster_writes_succeed_ = false;
+    fleet.Run(kUntilLeasesExpired);
+    CPPUNIT_ASSERT(fleet.IsRunning(Task("a", 0, 0)));
+    TakeOver(&fleet);
+    fleet.Run(kUntilLeasesExpired);
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, StartsOf(fleet, "a"));
+    CPPUNIT_ASSERT_EQUAL(0, fleet.stops_);
+    CPPUNIT_ASSERT(!fleet.ran_twice_);
+  }
+
+  void AGangOfASilentWorkerThatRunsElsewhereGoesOn() {
+    FakeFleet fleet(3);
+    fleet.Recover();
+    StepSpec gang = FakeFleet::MakeStep(2);
+    gang.gang = true;
+    const AcceptedJob job = FakeFleet::MakeJob("g", {gang});
+    fleet.cell()->OnJob(job, Revision{1}, std::nullopt, fleet.now());
+    fleet.Run(kShortly);
+    fleet.WorkerOf(Task("g", 0, 0)).unresponsive = true;
+    fleet.Run(kUntilClosed);
+    fleet.roster_writes_succeed_ = false;
+    fleet.Run(kUntilLeasesExpired);
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, fleet.running());
+    const int stops = fleet.stops_;
+    const size_t starts = fleet.starts_.size();
+    fleet.StartTerm(Fence{9}, 32);
+    fleet.cell()->OnJob(job, Revision{1}, std::nullopt, fleet.now());
+    fleet.Recover();
+    fleet.Run(kUntilLeasesExpired);
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, fleet.running());
+    CPPUNIT_ASSERT_EQUAL(stops, fleet.stops_);
+    CPPUNIT_ASSERT_EQUAL(starts, fleet.starts_.size());
+  }
+
+  void RunsOfASilentWorkerCountAgainstTheTeamsLimit() {
+    FakeFleet fleet(3);
+    fleet.SetLimit({.cpu_milli = 1'000});
+    StartAndSilence(&fleet);
+    TakeOver(&fleet);
+    fleet.Run(kShortly);
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, StartsOf(fleet, "b"));
+    fleet.Run(kUntilLeasesExpired);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, fleet.running());
+  }
+
+  void RunsOfASilentWorkerAreAdoptedWhenItIsBack() {
+    FakeFleet fleet(3);
+    FakeWorker& worker = StartAndSilence(&fleet);
+    TakeOver(&fleet);
+    fleet.Run(kShortly);
+    worker.unresponsive = false;
+    fleet.Run(kUntilLeasesExpired);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, StartsOf(fleet, "a"));
+    CPPUNIT_ASSERT(worker.running.contains(Task("a", 0, 0)));
+    worker.End(Task("a", 0, 0), TaskOutcome::kDone);
+    fleet.Run(kShortly);
+    CPPUNIT_ASSERT(fleet.StoredState("a") == JobState::kCompleted);
+  }
+
+  // They may obey the former placer again, which counts them too.
+  void ClosedWorkersCountForTheMajority() {
+    FakeFleet fleet(8);
+    for (auto& [id, worker] : fleet.workers_) {
+      if (id >= WorkerId("w-5")) continue;
+      fleet.roster_[id] = {worker.entry.address, worker.entry.capacity};
+      if (id < WorkerId("w-2")) continue;
+      fleet.roster_[id].runs.emplace();
+      worker.unresponsive = true;
+    }
+    fleet.roster_term_ = 1;
+    fleet.StartTerm(Fence{9}, 32);
+    fleet.Recover();
+    fleet.Run(Milliseconds(2'000));
+    CPPUNIT_ASSERT(
+        !fleet.cell()->HasMajority(Milliseconds(2'400), fleet.now()));
+  }
+
+  void ALaterTakeoverKnowsTheRunsToo() {
+    FakeFleet fleet(3);
+    StartAndSilence(&fleet);
+    TakeOver(&fleet);
+    fleet.Run(kShortly);
+    fleet.StartTerm(Fence{11}, 48);
+    AddJob(&fleet, "a");
+    AddJob(&fleet, "b");
+    AddJob(&fleet, "c");
+    fleet.Recover();
+    fleet.Run(kShortly);
+    CPPUNIT_ASSERT(fleet.IsRunning(Task("c", 0, 0)));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, StartsOf(fleet, "a"));
+    fleet.Run(kUntilLeasesExpired);
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, StartsOf(fleet, "a"));
+    CPPUNIT_ASSERT(!fleet.ran_twice_);
+  }
+
+  // A placer of an earlier version led in between and assigned tasks to the
+  // worker.
+  void AListOfAnOlderTermIsNotReliedOn() {
+    FakeFleet fleet(3);
+    FakeWorker& worker = StartAndSilence(&fleet);
+    worker.running[Task("b", 0, 0)] = 33;
+    fleet.StartTerm(Fence{11}, 48);
+    AddJob(&fleet, "a");
+    AddJob(&fleet, "b");
+    fleet.Recover();
+    fleet.Run(kUntilLeasesExpired);
+    CPPUNIT_ASSERT(!fleet.ran_twice_);
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, fleet.running());
+  }
+
+ private:
+  static void AddJob(FakeFleet* fleet, const std::string& id) {
+    fleet->cell()->OnJob(FakeFleet::MakeJob(id, {FakeFleet::MakeStep(1)}),
+                         Revision{1}, std::nullopt, fleet->now());
+  }
+
+  // Runs job "a", whose worker then answers nothing for so long that the store
+  // knows of it.
+  static FakeWorker& StartAndSilence(FakeFleet* fleet) {
+    fleet->Recover();
+    AddJob(fleet, "a");
+    fleet->Run(kShortly);
+    FakeWorker& worker = fleet->WorkerOf(Task("a", 0, 0));
+    worker.unresponsive = true;
+    fleet->Run(kUntilClosed);
+    CPPUNIT_ASSERT(fleet->roster_.at(worker.entry.id).runs.has_value());
+    return worker;
+  }
+
+  // Job "b" was accepted before the takeover as well.
+  static void TakeOver(FakeFleet* fleet) {
+    fleet->roster_writes_succeed_ = true;
+    fleet->StartTerm(Fence{9}, 32);
+    AddJob(fleet, "a");
+    AddJob(fleet, "b");
+    fleet->Recover();
+  }
+
+  static size_t StartsOf(const FakeFleet& fleet, const std::string& job) {
+    return static_cast<size_t>(std::count_if(
+        fleet.starts_.begin(), fleet.starts_.end(),
+        [&](const auto& start) { return start.order.task.job == JobId(job); }));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ClosedWorkerTest);
+
+}  // namespace
+}  // namespace quetzal
--- a/quetzal/cell/internal/accounting.cc
+++ b/quetzal/cell/internal/accounting.cc
@@ -1,21 +1,22 @@
 #include "quetzal/cell/internal/accounting.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "quetzal/cell/internal/workers.h"
 
 namespace quetzal::cell {
 
-void LoadRoster(State* state, const std::optional<RosterEntries>& entries,
+void LoadRoster(State* state, const std::optional<StoredRoster>& roster,
                 Time now) {
-  state->roster.Load(entries.value_or(RosterEntries{}));
+  state->roster.Load(roster.value_or(StoredRoster{}));
   state->roster_changed = true;
-  if (!entries) {
+  if (!roster) {
     state->is_former_roster_known = false;
     for (auto& [id, worker] : state->workers) worker.in_former_roster = true;
     return;
   }
-  for (const auto& [id, entry] : *entries) {
+  for (const auto& [id, entry] : state->roster.stored()) {
     const bool is_new = state->FindWorker(id) == nullptr;
     Worker& worker = *state->FindOrAddWorker(id);
     if (is_new) {
@@ -24,19 +25,58 @@
       worker.unlisted_since = now;
     }
     worker.in_former_roster = true;
+    worker.former_runs = entry.runs;
     worker.answered_at = entry.address;
-    worker.in_roster = true;
+    worker.in_roster = state->roster.IsOpen(id, entry.address);
   }
 }
 
 namespace {
 
+// Bounds the size of the stored roster; more silent workers remain open.
+constexpr size_t kMaxListedRuns = 4'000;
+
 // True if the next placer has to account for the worker. One that this placer
 // never reached holds no leases, unless it may hold those of a former placer.
 bool MayHoldLeases(const Worker& worker) {
-  return MayHaveUnknownRuns(worker) ||
-         (worker.reached && !worker.known_empty) || !worker.runs.empty() ||
-         !worker.unacked.empty();
+  return IsUnaccounted(worker) || (worker.reached && !worker.known_empty) ||
+         !worker.runs.empty() || !worker.unacked.empty();
+}
+
+// True if all runs of the worker are known and it gets no others for now.
+bool CanBeClosed(const Worker& worker) {
+  return !MayHaveUnknownRuns(worker) &&
+         (worker.entry.draining || worker.silent || !worker.reached);
+}
+
+std::vector<RosterRun> RunsOf(const Worker& worker) {
+  std::vector<RosterRun> runs;
+  for (const auto& [task_id, run] : worker.runs) {
+    runs.push_back({task_id, run.number});
+  }
+  return runs;
+}
+
+// Whether each of `runs` is in `listed`.
+bool AreListed(const std::vector<RosterRun>& runs,
+               const std::vector<RosterRun>& listed) {
+  return std::all_of(runs.begin(), runs.end(), [&](const RosterRun& run) {
+    return std::find(listed.begin(), listed.end(), run) != listed.end();
+  });
+}
+
+// The runs for the worker's entry; nothing if it is to be open. The stored ones
+// are kept while no more than these may run, as each change costs a write.
+std::optional<std::vector<RosterRun>> ListedRuns(const State& state,
+                                                 const Worker& worker) {
+  if (!CanBeClosed(worker)) return std::nullopt;
+  std::vector<RosterRun> runs = RunsOf(worker);
+  const auto stored = state.roster.stored().find(worker.entry.id);
+  if (!runs.empty() && stored != state.roster.stored().end() &&
+      stored->second.runs && AreListed(runs, *stored->second.runs)) {
+    return stored->second.runs;
+  }
+  return runs;
 }
 
 }  // namespace
@@ -48,16 +88,22 @@
   }
   state->roster_changed = false;
   RosterEntries wanted;
+  size_t listed_runs = 0;
   for (const auto& [id, worker] : state->workers) {
     if (!MayHoldLeases(worker)) continue;
-    wanted[id] = {
-        worker.answered_at.empty() ? worker.entry.address : worker.answered_at,
-        worker.entry.capacity};
+    RosterEntry& entry = wanted[id];
+    entry.address =
+        worker.answered_at.empty() ? worker.entry.address : worker.answered_at;
+    entry.capacity = worker.entry.capacity;
+    auto runs = ListedRuns(*state, worker);
+    if (!runs || listed_runs + runs->size() > kMaxListedRuns) continue;
+    listed_runs += runs->size();
+    entry.runs = std::move(runs);
   }
   auto text = state->roster.BeginWrite(wanted, now);
   if (text) {
     for (auto& [id, worker] : state->workers) {
-      worker.in_roster = state->roster.Contains(id, worker.answered_at);
+      worker.in_roster = state->roster.IsOpen(id, worker.answered_at);
     }
   }
   return text;
@@ -71,14 +117,18 @@
   }
   state->roster.OnStored();
   for (auto& [id, worker] : state->workers) {
-    worker.in_roster = state->roster.Contains(id, worker.answered_at);
+    worker.in_roster = state->roster.IsOpen(id, worker.answered_at);
   }
 }
 
-bool MayHaveUnknownRuns(const Worker& worker) {
+bool IsUnaccounted(const Worker& worker) {
   return worker.in_former_roster && !worker.reached && !worker.known_empty;
 }
 
+bool MayHaveUnknownRuns(const Worker& worker) {
+  return IsUnaccounted(worker) && !worker.former_runs;
+}
+
 void ExpireLeases(State* state, Time now) {
   const Milliseconds lease = MaxLeaseLifetime(*state);
   // Two placers can't both have a majority, so a former one sent its last
@@ -86,7 +136,9 @@
   // have extended leases of any worker of its roster, listed or not.
   const bool expired = state->had_majority && now - state->majority_since >
                                                   lease + kConfirmationLifetime;
-  bool all_accounted = state->recovered && state->workers_listed;
+  const bool is_ready = state->recovered && state->workers_listed;
+  bool all_accounted = is_ready;
+  bool all_runs_known = is_ready;
   for (auto& [id, worker] : state->workers) {
     if (worker.reached || worker.known_empty) {
       if (!worker.runs.empty() && now - worker.lease_extended_at > lease) {
@@ -95,19 +147,25 @@
       continue;
     }
     if (expired && state->workers_listed) {
-      worker.known_empty = true;
-      state->roster_changed = true;
+      EndAllRuns(state, &worker, "lease lapsed", now);
       state->log->ImportantLine(
           "worker_gone",
           {{"worker", id.text()},
            {"why", worker.listed ? "doesn't answer" : "left the list"}});
-    } else if (MayHaveUnknownRuns(worker)) {
+    } else if (IsUnaccounted(worker)) {
       all_accounted = false;
+      if (MayHaveUnknownRuns(worker)) all_runs_known = false;
     }
   }
+  if (all_runs_known && !std::exchange(state->all_runs_known, true)) {
+    state->log->ImportantLine(
+        "all_runs_known",
+        {{"after_ms", (now - state->term_started_at).count()}});
+  }
   if (state->all_workers_accounted || (!all_accounted && !expired)) return;
   if (!state->recovered) return;
   state->all_workers_accounted = true;
+  state->all_runs_known = true;
   state->log->ImportantLine(
       "all_workers_accounted",
       {{"after_ms", (now - state->term_started_at).count()},
--- a/quetzal/cell/internal/accounting.h
+++ b/quetzal/cell/internal/accounting.h
@@ -12,10 +12,12 @@
 namespace quetzal::cell {
 
 // Nothing if the stored roster can't be read.
-void LoadRoster(State* state, const std::optional<RosterEntries>& entries,
+void LoadRoster(State* state, const std::optional<StoredRoster>& roster,
                 Time now);
 std::optional<std::string> TakeRosterWrite(State* state, Time now);
 void ApplyRosterWriteResult(State* state, bool stored);
+// True if the worker may obey a former placer, or hold leases that it granted.
+bool IsUnaccounted(const Worker& worker);
 // True if the worker may have runs of a former placer that aren't known yet.
 bool MayHaveUnknownRuns(const Worker& worker);
 // Ends runs whose leases have certainly expired, and detects when every worker
--- a/quetzal/cell/internal/placement.cc
+++ b/quetzal/cell/internal/placement.cc
@@ -332,7 +332,7 @@
   Resources used;
   const auto found = state.team_usage.find(job.accepted.team);
   if (found != state.team_usage.end()) used = found->second;
-  if (!state.all_workers_accounted) {
+  if (!state.all_runs_known) {
     // Workers that weren't reached yet may run the team's tasks on their whole
     // capacity.
     for (const auto& [id, worker] : state.workers) {
@@ -360,7 +360,7 @@
   };
   std::vector<Entry> entries;
   for (Job* const job : state.waiting) {
-    if (job->may_have_unknown_runs && !state.all_workers_accounted) continue;
+    if (job->may_have_unknown_runs && !state.all_runs_known) continue;
     if (job->may_be_started_by_successor && !state.leadership_is_certain) {
       continue;
     }
--- a/quetzal/cell/internal/state.h
+++ b/quetzal/cell/internal/state.h
@@ -96,8 +96,10 @@
   bool may_need_stops = false;  // some run may have to be stopped
   bool listed = false;
   Time unlisted_since;
-  bool in_roster = false;         // the stored roster contains it
+  bool in_roster = false;         // open in the stored roster
   bool in_former_roster = false;  // a former placer may have used it
+  // By the former roster, the only runs of former placers that it may execute.
+  std::optional<std::vector<RosterRun>> former_runs;
   bool reached = false;      // answered a poll in this term and incarnation
   bool known_empty = false;  // it is gone, or its leases expired
   Incarnation incarnation{0};
@@ -113,6 +115,8 @@
   std::string polled_at;  // of the newest poll
   bool poll_in_flight = false;
   bool unresponsive = false;  // its last poll got no answer
+  // Unresponsive for so long that its entry in the roster is closed.
+  bool silent = false;
   Time next_poll_at;
   Time confirmed_at;  // when its newest answered poll was sent
   // When the newest order that may extend leases was sent.
@@ -222,13 +226,16 @@
   bool leadership_is_certain = true;
   bool workers_listed = false;
   Time workers_listed_at;
-  Roster roster;
+  Roster roster{TermNumber{0}};
   // False if the former placer's roster can't be read: then every listed worker
   // counts as one of it.
   bool is_former_roster_known = true;
   bool roster_changed = false;  // since the last write was taken
   // Every worker was reached or its leases expired.
   bool all_workers_accounted = false;
+  bool has_former_runs = false;  // of closed workers
+  // All runs that a former placer may have started are known or have ended.
+  bool all_runs_known = false;
   Time majority_since;
   bool had_majority = false;
   std::shared_ptr<const Catalog> catalog;
--- a/quetzal/cell/internal/workers.cc
+++ b/quetzal/cell/internal/workers.cc
@@ -34,6 +34,9 @@
 // in a row, rare on a healthy worker, exceed the rate above.
 constexpr double kFailureSmoothing = 0.35;
 constexpr Milliseconds kAvoidAfterFailures{4'000};
+// A worker that was silent for longer gets no work in any case, so its entry in
+// the roster is closed, and a new placer waits for its listed runs only.
+constexpr Milliseconds kSilenceBeforeClosing = kConfirmationLifetime;
 // A worker that answers neither starts nor polls for longer may be gone, and
 // gets no more work meanwhile.
 constexpr Milliseconds kSlowStartAnswer{350};
@@ -178,6 +181,24 @@
   }
 }
 
+// Forgets runs of the task that only the former roster tells of, if they
+// preceded the reported one: a placer starts a task again, and a gang as a
+// whole, only once the runs before have ended.
+void ForgetPrecedingFormerRuns(State* state, const Step& step,
+                               const RunningTask& row) {
+  if (!state->has_former_runs) return;
+  for (auto& [id, worker] : state->workers) {
+    if (!IsUnaccounted(worker)) continue;
+    for (const auto& [task_id, number] : RunNumbersByTask(worker)) {
+      if (task_id.job != row.task.job || task_id.step != row.task.step) {
+        continue;
+      }
+      if (!step.spec->gang && task_id != row.task) continue;
+      if (number < row.run) RemoveRun(state, &worker, task_id);
+    }
+  }
+}
+
 // Takes over a run that this term didn't order. It was started in a former
 // term, or belongs to no job.
 void AdoptRun(State* state, Worker* worker, const RunningTask& row, Time now) {
@@ -200,6 +221,9 @@
     Task& task = step.tasks[task_index];
     run.job = job;
     run.charge = step.charge;
+    if (task.active_runs > 0 || step.gang_members > 0) {
+      ForgetPrecedingFormerRuns(state, step, row);
+    }
     wanted = wanted && !task.progress.done && task.active_runs == 0;
     task.progress.last_run = std::max(task.progress.last_run, row.run);
     if (wanted && step.spec->gang) {
@@ -384,6 +408,16 @@
   state->roster_changed = true;
 }
 
+void AdoptFormerRuns(State* state, Time now) {
+  for (auto& [id, worker] : state->workers) {
+    if (!IsUnaccounted(worker) || !worker.former_runs) continue;
+    for (const RosterRun& run : *worker.former_runs) {
+      AdoptRun(state, &worker, {.task = run.task, .run = run.number}, now);
+      state->has_former_runs = true;
+    }
+  }
+}
+
 void AttachOrphans(State* state, const JobId& id, Time now) {
   if (state->orphans == 0) return;
   for (auto& [worker_id, worker] : state->workers) {
@@ -500,6 +534,7 @@
   }
   if (!worker->reached || worker->known_empty) state->roster_changed = true;
   worker->unresponsive = false;
+  if (std::exchange(worker->silent, false)) state->roster_changed = true;
   worker->known_empty = false;
   // A former placer may have extended its leases in full until now.
   if (!worker->reached) {
@@ -508,7 +543,7 @@
   if (worker->answered_at != worker->polled_at) {
     worker->answered_at = worker->polled_at;
     worker->in_roster =
-        state->roster.Contains(worker->entry.id, worker->answered_at);
+        state->roster.IsOpen(worker->entry.id, worker->answered_at);
     state->roster_changed = true;
   }
   worker->confirmed_at = sent;
@@ -544,7 +579,7 @@
   if (std::exchange(state->newly_stored, false)) AcknowledgeStored(state, now);
   for (auto each = state->workers.begin(); each != state->workers.end();) {
     Worker& worker = each->second;
-    if (!worker.listed && !MayHaveUnknownRuns(worker) && worker.runs.empty() &&
+    if (!worker.listed && !IsUnaccounted(worker) && worker.runs.empty() &&
         worker.unacked.empty() && !worker.poll_in_flight) {
       state->slots[worker.slot] = nullptr;
       each = state->workers.erase(each);
@@ -553,6 +588,11 @@
     }
     ++each;
     if (!state->recovered) continue;
+    if (worker.unresponsive && !worker.silent &&
+        now - worker.confirmed_at >= kSilenceBeforeClosing) {
+      worker.silent = true;
+      state->roster_changed = true;
+    }
     if (!worker.poll_in_flight && now >= worker.next_poll_at) {
       SendPoll(state, &worker, now);
     }
--- a/quetzal/cell/internal/workers.h
+++ b/quetzal/cell/internal/workers.h
@@ -13,6 +13,9 @@
                      Time sent, const PollAnswer& answer, Time now);
 // Ends all runs of a worker on which nothing runs any more.
 void EndAllRuns(State* state, Worker* worker, const char* why, Time now);
+// Adopts the runs that the former roster lists of workers that can't be given
+// others. Called once jobs and roster are loaded.
+void AdoptFormerRuns(State* state, Time now);
 // Assigns to the job its runs and ends that workers reported before the job was
 // known.
 void AttachOrphans(State* state, const JobId& id, Time now);
--- a/quetzal/cell/testing/fake_fleet.h
+++ b/quetzal/cell/testing/fake_fleet.h
@@ -119,8 +119,9 @@
       if (!unlisted_.contains(id)) cell_->OnWorkerEntry(worker.entry, now_);
     }
     cell_->OnWorkersListed(now_);
-    cell_->OnRoster(is_roster_readable_ ? std::optional(roster_) : std::nullopt,
-                    now_);
+    std::optional<StoredRoster> roster;
+    if (is_roster_readable_) roster = {roster_, roster_term_};
+    cell_->OnRoster(roster, now_);
     cell_->OnHelpers({HelperId("vm-1")});
   }
   void Configure() { cell_->OnCatalog(MakeCatalog(), now_); }
@@ -180,7 +181,11 @@
   // down.
   void Store() {
     if (const auto roster = cell_->TakeRosterWrite(now_)) {
-      if (roster_writes_succeed_) roster_ = *DecodeRoster(*roster);
+      if (roster_writes_succeed_) {
+        const auto stored = DecodeRoster(*roster);
+        roster_ = stored->entries;
+        roster_term_ = stored->term;
+      }
       cell_->OnRosterWritten(roster_writes_succeed_);
     }
     for (const ProgressWrite& write : cell_->TakeProgressWrites(100)) {
@@ -345,6 +350,7 @@
 
   std::map<WorkerId, FakeWorker> workers_;
   RosterEntries roster_;
+  std::optional<TermNumber> roster_term_;
   bool roster_writes_succeed_ = true;
   bool is_roster_readable_ = true;
   std::set<WorkerId> unlisted_;  // not in the platform's list
--- a/quetzal/roster/roster.cc
+++ b/quetzal/roster/roster.cc
@@ -11,43 +11,79 @@
 // Workers join and leave in groups; one write covers all changes within this
 // time.
 constexpr Milliseconds kMinWriteInterval{200};
+// Position of a closed entry's runs in its row.
+constexpr size_t kRunsColumn = 5;
+
+Json EncodeRuns(const std::vector<RosterRun>& runs) {
+  Json rows = Json::array();
+  for (const RosterRun& run : runs) {
+    rows.push_back({run.task.job.text(), run.task.occurrence, run.task.step,
+                    run.task.index, run.number});
+  }
+  return rows;
+}
+
+std::vector<RosterRun> DecodeRuns(const Json& rows) {
+  std::vector<RosterRun> runs;
+  for (const Json& row : rows) {
+    runs.push_back({.task = {.job = JobId(row.at(0).get<std::string>()),
+                             .occurrence = row.at(1).get<int64_t>(),
+                             .step = row.at(2).get<int>(),
+                             .index = row.at(3).get<int>()},
+                    .number = row.at(4).get<int64_t>()});
+  }
+  return runs;
+}
 
 }  // namespace
 
-std::string EncodeRoster(const RosterEntries& entries) {
+std::string EncodeRoster(const StoredRoster& roster) {
   Json rows = Json::array();
-  for (const auto& [id, entry] : entries) {
-    rows.push_back({id.text(), entry.address, entry.capacity.cpu_milli,
-                    entry.capacity.memory_mib, entry.capacity.accelerators});
+  for (const auto& [id, entry] : roster.entries) {
+    Json row = {id.text(), entry.address, entry.capacity.cpu_milli,
+                entry.capacity.memory_mib, entry.capacity.accelerators};
+    if (entry.runs) row.push_back(EncodeRuns(*entry.runs));
+    rows.push_back(std::move(row));
   }
-  return Json{{"workers", std::move(rows)}}.dump();
+  Json json = {{"workers", std::move(rows)}};
+  if (roster.term) json["term"] = *roster.term;
+  return json.dump();
 }
 
-std::optional<RosterEntries> DecodeRoster(const std::string& text) {
-  RosterEntries entries;
+std::optional<StoredRoster> DecodeRoster(const std::string& text) {
+  StoredRoster roster;
   try {
     const Json json = Json::parse(text);
+    // Absent in rosters of earlier versions, as are runs.
+    if (json.contains("term")) roster.term = json["term"].get<TermNumber>();
     for (const Json& row : json.at("workers")) {
-      RosterEntry& entry = entries[WorkerId(row.at(0).get<std::string>())];
+      RosterEntry& entry =
+          roster.entries[WorkerId(row.at(0).get<std::string>())];
       entry.address = row.at(1).get<std::string>();
       entry.capacity = {.cpu_milli = row.at(2).get<int64_t>(),
                         .memory_mib = row.at(3).get<int64_t>(),
                         .accelerators = row.at(4).get<int64_t>()};
+      if (row.size() <= kRunsColumn) continue;
+      if (!row.at(kRunsColumn).is_array()) return std::nullopt;
+      entry.runs = DecodeRuns(row.at(kRunsColumn));
     }
   } catch (const Json::exception&) {
     return std::nullopt;
   }
-  return entries;
+  return roster;
 }
 
-void Roster::Load(RosterEntries stored) {
-  stored_ = std::move(stored);
+void Roster::Load(StoredRoster stored) {
+  stored_ = std::move(stored.entries);
   loaded_ = true;
+  if (stored.term == term_ - 1) return;
+  for (auto& [id, entry] : stored_) entry.runs.reset();
 }
 
-bool Roster::Contains(const WorkerId& id, const std::string& address) const {
+bool Roster::IsOpen(const WorkerId& id, const std::string& address) const {
   const auto found = stored_.find(id);
-  return found != stored_.end() && found->second.address == address;
+  return found != stored_.end() && found->second.address == address &&
+         !found->second.runs;
 }
 
 bool Roster::CanWrite(Time now) const {
@@ -56,20 +92,21 @@
 
 std::optional<std::string> Roster::BeginWrite(const RosterEntries& wanted,
                                               Time now) {
-  if (!CanWrite(now) || wanted == stored_) return std::nullopt;
+  if (!CanWrite(now) || (is_own_ && wanted == stored_)) return std::nullopt;
   pending_write_ = wanted;
   next_write_at_ = now + kMinWriteInterval;
-  // Entries that this write drops may be gone from the store before the answer
-  // arrives.
+  // Entries that this write drops or changes may be gone from the store before
+  // the answer arrives.
   std::erase_if(stored_, [&](const auto& entry) {
     const auto found = wanted.find(entry.first);
     return found == wanted.end() || found->second != entry.second;
   });
-  return EncodeRoster(wanted);
+  return EncodeRoster({.entries = wanted, .term = term_});
 }
 
 void Roster::OnStored() {
   if (!pending_write_) return;
+  is_own_ = true;
   stored_ = std::move(*pending_write_);
   pending_write_.reset();
 }
--- a/quetzal/roster/roster.h
+++ b/quetzal/roster/roster.h
@@ -1,23 +1,27 @@
 // The workers that may hold leases of this cell, as kept in the store.
 //
-//   Roster roster;
-//   roster.Load(std::move(*DecodeRoster(text)));  // stored by the last term
+//   Roster roster(term);
+//   roster.Load(std::move(*DecodeRoster(text)));  // stored by an earlier term
 //   if (const auto text = roster.BeginWrite(wanted, now)) Store(*text);
 //   roster.OnStored();
-//   if (roster.Contains(id, address)) AssignTasks(id);
+//   if (roster.IsOpen(id, address)) AssignTasks(id);
 //
 // The platform's list drops a worker that it has received nothing from for some
 // seconds, although the worker may still be running. A placer that takes over
 // just then would not see the worker, and would start its tasks a second time.
-// So tasks are assigned only to workers in the stored roster, and a new placer
-// accounts for each of those before it starts any task that they may still be
-// running.
+// So tasks are assigned only to workers that are open in the stored roster, and
+// a new placer accounts for each of those before it starts any task that they
+// may still be running. An entry that lists its worker's runs is closed: the
+// worker gets no others, so a new placer that can't reach it waits for these
+// alone.
 #ifndef QUETZAL_ROSTER_ROSTER_H_
 #define QUETZAL_ROSTER_ROSTER_H_
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "quetzal/ids/ids.h"
 #include "quetzal/resources/resources.h"
@@ -25,41 +29,67 @@
 
 namespace quetzal {
 
+// A run that its worker may still execute.
+struct RosterRun {
+  TaskId task;
+  int64_t number = 0;
+
+  friend bool operator==(const RosterRun&, const RosterRun&) = default;
+};
+
 struct RosterEntry {
   std::string address;
   Resources capacity;
+  // Of a closed entry: all runs that the worker may execute.
+  std::optional<std::vector<RosterRun>> runs;
 
   friend bool operator==(const RosterEntry&, const RosterEntry&) = default;
 };
 using RosterEntries = std::map<WorkerId, RosterEntry>;
 
-std::string EncodeRoster(const RosterEntries& entries);
+// Numbers of terms rise by one from each placer's term to the next one's.
+using TermNumber = int64_t;
+
+struct StoredRoster {
+  RosterEntries entries;
+  // Of the placer that wrote it; nothing if an earlier version did.
+  std::optional<TermNumber> term;
+};
+
+std::string EncodeRoster(const StoredRoster& roster);
 // Nothing if the text isn't an encoded roster.
-std::optional<RosterEntries> DecodeRoster(const std::string& text);
+std::optional<StoredRoster> DecodeRoster(const std::string& text);
 
 class Roster {
  public:
-  // Sets what the store holds at the beginning of a term.
-  void Load(RosterEntries stored);
+  explicit Roster(TermNumber term) : term_(term) {}
+
+  // Sets what the store holds at the beginning of the term. Closed entries that
+  // the preceding term didn't write are opened: a version that doesn't know
+  // them may have led since, and have assigned tasks to their workers.
+  void Load(StoredRoster stored);
   bool is_loaded() const { return loaded_; }
   const RosterEntries& stored() const { return stored_; }
 
-  // True if the stored roster is certain to name the worker with this address.
-  bool Contains(const WorkerId& id, const std::string& address) const;
+  // True if the stored roster is certain to have an open entry of the worker
+  // with this address.
+  bool IsOpen(const WorkerId& id, const std::string& address) const;
 
   // False before the roster was loaded, while a write is in flight, and for a
   // short time after a write began.
   bool CanWrite(Time now) const;
-  // Returns the text to store, if `wanted` differs from the stored roster and a
-  // write may begin now.
+  // Returns the text to store, if `wanted` differs from the stored roster or
+  // this term hasn't written one, and a write may begin now.
   std::optional<std::string> BeginWrite(const RosterEntries& wanted, Time now);
   void OnStored();
-  // The write may still have been applied, so only workers that both the old
-  // and the new roster name remain contained.
+  // The write may still have been applied, so only entries that are the same in
+  // the old and the new roster remain stored.
   void OnStoreFailed();
 
  private:
+  TermNumber term_;
   bool loaded_ = false;
+  bool is_own_ = false;  // this term wrote what is stored
   RosterEntries stored_;
   std::optional<RosterEntries> pending_write_;
   Time next_write_at_;
