Place tasks only by entries of the incarnation that answers

Cause: an entry counted as current if it named no incarnation, or if the worker's lists named none. An entry of another writer that lacks the incarnation ("fields missing") was read and replaced the worker's own, and its service, labels and capacity decided on placement.

Change: an entry is current only if its incarnation is that of the worker's lists. Where workers name none, both are unknown and equal, as before.

Not prevented: a start that is on its way while its worker starts again under its id as another kind, since orders name the id only.

--- a/quetzal/cell/internal/workers.cc
+++ b/quetzal/cell/internal/workers.cc
@@ -378,12 +378,11 @@
          now - worker.no_start_answer_since >= kSlowStartAnswer;
 }
 
-// False if the entry is known to be another incarnation's, which may have had
-// other labels and another capacity.
+// False if the entry may be another incarnation's, which may have had another
+// service, other labels and another capacity, or another writer's. Where
+// workers name no incarnations, neither do their entries.
 bool IsEntryCurrent(const Worker& worker) {
-  return worker.entry.incarnation == Incarnation{0} ||
-         worker.incarnation == Incarnation{0} ||
-         worker.entry.incarnation == worker.incarnation;
+  return worker.entry.incarnation == worker.incarnation;
 }
 
 bool CanTakeWork(const Worker& worker, Time now) {
