Tests: runs that count against a step's limit on a worker

No test placed a step with such a limit beside runs of uncertain state.

Change: FakeFleet holds stops and polls, has several runs of a task on a worker, stops the run that is named, and rejects starts below the highest fence that a worker has seen.

--- a/quetzal/cell/runs_per_worker_test.cc
+++ b/quetzal/cell/runs_per_worker_test.cc
@@ -1,5 +1,9 @@
 // Tests that no worker gets more runs of a step than the step allows, whatever
 // is known about earlier runs there.
+#include <string>
+#include <utility>
+#include <vector>
+
 #include "quetzal/cell/testing/fake_fleet.h"
 
 namespace quetzal {
@@ -19,6 +23,12 @@
 class RunsPerWorkerTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(RunsPerWorkerTest);
   CPPUNIT_TEST(ARunWhoseStartIsUnderWayCountsWhileConnectionsAreRefused);
+  CPPUNIT_TEST(ARunWhoseStartHasNoAnswerCounts);
+  CPPUNIT_TEST(ARunWhoseStopHasNoAnswerCounts);
+  CPPUNIT_TEST(ARunOfAFormerTermCounts);
+  CPPUNIT_TEST(ARunOfAJobThatArrivesLaterCounts);
+  CPPUNIT_TEST(AGangIsntStartedBesideMembersOfItsFormerRun);
+  CPPUNIT_TEST(AStartUnderWayAtARestartCounts);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -47,6 +57,131 @@
     fleet.DeliverHeldStarts();
     CPPUNIT_ASSERT_EQUAL(size_t{1}, cut_off.running.size());
   }
+
+  void ARunWhoseStartHasNoAnswerCounts() {
+    FakeFleet fleet(1);
+    fleet.max_per_worker_ = 1;
+    fleet.Recover();
+    fleet.lose_start_answers_ = true;
+    fleet.hold_stops_ = true;
+    AddJob(&fleet, "a", {MakeSpreadStep(2)});
+    fleet.Run(Milliseconds(20));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, fleet.starts_.size());
+    fleet.hold_polls_ = true;
+    ReportNoAnswer(&fleet, fleet.starts_.at(0));
+    fleet.Run(Milliseconds(1'000));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, fleet.starts_.size());
+    fleet.hold_polls_ = false;
+    fleet.AnswerHeldPolls();
+    fleet.Run(Milliseconds(2'000));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, fleet.starts_.size());
+    fleet.lose_start_answers_ = false;
+    fleet.hold_stops_ = false;
+    CPPUNIT_ASSERT(!fleet.over_step_limit_);
+  }
+
+  void ARunWhoseStopHasNoAnswerCounts() {
+    FakeFleet fleet(1);
+    fleet.max_per_worker_ = 1;
+    fleet.Recover();
+    AddJob(&fleet, "a", {MakeSpreadStep(2)});
+    fleet.Run(Milliseconds(100));
+    FakeWorker& worker = fleet.workers_.begin()->second;
+    worker.fixed_percent = 50;
+    fleet.hold_stops_ = true;
+    fleet.Run(Milliseconds(8'000));
+    CPPUNIT_ASSERT(fleet.stops_ > 0);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, fleet.starts_.size());
+    CPPUNIT_ASSERT(!fleet.over_step_limit_);
+  }
+
+  void ARunOfAFormerTermCounts() {
+    FakeFleet fleet(1);
+    fleet.max_per_worker_ = 1;
+    fleet.Recover();
+    AddJob(&fleet, "a", {MakeSpreadStep(3)});
+    fleet.Run(Milliseconds(100));
+    fleet.StartTerm(Fence{8}, 2 * testing::kRunFloor);
+    AddJob(&fleet, "a", {MakeSpreadStep(3)});
+    fleet.Recover();
+    fleet.Run(Milliseconds(1'000));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, fleet.starts_.size());
+    fleet.WorkerOf(Task("a", 0, 0)).End(Task("a", 0, 0), TaskOutcome::kDone);
+    fleet.Run(Milliseconds(1'000));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, fleet.running());
+    CPPUNIT_ASSERT(!fleet.over_step_limit_);
+  }
+
+  void ARunOfAJobThatArrivesLaterCounts() {
+    FakeFleet fleet(1);
+    fleet.max_per_worker_ = 1;
+    fleet.Recover();
+    AddJob(&fleet, "a", {MakeSpreadStep(3)});
+    fleet.Run(Milliseconds(100));
+    fleet.StartTerm(Fence{8}, 2 * testing::kRunFloor);
+    fleet.Recover();
+    fleet.Run(Milliseconds(500));
+    CPPUNIT_ASSERT(fleet.IsRunning(Task("a", 0, 0)));
+    AddJob(&fleet, "a", {MakeSpreadStep(3)});
+    fleet.Run(Milliseconds(1'000));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, fleet.starts_.size());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, fleet.running());
+  }
+
+  void AGangIsntStartedBesideMembersOfItsFormerRun() {
+    FakeFleet fleet(2);
+    fleet.max_per_worker_ = 1;
+    fleet.Recover();
+    StepSpec gang = MakeSpreadStep(2);
+    gang.gang = true;
+    AddJob(&fleet, "a", {gang});
+    fleet.Run(Milliseconds(100));
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, fleet.running());
+    fleet.hold_stops_ = true;
+    fleet.WorkerOf(Task("a", 0, 0)).End(Task("a", 0, 0), TaskOutcome::kFailed);
+    fleet.Run(Milliseconds(1'000));
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, fleet.starts_.size());
+    fleet.WorkerOf(Task("a", 0, 1)).End(Task("a", 0, 1), TaskOutcome::kStopped);
+    fleet.Run(Milliseconds(1'000));
+    CPPUNIT_ASSERT_EQUAL(size_t{4}, fleet.starts_.size());
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, fleet.running());
+    CPPUNIT_ASSERT(!fleet.over_step_limit_);
+  }
+
+  void AStartUnderWayAtARestartCounts() {
+    FakeFleet fleet(1);
+    fleet.max_per_worker_ = 1;
+    fleet.Recover();
+    fleet.hold_starts_ = true;
+    AddJob(&fleet, "a", {MakeSpreadStep(2)});
+    fleet.Run(Milliseconds(20));
+    FakeWorker& worker = fleet.workers_.begin()->second;
+    worker.Restart();
+    fleet.cell()->OnWorkerEntry(worker.entry, fleet.now());
+    fleet.hold_stops_ = true;
+    fleet.Run(Milliseconds(500));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, fleet.starts_.size());
+    fleet.DeliverHeldStarts();
+    fleet.hold_starts_ = false;
+    fleet.Run(Milliseconds(1'000));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, fleet.starts_.size());
+    fleet.hold_stops_ = false;
+    fleet.Run(Milliseconds(1'000));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, fleet.running());
+    CPPUNIT_ASSERT(!fleet.over_step_limit_);
+  }
+
+ private:
+  static void AddJob(FakeFleet* fleet, const std::string& id,
+                     std::vector<StepSpec> steps) {
+    fleet->cell()->OnJob(FakeFleet::MakeJob(id, std::move(steps)), Revision{1},
+                         std::nullopt, fleet->now());
+  }
+
+  static void ReportNoAnswer(FakeFleet* fleet, const StartAction& start) {
+    fleet->cell()->OnStartAnswer(start.worker.id, start.order, {},
+                                 fleet->now());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RunsPerWorkerTest);
--- a/quetzal/cell/testing/fake_fleet.h
+++ b/quetzal/cell/testing/fake_fleet.h
@@ -17,6 +17,7 @@
 #include <set>
 #include <stdexcept>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "quetzal/cell/cell.h"
@@ -51,9 +52,12 @@
   // On its clock; its runs end there.
   int64_t lease_until_ms = 0;
   std::map<TaskId, int64_t> running;
+  // Further runs of tasks that `running` contains with another number.
+  std::set<std::pair<TaskId, int64_t>> runs_beside;
   std::vector<EndedTask> ended;
   std::map<TaskId, int64_t> ended_runs;  // highest that ended or was stopped
   int64_t acknowledged_end = 0;
+  Fence highest_fence{0};
   std::map<TaskId, int> paces;                    // as ordered
   std::map<TaskId, Milliseconds> response_tails;  // of serving tasks
 
@@ -62,6 +66,21 @@
     ended_runs[task] = running.at(task);
     running.erase(task);
   }
+  // Ends a run that `runs_beside` contains.
+  void EndBeside(const TaskId& task, int64_t run, TaskOutcome how) {
+    ended.push_back({next_end_number++, task, run, how, ""});
+    ended_runs[task] = std::max(ended_runs[task], run);
+    runs_beside.erase({task, run});
+  }
+  size_t run_count() const { return running.size() + runs_beside.size(); }
+  int RunsOfStep(const TaskId& of) const {
+    const auto is_same = [&of](const auto& each) {
+      return each.first.job == of.job && each.first.step == of.step;
+    };
+    return static_cast<int>(
+        std::count_if(running.begin(), running.end(), is_same) +
+        std::count_if(runs_beside.begin(), runs_beside.end(), is_same));
+  }
   // Starts again under its id: it then holds and knows nothing of before.
   void Restart() {
     entry.incarnation =
@@ -70,6 +89,8 @@
     next_end_number = 1;
     lease_until_ms = 0;
     running.clear();
+    runs_beside.clear();
+    highest_fence = Fence{0};
     ended.clear();
     ended_runs.clear();
     acknowledged_end = 0;
@@ -84,6 +105,10 @@
     while (!running.empty()) {
       End(running.begin()->first, TaskOutcome::kLeaseExpired);
     }
+    while (!runs_beside.empty()) {
+      const auto [task, run] = *runs_beside.begin();
+      EndBeside(task, run, TaskOutcome::kLeaseExpired);
+    }
   }
 };
 
@@ -210,11 +235,27 @@
   }
 
   void ServePoll(const PollAction& action) {
-    FakeWorker& worker = workers_.at(action.worker.id);
     ++polls_;
-    if (hold_polls_) return;
+    if (hold_polls_) {
+      held_polls_.emplace_back(action, now_);
+      return;
+    }
+    AnswerPoll(action, now_);
+  }
+
+  // Polls that were held are answered now.
+  void AnswerHeldPolls() {
+    for (const auto& [action, sent] : std::exchange(held_polls_, {})) {
+      AnswerPoll(action, sent);
+    }
+  }
+
+  void AnswerPoll(const PollAction& action, Time sent) {
+    FakeWorker& worker = workers_.at(action.worker.id);
     PollAnswer answer{.outcome = worker.failure()};
     if (worker.CanBeReached()) {
+      worker.highest_fence =
+          std::max(worker.highest_fence, action.request.fence);
       worker.ExtendLease(action.request.lease_until);
       worker.acknowledged_end =
           std::max(worker.acknowledged_end, action.request.acknowledged_end);
@@ -238,8 +279,12 @@
                                       ? Milliseconds(0)
                                       : tail->second});
       }
+      for (const auto& [task, run] : worker.runs_beside) {
+        answer.running.push_back(
+            {task, run, "", static_cast<int>(worker.clock_ms % 97)});
+      }
     }
-    cell_->OnPollAnswer(action.worker.id, action.request, now_, answer, now_);
+    cell_->OnPollAnswer(action.worker.id, action.request, sent, answer, now_);
   }
 
   void ServeStart(const StartAction& action) {
@@ -265,27 +310,44 @@
     const WorkerTime clock{worker.clock_ms};
     const TaskId& task = action.order.task;
     if (start_outcome_ != OrderOutcome::kDone) return {start_outcome_, clock};
+    if (action.order.fence < worker.highest_fence) {
+      return {OrderOutcome::kFenced, clock};
+    }
+    worker.highest_fence = action.order.fence;
     const auto ended = worker.ended_runs.find(task);
     if (ended != worker.ended_runs.end() && ended->second >= action.order.run) {
       return {OrderOutcome::kStaleRun, clock};
     }
     worker.ExtendLease(action.order.lease_until);
     if (IsRunning(task)) ran_twice_ = true;
-    worker.running[task] = action.order.run;
+    const auto [same_task, is_new] =
+        worker.running.emplace(task, action.order.run);
+    if (!is_new && same_task->second != action.order.run) {
+      worker.runs_beside.emplace(task, action.order.run);
+    }
     const Resources used =
-        task_size_ * static_cast<int64_t>(worker.running.size());
+        task_size_ * static_cast<int64_t>(worker.run_count());
     if (!used.FitsIn(worker.entry.capacity)) over_capacity_ = true;
+    if (max_per_worker_ && worker.RunsOfStep(task) > *max_per_worker_) {
+      over_step_limit_ = true;
+    }
     return {OrderOutcome::kDone, clock};
   }
 
   void ServeStop(const StopAction& action) {
     FakeWorker& worker = workers_.at(action.worker.id);
     ++stops_;
+    if (hold_stops_) return;
     OrderAnswer answer{.outcome = worker.failure()};
     if (worker.CanBeReached()) {
-      if (worker.running.contains(action.order.task)) {
+      const auto found = worker.running.find(action.order.task);
+      if (found != worker.running.end() && found->second == action.order.run) {
         worker.End(action.order.task, TaskOutcome::kStopped);
       }
+      if (worker.runs_beside.contains({action.order.task, action.order.run})) {
+        worker.EndBeside(action.order.task, action.order.run,
+                         TaskOutcome::kStopped);
+      }
       int64_t& ended_run = worker.ended_runs[action.order.task];
       ended_run = std::max(ended_run, action.order.run);
       answer = {OrderOutcome::kDone, WorkerTime{worker.clock_ms}};
@@ -317,7 +379,7 @@
 
   size_t running() const {
     size_t count = 0;
-    for (const auto& [id, worker] : workers_) count += worker.running.size();
+    for (const auto& [id, worker] : workers_) count += worker.run_count();
     return count;
   }
   bool IsRunning(const TaskId& task) const {
@@ -360,11 +422,16 @@
   OrderOutcome start_outcome_ = OrderOutcome::kDone;
   OrderOutcome pace_outcome_ = OrderOutcome::kDone;
   bool hold_polls_ = false;  // polls get no answer, nor a timeout
+  std::vector<std::pair<PollAction, Time>> held_polls_;  // and when sent
   // Starts are carried out, and the test reports their outcomes to the cell.
   bool lose_start_answers_ = false;
   bool hold_starts_ = false;  // starts don't reach their workers yet
   std::vector<StartAction> held_starts_;
   Resources task_size_{.cpu_milli = 1'000, .memory_mib = 100};
+  bool hold_stops_ = false;  // stops get no answer, nor reach their workers
+  // Of each step, on one worker; checked if it is set.
+  std::optional<int> max_per_worker_;
+  bool over_step_limit_ = false;
   bool store_up_ = true;
   bool over_capacity_ = false;
   bool ran_twice_ = false;  // some task, on two workers at the same time
