Each run of a task on a worker is counted and stopped by itself

Cause: a worker's runs were kept by task. A row of its list with another run number than the known one was skipped: neither counted nor stopped. It also marked the known run as listed, so that this one never ended. It takes a start that got no answer, its stop carried out and the task's newer run ordered there, a restart of the worker under its id (which forgets the stop), and then the late start: PROTOCOL.md allows each. Without the restart the worker rejects the late run, as its stop or a higher fence came first.

Evidence: three tests fail before and pass now: ALateRunBesideANewerOneOfItsTaskIsStopped, ALateRunBesideANewerOneOfItsTaskTakesCapacity (5 runs where 4 fit), and ALateRunInPlaceOfANewerOneEndsWithItsJob (1 run left 2 s after the cancel, now 0).

Change: a worker's runs are kept by task and number, so what is charged for a run is always released with it (AddRun could charge for a run that it then didn't keep; no sequence that leads there was found).

--- a/quetzal/cell/internal/orders.cc
+++ b/quetzal/cell/internal/orders.cc
@@ -26,7 +26,7 @@
   const Run* const run = FindRun(worker, order.task, order.run);
   if (run == nullptr) return;
   Job* const job = run->job;
-  RemoveRun(state, worker, order.task);
+  RemoveRun(state, worker, order.task, order.run);
   if (job == nullptr) return;
   BreakGang(state, job, order.task.step, now);
   UpdateReadiness(state, job, now);
@@ -101,17 +101,15 @@
   }
   worker->unanswered_starts = std::max(0, worker->unanswered_starts - 1);
   worker->no_start_answer_since = now;
-  const auto found = worker->runs.find(order.task);
-  const bool present =
-      found != worker->runs.end() && found->second.number == order.run;
+  Run* const run = FindRun(worker, order.task, order.run);
   switch (answer.outcome) {
     case OrderOutcome::kDone:
-      if (present) {
-        found->second.start_worker_time = answer.clock;
-        found->second.start_answered_at = now;
-        if (found->second.state == RunState::kStarting) {
-          found->second.state = RunState::kRunning;
-          found->second.progressed_at = now;
+      if (run != nullptr) {
+        run->start_worker_time = answer.clock;
+        run->start_answered_at = now;
+        if (run->state == RunState::kStarting) {
+          run->state = RunState::kRunning;
+          run->progressed_at = now;
         }
       }
       return;
@@ -125,14 +123,14 @@
     // The run itself may have ended there, after an earlier copy of the order.
     case OrderOutcome::kStaleRun:
     case OrderOutcome::kUnknown:
-      if (present && worker->clock_received_at < found->second.ordered_at) {
+      if (run != nullptr && worker->clock_received_at < run->ordered_at) {
         worker->avoided_until = now + kAvoidAfterRefusal;
       }
       // The order may still be carried out, so the run is stopped before its
       // task starts elsewhere, unless a poll has shown meanwhile that it runs.
-      if (present && found->second.state == RunState::kStarting) {
-        ScheduleStop(worker, &found->second, now);
-        Job* const job = found->second.job;
+      if (run != nullptr && run->state == RunState::kStarting) {
+        ScheduleStop(worker, run, now);
+        Job* const job = run->job;
         if (job != nullptr) BreakGang(state, job, order.task.step, now);
       }
       return;
@@ -146,10 +144,10 @@
       worker->avoided_until = now + kAvoidAfterRefusal;
       break;
   }
-  if (!present) return;
+  if (run == nullptr) return;
   // The worker has listed the run: another copy of the order was executed.
-  if (found->second.start_worker_time != WorkerTime{0}) return;
-  Job* const job = found->second.job;
+  if (run->start_worker_time != WorkerTime{0}) return;
+  Job* const job = run->job;
   if (job != nullptr) {
     Step& step = job->steps[static_cast<size_t>(order.task.step)];
     if (answer.outcome == OrderOutcome::kInvalidTicket) {
--- a/quetzal/cell/internal/state.cc
+++ b/quetzal/cell/internal/state.cc
@@ -1,5 +1,6 @@
 #include "quetzal/cell/internal/state.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace quetzal::cell {
@@ -25,12 +26,24 @@
   return worker;
 }
 
+namespace {
+
+using RunIterator = std::multimap<TaskId, Run>::iterator;
+
+RunIterator FindRunIterator(Worker* worker, const TaskId& task,
+                            int64_t number) {
+  const auto [first, last] = worker->runs.equal_range(task);
+  const auto found = std::find_if(first, last, [number](const auto& each) {
+    return each.second.number == number;
+  });
+  return found == last ? worker->runs.end() : found;
+}
+
+}  // namespace
+
 Run* FindRun(Worker* worker, const TaskId& task, int64_t number) {
-  const auto found = worker->runs.find(task);
-  if (found == worker->runs.end() || found->second.number != number) {
-    return nullptr;
-  }
-  return &found->second;
+  const RunIterator found = FindRunIterator(worker, task, number);
+  return found == worker->runs.end() ? nullptr : &found->second;
 }
 
 void ScheduleStop(Worker* worker, Run* run, Time at) {
@@ -85,8 +98,9 @@
   worker->runs.emplace(task_id, std::move(run));
 }
 
-void RemoveRun(State* state, Worker* worker, const TaskId& task) {
-  const auto found = worker->runs.find(task);
+void RemoveRun(State* state, Worker* worker, const TaskId& task,
+               int64_t number) {
+  const RunIterator found = FindRunIterator(worker, task, number);
   if (found == worker->runs.end()) return;
   const Run& run = found->second;
   worker->used -= run.charge;
--- a/quetzal/cell/internal/state.h
+++ b/quetzal/cell/internal/state.h
@@ -128,7 +128,8 @@
   int best_effort_runs = 0;
   int serving_runs = 0;   // of steps with a latency target
   bool pace_due = false;  // it sent a run list since paces were last decided
-  std::map<TaskId, Run> runs;
+  // A task has several if starts of it were executed late.
+  std::multimap<TaskId, Run> runs;
   std::vector<Reservation> reservations;  // in planning order
   int unanswered_starts = 0;
   // Since when no start was answered although some were sent.
@@ -290,8 +291,9 @@
 void ScheduleStop(Worker* worker, Run* run, Time at);
 
 void AddRun(State* state, Worker* worker, Run run);
-// Releases the run's resources and destroys the run.
-void RemoveRun(State* state, Worker* worker, const TaskId& task);
+// Releases the run's resources and destroys the run, if the worker has it.
+void RemoveRun(State* state, Worker* worker, const TaskId& task,
+               int64_t number);
 
 }  // namespace quetzal::cell
 
--- a/quetzal/cell/internal/workers.cc
+++ b/quetzal/cell/internal/workers.cc
@@ -44,12 +44,12 @@
 // Removes a run and applies its end to the job.
 void EndRun(State* state, Worker* worker, const TaskId& task_id, int64_t number,
             TaskOutcome how, const std::string& checkpoint, Time now) {
-  const auto found = worker->runs.find(task_id);
+  const Run* const run = FindRun(worker, task_id, number);
   Job* job = state->FindJob(task_id.job);
   std::string saved = checkpoint;
-  if (found != worker->runs.end() && found->second.number == number) {
-    if (saved.empty()) saved = found->second.checkpoint;
-    RemoveRun(state, worker, task_id);
+  if (run != nullptr) {
+    if (saved.empty()) saved = run->checkpoint;
+    RemoveRun(state, worker, task_id, number);
   }
   if (job != nullptr) ApplyEnd(state, job, task_id, number, how, saved, now);
 }
@@ -101,7 +101,7 @@
 void EndFormerIncarnation(State* state, Worker* worker, Time now) {
   LogLostRuns(state, *worker, "started again", now);
   for (const auto& [task_id, number] : RunNumbersByTask(*worker)) {
-    Run& run = worker->runs.at(task_id);
+    Run& run = *FindRun(worker, task_id, number);
     if (run.last_run_list > 0) {
       EndRun(state, worker, task_id, number, TaskOutcome::kLeaseExpired, "",
              now);
@@ -116,14 +116,11 @@
 }
 
 // Long-running tasks that served may end at any time, also on healthy workers.
-bool HasServed(const Worker& worker, const EndedTask& ended) {
-  const auto found = worker.runs.find(ended.task);
-  if (found == worker.runs.end() || found->second.number != ended.run) {
-    return false;
-  }
-  const Run& run = found->second;
-  return run.job != nullptr && run.percent >= kDonePercent &&
-         run.job->steps[static_cast<size_t>(ended.task.step)]
+bool HasServed(Worker* worker, const EndedTask& ended) {
+  const Run* const run = FindRun(worker, ended.task, ended.run);
+  return run != nullptr && run->job != nullptr &&
+         run->percent >= kDonePercent &&
+         run->job->steps[static_cast<size_t>(ended.task.step)]
              .spec->long_running;
 }
 
@@ -147,7 +144,7 @@
                     Time now) {
   if (ended.number <= worker->last_applied_end) return;
   worker->last_applied_end = ended.number;
-  if (!HasServed(*worker, ended)) {
+  if (!HasServed(worker, ended)) {
     UpdateFailureRate(state, worker, ended.how, now);
   }
   EndRun(state, worker, ended.task, ended.run, ended.how, ended.checkpoint,
@@ -260,7 +257,7 @@
   // A run that is in neither list may have an end that isn't listed yet.
   if (!answer.ends_are_complete) return;
   for (const auto& [task_id, number] : RunNumbersByTask(*worker)) {
-    const Run& run = worker->runs.at(task_id);
+    const Run& run = *FindRun(worker, task_id, number);
     if (run.last_run_list == worker->run_lists) continue;
     // Answers to orders don't name the incarnation whose clock they show.
     const bool was_there = run.state == RunState::kRunning &&
@@ -305,25 +302,27 @@
   BreakGang(state, run->job, row.task.step, now);
 }
 
-void ApplyRunList(State* state, Worker* worker, const PollAnswer& answer,
-                  Time now) {
+void ApplyRunList(State* state, Worker* worker, Time sent,
+                  const PollAnswer& answer, Time now) {
   ++worker->run_lists;
   worker->pace_due = true;
   for (const RunningTask& row : answer.running) {
-    const auto found = worker->runs.find(row.task);
-    if (found == worker->runs.end()) {
-      AdoptRun(state, worker, row, now);
-      continue;
+    Run* const run = FindRun(worker, row.task, row.run);
+    if (run == nullptr) continue;
+    run->last_run_list = worker->run_lists;
+    run->response_tail = row.response_tail;
+    StopIfStalled(state, worker, row, run, now);
+    if (!row.checkpoint.empty()) run->checkpoint = row.checkpoint;
+    if (run->state == RunState::kStarting) {
+      run->state = RunState::kRunning;
+      run->start_worker_time = answer.clock;
     }
-    Run& run = found->second;
-    run.last_run_list = worker->run_lists;
-    if (run.number != row.run) continue;
-    run.response_tail = row.response_tail;
-    StopIfStalled(state, worker, row, &run, now);
-    if (!row.checkpoint.empty()) run.checkpoint = row.checkpoint;
-    if (run.state == RunState::kStarting) {
-      run.state = RunState::kRunning;
-      run.start_worker_time = answer.clock;
+  }
+  // A run that ended must not keep another run of its task from being adopted.
+  EndMissingRuns(state, worker, sent, answer, now);
+  for (const RunningTask& row : answer.running) {
+    if (FindRun(worker, row.task, row.run) == nullptr) {
+      AdoptRun(state, worker, row, now);
     }
   }
 }
@@ -430,10 +429,10 @@
     }
     if (worker.orphan_runs == 0) continue;
     for (const auto& [task_id, number] : RunNumbersByTask(worker)) {
-      const Run& run = worker.runs.at(task_id);
+      const Run& run = *FindRun(&worker, task_id, number);
       if (!run.orphan_since || task_id.job != id) continue;
       const RunningTask row{task_id, number, run.checkpoint};
-      RemoveRun(state, &worker, task_id);
+      RemoveRun(state, &worker, task_id, number);
       AdoptRun(state, &worker, row, now);
     }
   }
@@ -556,8 +555,7 @@
     ApplyEndedTask(state, worker, ended, now);
   }
   // The list of runs is complete, that of ends may come in parts.
-  ApplyRunList(state, worker, answer, now);
-  EndMissingRuns(state, worker, sent, answer, now);
+  ApplyRunList(state, worker, sent, answer, now);
   worker->reached = true;
   AcknowledgeStored(state, worker, now);
   if (!worker->unacked.empty()) worker->next_poll_at = now + kPollWhileStoring;
--- a/quetzal/cell/runs_per_worker_test.cc
+++ b/quetzal/cell/runs_per_worker_test.cc
@@ -29,6 +29,9 @@
   CPPUNIT_TEST(ARunOfAJobThatArrivesLaterCounts);
   CPPUNIT_TEST(AGangIsntStartedBesideMembersOfItsFormerRun);
   CPPUNIT_TEST(AStartUnderWayAtARestartCounts);
+  CPPUNIT_TEST(ALateRunBesideANewerOneOfItsTaskIsStopped);
+  CPPUNIT_TEST(ALateRunBesideANewerOneOfItsTaskTakesCapacity);
+  CPPUNIT_TEST(ALateRunInPlaceOfANewerOneEndsWithItsJob);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -171,6 +174,45 @@
     CPPUNIT_ASSERT(!fleet.over_step_limit_);
   }
 
+  void ALateRunBesideANewerOneOfItsTaskIsStopped() {
+    FakeFleet fleet(1);
+    const StartAction late = RunLateStartBesideANewerRun(&fleet);
+    fleet.Run(Milliseconds(1'000));
+    FakeWorker& worker = fleet.workers_.begin()->second;
+    CPPUNIT_ASSERT(worker.runs_beside.empty());
+    CPPUNIT_ASSERT(worker.running.at(late.order.task) > late.order.run);
+  }
+
+  void ALateRunBesideANewerOneOfItsTaskTakesCapacity() {
+    FakeFleet fleet(1);
+    RunLateStartBesideANewerRun(&fleet);
+    fleet.hold_stops_ = true;
+    fleet.Run(Milliseconds(100));
+    AddJob(&fleet, "b", {FakeFleet::MakeStep(4)});
+    fleet.Run(Milliseconds(500));
+    CPPUNIT_ASSERT_EQUAL(size_t{4}, fleet.running());
+    CPPUNIT_ASSERT(!fleet.over_capacity_);
+  }
+
+  void ALateRunInPlaceOfANewerOneEndsWithItsJob() {
+    FakeFleet fleet(1);
+    const StartAction late = LoseAStart(&fleet);
+    FakeWorker& worker = fleet.workers_.begin()->second;
+    // The newer run is ordered, and isn't listed before the worker restarts.
+    fleet.hold_polls_ = true;
+    fleet.Run(Milliseconds(20));
+    worker.Restart();
+    fleet.cell()->OnWorkerEntry(worker.entry, fleet.now());
+    fleet.held_starts_ = {late};
+    fleet.DeliverHeldStarts();
+    fleet.hold_polls_ = false;
+    fleet.AnswerHeldPolls();
+    fleet.Run(Milliseconds(300));
+    fleet.cell()->OnCancel(JobId("a"), fleet.now());
+    fleet.Run(Milliseconds(2'000));
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, fleet.running());
+  }
+
  private:
   static void AddJob(FakeFleet* fleet, const std::string& id,
                      std::vector<StepSpec> steps) {
@@ -182,6 +224,37 @@
     fleet->cell()->OnStartAnswer(start.worker.id, start.order, {},
                                  fleet->now());
   }
+
+  // Returns a start that got no answer and is still under way. Its stop was
+  // carried out, so the task is waiting again.
+  static StartAction LoseAStart(FakeFleet* fleet) {
+    fleet->Recover();
+    fleet->hold_starts_ = true;
+    AddJob(fleet, "a", {MakeSpreadStep(1)});
+    fleet->Run(Milliseconds(20));
+    StartAction late = fleet->held_starts_.at(0);
+    fleet->held_starts_.clear();
+    fleet->hold_starts_ = false;
+    ReportNoAnswer(fleet, late);
+    while (fleet->starts_.size() < 2) fleet->Run(Milliseconds(10));
+    return late;
+  }
+
+  // The worker restarts and knows no more of the stop, so it carries the late
+  // start out beside the task's newer run.
+  static StartAction RunLateStartBesideANewerRun(FakeFleet* fleet) {
+    StartAction late = LoseAStart(fleet);
+    fleet->Run(Milliseconds(100));
+    FakeWorker& worker = fleet->workers_.begin()->second;
+    worker.Restart();
+    fleet->cell()->OnWorkerEntry(worker.entry, fleet->now());
+    fleet->Run(Milliseconds(1'000));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, worker.run_count());
+    fleet->held_starts_ = {late};
+    fleet->DeliverHeldStarts();
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, worker.run_count());
+    return late;
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RunsPerWorkerTest);
