Adopted runs beyond a step's limit or a worker's capacity are logged

Nothing that callers see.

Cause: adoption logged each run, but compared it with no limit.

Change: an important line run_beyond_limits, with the runs, the limit and the worker's use and capacity, and a counter quetzal_runs_beyond_limits_total. The capacity is compared only if the worker's entry is of its present incarnation. RunsOfStepOn moves to state.h as CountRunsOfStep.

Evidence: ReportedRunsBeyondTheStepsLimitAreLogged and ReportedRunsBeyondTheCapacityAreLogged fail without the call in AdoptRun (0 instead of 1) and pass with it.

--- a/quetzal/cell/internal/placement.cc
+++ b/quetzal/cell/internal/placement.cc
@@ -39,14 +39,6 @@
       std::min<int64_t>(fits, std::numeric_limits<int>::max()));
 }
 
-int RunsOfStepOn(const Worker& worker, const Job& job, int step) {
-  int count = 0;
-  for (const auto& [task_id, run] : worker.runs) {
-    if (run.job == &job && task_id.step == step) ++count;
-  }
-  return count;
-}
-
 struct Candidate {
   Worker* worker = nullptr;
   int fits = 0;
@@ -95,7 +87,7 @@
   if (fits <= 0 || !IsEligible(job, step, *worker)) return;
   if (step.spec->max_per_worker > 0) {
     fits = std::min(
-        fits, step.spec->max_per_worker - RunsOfStepOn(*worker, job, index));
+        fits, step.spec->max_per_worker - CountRunsOfStep(*worker, job, index));
   }
   if (fits > 0) candidates->push_back({worker, fits, ScoreOf(step, *worker)});
 }
--- a/quetzal/cell/internal/state.cc
+++ b/quetzal/cell/internal/state.cc
@@ -46,6 +46,14 @@
   return found == worker->runs.end() ? nullptr : &found->second;
 }
 
+int CountRunsOfStep(const Worker& worker, const Job& job, int step) {
+  int count = 0;
+  for (const auto& [task_id, run] : worker.runs) {
+    if (run.job == &job && task_id.step == step) ++count;
+  }
+  return count;
+}
+
 void ScheduleStop(Worker* worker, Run* run, Time at) {
   run->state = RunState::kStopping;
   run->next_stop_at = at;
--- a/quetzal/cell/internal/state.h
+++ b/quetzal/cell/internal/state.h
@@ -276,6 +276,9 @@
 // Null if the worker doesn't have this run of the task.
 Run* FindRun(Worker* worker, const TaskId& task, int64_t number);
 
+// How many runs of the job's step are charged to the worker.
+int CountRunsOfStep(const Worker& worker, const Job& job, int step);
+
 // True if the step's tasks serve users within a latency target.
 bool IsServing(const StepSpec& spec);
 // True if the run is of a best-effort step of a known job.
--- a/quetzal/cell/internal/workers.cc
+++ b/quetzal/cell/internal/workers.cc
@@ -191,11 +191,46 @@
         continue;
       }
       if (!step.spec->gang && task_id != row.task) continue;
-      if (number < row.run) RemoveRun(state, &worker, task_id);
+      if (number < row.run) RemoveRun(state, &worker, task_id, number);
     }
   }
 }
 
+// False if the entry may be another incarnation's, which may have had another
+// service, other labels and another capacity, or another writer's. Where
+// workers name no incarnations, neither do their entries.
+bool IsEntryCurrent(const Worker& worker) {
+  return worker.entry.incarnation == worker.incarnation;
+}
+
+// Logs an adopted run that is beyond what its step allows on the worker, or
+// beyond the worker's capacity.
+void LogIfBeyondLimits(State* state, const Worker& worker, const Job& job,
+                       const RunningTask& row) {
+  const int allowed =
+      job.steps[static_cast<size_t>(row.task.step)].spec->max_per_worker;
+  const int runs = CountRunsOfStep(worker, job, row.task.step);
+  const bool is_beyond_step = allowed > 0 && runs > allowed;
+  const bool is_beyond_capacity =
+      IsEntryCurrent(worker) && !worker.used.FitsIn(worker.entry.capacity);
+  if (!is_beyond_step && !is_beyond_capacity) return;
+  const char* const limit = is_beyond_step ? "step" : "capacity";
+  state->metrics->Count("quetzal_runs_beyond_limits_total", {{"limit", limit}});
+  state->log->ImportantLine("run_beyond_limits",
+                            {{"worker", worker.entry.id.text()},
+                             {"limit", limit},
+                             {"job", row.task.job.text()},
+                             {"step", row.task.step},
+                             {"task", row.task.index},
+                             {"run", row.run},
+                             {"runs_of_step", runs},
+                             {"allowed_runs", allowed},
+                             {"used_cpu_milli", worker.used.cpu_milli},
+                             {"cpu_milli", worker.entry.capacity.cpu_milli},
+                             {"used_memory_mib", worker.used.memory_mib},
+                             {"memory_mib", worker.entry.capacity.memory_mib}});
+}
+
 // Takes over a run that this term didn't order. It was started in a former
 // term, or belongs to no job.
 void AdoptRun(State* state, Worker* worker, const RunningTask& row, Time now) {
@@ -241,6 +276,7 @@
               : IsFinal(job->state) ? "job ended"
                                     : "no");
   AddRun(state, worker, std::move(run));
+  if (known) LogIfBeyondLimits(state, *worker, *job, row);
   if (wanted) {
     if (job->state == JobState::kQueued) {
       job->state = JobState::kRunning;
@@ -377,13 +413,6 @@
          now - worker.no_start_answer_since >= kSlowStartAnswer;
 }
 
-// False if the entry may be another incarnation's, which may have had another
-// service, other labels and another capacity, or another writer's. Where
-// workers name no incarnations, neither do their entries.
-bool IsEntryCurrent(const Worker& worker) {
-  return worker.entry.incarnation == worker.incarnation;
-}
-
 bool CanTakeWork(const Worker& worker, Time now) {
   return worker.listed && worker.reached && worker.in_roster &&
          IsEntryCurrent(worker) && !worker.unresponsive &&
--- a/quetzal/cell/runs_per_worker_test.cc
+++ b/quetzal/cell/runs_per_worker_test.cc
@@ -32,6 +32,8 @@
   CPPUNIT_TEST(ALateRunBesideANewerOneOfItsTaskIsStopped);
   CPPUNIT_TEST(ALateRunBesideANewerOneOfItsTaskTakesCapacity);
   CPPUNIT_TEST(ALateRunInPlaceOfANewerOneEndsWithItsJob);
+  CPPUNIT_TEST(ReportedRunsBeyondTheStepsLimitAreLogged);
+  CPPUNIT_TEST(ReportedRunsBeyondTheCapacityAreLogged);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -213,7 +215,38 @@
     CPPUNIT_ASSERT_EQUAL(size_t{0}, fleet.running());
   }
 
+  void ReportedRunsBeyondTheStepsLimitAreLogged() {
+    FakeFleet fleet(1);
+    fleet.Recover();
+    AddJob(&fleet, "a", {MakeSpreadStep(2)});
+    fleet.Run(Milliseconds(100));
+    CPPUNIT_ASSERT_EQUAL(uint64_t{0}, CountBeyond(fleet, "step"));
+    fleet.workers_.begin()->second.running[Task("a", 0, 1)] = 17;
+    fleet.Run(Milliseconds(500));
+    CPPUNIT_ASSERT_EQUAL(uint64_t{1}, CountBeyond(fleet, "step"));
+    CPPUNIT_ASSERT_EQUAL(uint64_t{0}, CountBeyond(fleet, "capacity"));
+  }
+
+  void ReportedRunsBeyondTheCapacityAreLogged() {
+    FakeFleet fleet(1);
+    fleet.Recover();
+    AddJob(&fleet, "a", {FakeFleet::MakeStep(5)});
+    fleet.Run(Milliseconds(100));
+    CPPUNIT_ASSERT_EQUAL(size_t{4}, fleet.running());
+    CPPUNIT_ASSERT_EQUAL(uint64_t{0}, CountBeyond(fleet, "capacity"));
+    fleet.workers_.begin()->second.running[Task("a", 0, 4)] = 17;
+    fleet.Run(Milliseconds(500));
+    CPPUNIT_ASSERT_EQUAL(uint64_t{1}, CountBeyond(fleet, "capacity"));
+    CPPUNIT_ASSERT_EQUAL(uint64_t{0}, CountBeyond(fleet, "step"));
+  }
+
  private:
+  static uint64_t CountBeyond(const FakeFleet& fleet,
+                              const std::string& limit) {
+    return fleet.metrics().Counter("quetzal_runs_beyond_limits_total",
+                                   {{"limit", limit}});
+  }
+
   static void AddJob(FakeFleet* fleet, const std::string& id,
                      std::vector<StepSpec> steps) {
     fleet->cell()->OnJob(FakeFleet::MakeJob(id, std::move(steps)), Revision{1},
--- a/quetzal/cell/testing/fake_fleet.h
+++ b/quetzal/cell/testing/fake_fleet.h
@@ -409,6 +409,7 @@
 
   Cell* cell() { return cell_.get(); }
   Time now() const { return now_; }
+  const Metrics& metrics() const { return metrics_; }
 
   std::map<WorkerId, FakeWorker> workers_;
   RosterEntries roster_;
