HTTP client: a stall_timeout is kept by the client's own timer

Cause: libcurl's low-speed limit takes an average of several seconds, looked at once a second, and counts the limit from the first look at which the average is too low.

Change: one timer in the client, only while there are requests with a stall_timeout, compares their byte counts every 100 ms and ends those without progress. Sockets that are ready are handled first, so that bytes that arrived while the process was paused count. Sent bytes and heads count as progress, too. A limit is no longer rounded up to seconds.

A page whose first byte takes longer than 2 s now fails at 2 s and is asked for again; before it had up to 4 or 5 s.

--- a/quetzal/http_client/http_client.cc
+++ b/quetzal/http_client/http_client.cc
@@ -33,8 +33,9 @@
 // three round trips between regions.
 constexpr CurlNumber kConnectTimeoutMs = 1'000;
 
-// Below this speed a response counts as stalled.
-constexpr CurlNumber kStallBytesPerSecond = 1;
+// Requests with a `stall_timeout` are looked at this often for progress.
+constexpr Milliseconds kStallCheckInterval{100};
+constexpr gint64 kMicrosecondsInMillisecond = 1'000;
 
 CurlNumber TimeoutMs(const HttpClientRequest& request) {
   return static_cast<CurlNumber>(request.timeout.count());
@@ -47,6 +48,9 @@
   HttpClient::Callback callback;
   HttpClientResult result;
   gint64 started_us = 0;
+  gint64 stall_timeout_us = 0;  // 0: none
+  gint64 progressed_us = 0;     // when `moved_bytes` was last seen to change
+  curl_off_t moved_bytes = 0;   // in both directions, with the heads
   SocketSet* sockets = nullptr;
   bool is_read = false;      // may be repeated
   bool may_be_sent = false;  // at least in part
@@ -96,6 +100,26 @@
              : HttpClientResult::Kind::kNotSent;
 }
 
+curl_off_t MovedBytes(CURL* easy) {
+  curl_off_t received = 0;
+  curl_off_t sent = 0;
+  CurlNumber response_head = 0;
+  CurlNumber request_head = 0;
+  curl_easy_getinfo(easy, CURLINFO_SIZE_DOWNLOAD_T, &received);
+  curl_easy_getinfo(easy, CURLINFO_SIZE_UPLOAD_T, &sent);
+  curl_easy_getinfo(easy, CURLINFO_HEADER_SIZE, &response_head);
+  curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &request_head);
+  return received + sent + response_head + request_head;
+}
+
+bool HasStalled(Transfer* transfer, gint64 now_us) {
+  const curl_off_t moved_bytes = MovedBytes(transfer->easy);
+  if (std::exchange(transfer->moved_bytes, moved_bytes) != moved_bytes) {
+    transfer->progressed_us = now_us;
+  }
+  return now_us - transfer->progressed_us >= transfer->stall_timeout_us;
+}
+
 class CurlClient : public HttpClient {
  public:
   explicit CurlClient(const HttpClientLimits& limits)
@@ -112,6 +136,7 @@
     curl_multi_setopt(multi_, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
   }
   ~CurlClient() override {
+    if (stall_timer_ != 0) g_source_remove(stall_timer_);
     for (Transfer* const transfer : transfers_) {
       curl_multi_remove_handle(multi_, transfer->easy);
       Free(transfer);
@@ -125,11 +150,18 @@
     transfer->callback = std::move(callback);
     transfer->body = request.body;
     transfer->started_us = g_get_monotonic_time();
+    transfer->stall_timeout_us =
+        request.stall_timeout.count() * kMicrosecondsInMillisecond;
+    transfer->progressed_us = transfer->started_us;
     transfer->sockets = &sockets_;
     transfer->is_read = request.method == "GET";
     transfer->easy = AcquireHandle();
     Prepare(request, transfer);
     transfers_.insert(transfer);
+    if (transfer->stall_timeout_us > 0) {
+      may_stall_.insert(transfer);
+      ScheduleStallCheck();
+    }
     curl_multi_add_handle(multi_, transfer->easy);
   }
 
@@ -166,14 +198,6 @@
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
     curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, TimeoutMs(request));
-    if (request.stall_timeout.count() > 0) {
-      curl_easy_setopt(easy, CURLOPT_LOW_SPEED_LIMIT, kStallBytesPerSecond);
-      curl_easy_setopt(
-          easy, CURLOPT_LOW_SPEED_TIME,
-          static_cast<CurlNumber>(
-              std::chrono::ceil<std::chrono::seconds>(request.stall_timeout)
-                  .count()));
-    }
     curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
                      std::min(kConnectTimeoutMs, TimeoutMs(request)));
     curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT,
@@ -247,6 +271,42 @@
     FinishTransfers();
   }
 
+  // One timer for all requests with a `stall_timeout`; none without them.
+  void ScheduleStallCheck() {
+    if (stall_timer_ != 0 || may_stall_.empty()) return;
+    const gint64 now_us = g_get_monotonic_time();
+    gint64 delay_us = kStallCheckInterval.count() * kMicrosecondsInMillisecond;
+    for (const Transfer* const transfer : may_stall_) {
+      delay_us = std::min(delay_us, transfer->progressed_us +
+                                        transfer->stall_timeout_us - now_us);
+    }
+    const gint64 delay_ms =
+        (std::max<gint64>(0, delay_us) + kMicrosecondsInMillisecond - 1) /
+        kMicrosecondsInMillisecond;
+    stall_timer_ = g_timeout_add(
+        static_cast<guint>(delay_ms),
+        [](gpointer self) -> gboolean {
+          static_cast<CurlClient*>(self)->OnStallCheck();
+          return G_SOURCE_REMOVE;
+        },
+        this);
+  }
+
+  void OnStallCheck() {
+    stall_timer_ = 0;
+    // Bytes that arrived while this process was paused are progress.
+    OnReady(/*timer_expired=*/false);
+    const gint64 now_us = g_get_monotonic_time();
+    std::vector<Transfer*> stalled;
+    for (Transfer* const transfer : may_stall_) {
+      if (HasStalled(transfer, now_us)) stalled.push_back(transfer);
+    }
+    for (Transfer* const transfer : stalled) {
+      Finish(transfer, CURLE_OPERATION_TIMEDOUT);
+    }
+    ScheduleStallCheck();
+  }
+
   void RunSocketAction(curl_socket_t descriptor, int events) {
     int running = 0;
     curl_multi_socket_action(multi_, descriptor, events, &running);
@@ -280,6 +340,7 @@
     }
     curl_multi_remove_handle(multi_, transfer->easy);
     transfers_.erase(transfer);
+    may_stall_.erase(transfer);
     transfer->callback(result);
     Free(transfer);
   }
@@ -295,6 +356,8 @@
   SocketSet sockets_;
   std::unique_ptr<ReadySource> source_;
   std::unordered_set<Transfer*> transfers_;
+  std::unordered_set<Transfer*> may_stall_;  // those with a `stall_timeout`
+  guint stall_timer_ = 0;
   std::vector<CURL*> idle_handles_;  // kept, as handles are costly to create
 };
 
--- a/quetzal/http_client/http_client.h
+++ b/quetzal/http_client/http_client.h
@@ -29,9 +29,9 @@
   std::vector<std::string> headers;  // "Name: value"
   std::string body;                  // sent as JSON if not empty
   Milliseconds timeout{1'000};       // from `Send` to the end of the response
-  // Ends the request earlier if hardly any bytes arrive for this long, rounded
-  // up to seconds. 0: never. Lets a large response take its time on a slow link
-  // without waiting as long for a peer that is gone.
+  // Ends the request earlier, within 100 ms more, if no bytes are sent or
+  // arrive for this long. 0: never. Lets a large response take its time on a
+  // slow link without waiting as long for a peer that is gone.
   Milliseconds stall_timeout{0};
   // Doesn't reuse a connection: an idle one may be dead without a sign of it.
   bool on_new_connection = false;
