Links: gRPC's threads don't release the last channel

A process that ends its last link and has no server may see the same, or a segmentation fault.

Cause: a link's reactor deleted itself in OnDone, on one of gRPC's threads. Its context holds the channel. If link and servers are gone, that releases the last user of the threads' shared completion queue: the thread frees the queue that it works on. In gdb the assertion is in grpc_cq_internal_unref on the thread "nexting_thread"; the main thread is past the link's end and opens the next one.

Change: OnDone posts the deletion to the main loop, as the server's reactors do. A reactor isn't freed if the main loop doesn't run again.

Two copies of advice_pool_test at a time fail as they listen on the same ports; that is as before. Not run: valgrind, sanitizers, the tests of the whole cell.

--- a/quetzal/rpc/internal/stream.h
+++ b/quetzal/rpc/internal/stream.h
@@ -88,7 +88,7 @@
     CountSent(message.ByteSizeLong());
     if (writes_.Push(message)) this->StartWrite(writes_.Front());
   }
-  // No other method may be called afterwards: the reactor deletes itself.
+  // No other method may be called afterwards: the reactor is deleted.
   void Cancel() {
     writes_.Close();
     context_.TryCancel();
@@ -120,7 +120,11 @@
   void OnWriteDone(bool ok) override {
     if (writes_.Pop() && ok) this->StartWrite(writes_.Front());
   }
-  void OnDone(const grpc::Status& status) override { delete this; }
+  void OnDone(const grpc::Status& /*status*/) override {
+    // The context may hold the last channel, whose release waits for gRPC's
+    // threads, of which this is one.
+    PostToMainLoop([self = this] { delete self; });
+  }
 
  private:
   void PostDisconnect() {
@@ -201,7 +205,7 @@
   std::shared_ptr<LinkState<In>> state_;
   std::shared_ptr<grpc::Channel> channel_;
   std::unique_ptr<typename Traits::Stub> stub_;
-  Reactor* reactor_ = nullptr;  // deletes itself in `OnDone`
+  Reactor* reactor_ = nullptr;  // deleted after `OnDone`
   int delay_ms_ = kInitialReconnectMs;
   guint timer_ = 0;
 };
