--- a/programs/job_entry/job_api_test.cc
+++ b/programs/job_entry/job_api_test.cc
@@ -2,9 +2,11 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "quetzal/program/program.h"
@@ -33,6 +35,7 @@
   CPPUNIT_TEST(AnUnconfirmedConfigurationDeniesNoRoute);
   CPPUNIT_TEST(AnUnconfirmedConfigurationDeniesNoLongerPrefix);
   CPPUNIT_TEST(AnUnconfirmedConfigurationDeniesNoKey);
+  CPPUNIT_TEST(AKeyThatIsOnlySimilarIsUnknown);
   CPPUNIT_TEST(AnUnconfirmedConfigurationAcceptsNoJob);
   CPPUNIT_TEST(AnUnconfirmedConfigurationReportsStates);
   CPPUNIT_TEST_SUITE_END();
@@ -44,7 +47,9 @@
     Queue keyed{.name = QueueId("k"), .host = "h", .prefix = "/keyed/"};
     catalogs_.UpdateIfNewer(std::make_shared<const Catalog>(
         1, std::vector{queue, keyed}, std::vector<ServiceConfig>{},
-        std::vector<Team>{}, CatalogLimits{}));
+        std::vector{Team{.name = TeamId("t"), .keys = {"Key1", "Key2"}},
+                    Team{.name = TeamId("without-keys")}},
+        CatalogLimits{}));
     catalogs_.Confirm(NowWithSuspensions());
     api_.SetStoreReachable(true);
   }
@@ -71,6 +76,18 @@
     CPPUNIT_ASSERT_EQUAL(kUnavailable, Call("GET", "/keyed/")->value().status);
   }
 
+  void AKeyThatIsOnlySimilarIsUnknown() {
+    for (const std::string key : {"Key1", "Key2"}) {
+      CPPUNIT_ASSERT_EQUAL(kOk,
+                           Call("GET", "/keyed/", "", key)->value().status);
+    }
+    for (const std::string key : {"", "key1", "KEY1", "Key", "Key11", " Key1",
+                                  "Key1 ", "Key1,Key2", "Key1Key2", "t"}) {
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(
+          key, kUnauthorized, Call("GET", "/keyed/", "", key)->value().status);
+    }
+  }
+
   void AnUnconfirmedConfigurationAcceptsNoJob() {
     const std::string path = std::string("/p/") + kId;
     MakeUnconfirmed();
@@ -142,11 +159,14 @@
   }
   std::shared_ptr<std::optional<HttpResponse>> Call(
       const std::string& method, const std::string& path,
-      const std::string& body = "") {
+      const std::string& body = "", const std::string& key = "") {
     auto reply = std::make_shared<std::optional<HttpResponse>>();
+    std::map<std::string, std::string> headers = {{"host", "h"},
+                                                  {"x-deadline-ms", "3000"}};
+    if (!key.empty()) headers["x-key"] = key;
     api_.Serve({.method = method,
                 .path = path,
-                .headers = {{"host", "h"}, {"x-deadline-ms", "3000"}},
+                .headers = std::move(headers),
                 .body = body},
                [reply](const HttpResponse& given) { *reply = given; });
     return reply;
