A closed entry lists runs whose ends may not be stored

A task whose end `done` was listed by a worker could be started again by the next placer, and the end be acknowledged later.

Cause: a run leaves its worker's known runs once its end is reported, before the end is stored. The closed entry of a draining worker then lists nothing, and if the placer ends between its two writes, the next one neither knows the end nor waits for the worker.

Evidence: ATaskWhoseEndIsNotStoredWaitsForItsWorker failed before (two starts of the task, one expected) and passes now.

Change: ends that aren't acknowledged name their runs, and the list contains these.

--- a/quetzal/cell/closed_worker_test.cc
+++ b/quetzal/cell/closed_worker_test.cc
@@ -27,6 +27,7 @@
   CPPUNIT_TEST(ClosedWorkersCountForTheMajority);
   CPPUNIT_TEST(ALaterTakeoverKnowsTheRunsToo);
   CPPUNIT_TEST(AListOfAnOlderTermIsNotReliedOn);
+  CPPUNIT_TEST(ATaskWhoseEndIsNotStoredWaitsForItsWorker);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -229,6 +230,33 @@
     CPPUNIT_ASSERT_EQUAL(size_t{2}, fleet.running());
   }
 
+  // The placer ended after it had stored the roster, before the task's end.
+  void ATaskWhoseEndIsNotStoredWaitsForItsWorker() {
+    FakeFleet fleet(3);
+    fleet.Recover();
+    AddJob(&fleet, "a");
+    fleet.Run(kShortly);
+    FakeWorker& leaving = fleet.WorkerOf(Task("a", 0, 0));
+    fleet.store_up_ = false;
+    leaving.End(Task("a", 0, 0), TaskOutcome::kDone);
+    fleet.Run(kShortly);
+    leaving.entry.draining = true;
+    fleet.cell()->OnWorkerEntry(leaving.entry, fleet.now());
+    fleet.Run(kShortly);
+    StoreRosterOnly(&fleet);
+    CPPUNIT_ASSERT(fleet.roster_.at(leaving.entry.id).runs.has_value());
+    leaving.unresponsive = true;
+    fleet.store_up_ = true;
+    TakeOver(&fleet);
+    fleet.Run(kShortly);
+    CPPUNIT_ASSERT(fleet.IsRunning(Task("b", 0, 0)));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, StartsOf(fleet, "a"));
+    leaving.unresponsive = false;
+    fleet.Run(kShortly);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, StartsOf(fleet, "a"));
+    CPPUNIT_ASSERT(fleet.StoredState("a") == JobState::kCompleted);
+  }
+
  private:
   static void AddJob(FakeFleet* fleet, const std::string& id) {
     fleet->cell()->OnJob(FakeFleet::MakeJob(id, {FakeFleet::MakeStep(1)}),
@@ -248,6 +276,16 @@
     return worker;
   }
 
+  // The store carries out a write of the roster, but none of progress yet.
+  static void StoreRosterOnly(FakeFleet* fleet) {
+    const auto text = fleet->cell()->TakeRosterWrite(fleet->now());
+    CPPUNIT_ASSERT(text.has_value());
+    const auto stored = DecodeRoster(*text);
+    fleet->roster_ = stored->entries;
+    fleet->roster_term_ = stored->term;
+    fleet->cell()->OnRosterWritten(true);
+  }
+
   // Job "b" was accepted before the takeover as well.
   static void TakeOver(FakeFleet* fleet) {
     fleet->roster_writes_succeed_ = true;
--- a/quetzal/cell/internal/accounting.cc
+++ b/quetzal/cell/internal/accounting.cc
@@ -1,6 +1,7 @@
 #include "quetzal/cell/internal/accounting.h"
 
 #include <algorithm>
+#include <map>
 #include <utility>
 
 #include "quetzal/cell/internal/workers.h"
@@ -49,10 +50,21 @@
          (worker.entry.draining || worker.silent || !worker.reached);
 }
 
+// Includes runs whose ends may not be stored: a new placer learns of these ends
+// from the worker only, and must not start their tasks before.
 std::vector<RosterRun> RunsOf(const Worker& worker) {
-  std::vector<RosterRun> runs;
+  std::map<TaskId, int64_t> numbers;
+  for (const UnacknowledgedEnd& end : worker.unacked) {
+    int64_t& number = numbers[end.run.task];
+    number = std::max(number, end.run.number);
+  }
   for (const auto& [task_id, run] : worker.runs) {
-    runs.push_back({task_id, run.number});
+    numbers[task_id] = run.number;
+  }
+  std::vector<RosterRun> runs;
+  runs.reserve(numbers.size());
+  for (const auto& [task_id, number] : numbers) {
+    runs.push_back({task_id, number});
   }
   return runs;
 }
--- a/quetzal/cell/internal/state.h
+++ b/quetzal/cell/internal/state.h
@@ -15,6 +15,7 @@
 
 #include "quetzal/cell/cell.h"
 #include "quetzal/restart_backoff/restart_backoff.h"
+#include "quetzal/roster/roster.h"
 #include "quetzal/waiting_order/waiting_order.h"
 
 namespace quetzal::cell {
@@ -68,6 +69,7 @@
 struct UnacknowledgedEnd {
   int64_t number = 0;
   JobId job;
+  RosterRun run;
   uint64_t version = 0;  // of the job's progress that must be stored first
   // Set while the job isn't known (yet): the end to apply once it is.
   std::optional<EndedTask> orphan_end;
--- a/quetzal/cell/internal/workers.cc
+++ b/quetzal/cell/internal/workers.cc
@@ -149,8 +149,10 @@
   }
   EndRun(state, worker, ended.task, ended.run, ended.how, ended.checkpoint,
          now);
-  UnacknowledgedEnd report{
-      .number = ended.number, .job = ended.task.job, .reported_at = now};
+  UnacknowledgedEnd report{.number = ended.number,
+                           .job = ended.task.job,
+                           .run = {ended.task, ended.run},
+                           .reported_at = now};
   const Job* const job = state->FindJob(ended.task.job);
   if (job != nullptr) {
     report.version = job->version;
