Listed runs of jobs that have ended count against their teams' limits

Found by review; no caller saw it. After a takeover, a team could get more than its limit beside runs of a cancelled or failed job on a worker that can't be reached.

Cause: the new placer doesn't load jobs that have ended, so it doesn't know the team of a listed run of one, and charged the run to no team. Before entries were closed, such a worker's whole capacity counted.

Evidence: RunsOfACancelledJobCountAgainstTheTeamsLimit failed before (a task started beside the run, at a limit of one) and passes now; it also passes if no entry is closed.

Change: the whole capacity of an unaccounted worker counts while it has listed runs of unknown jobs.

--- a/quetzal/cell/closed_worker_test.cc
+++ b/quetzal/cell/closed_worker_test.cc
@@ -28,6 +28,7 @@
   CPPUNIT_TEST(ALaterTakeoverKnowsTheRunsToo);
   CPPUNIT_TEST(AListOfAnOlderTermIsNotReliedOn);
   CPPUNIT_TEST(ATaskWhoseEndIsNotStoredWaitsForItsWorker);
+  CPPUNIT_TEST(RunsOfACancelledJobCountAgainstTheTeamsLimit);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -257,6 +258,25 @@
     CPPUNIT_ASSERT(fleet.StoredState("a") == JobState::kCompleted);
   }
 
+  // The placer can't stop its run, which goes on while its lease lasts.
+  void RunsOfACancelledJobCountAgainstTheTeamsLimit() {
+    FakeFleet fleet(3);
+    fleet.SetLimit({.cpu_milli = 1'000});
+    const FakeWorker& silent = StartAndSilence(&fleet);
+    fleet.cell()->OnCancel(JobId("a"), fleet.now());
+    fleet.Run(kShortly);
+    CPPUNIT_ASSERT(fleet.StoredState("a") == JobState::kCancelled);
+    fleet.StartTerm(Fence{9}, 32);
+    fleet.cell()->OnEndedJob(JobId("a"), fleet.now());
+    AddJob(&fleet, "b");
+    fleet.Recover();
+    fleet.Run(kShortly);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, silent.running.size());
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, StartsOf(fleet, "b"));
+    fleet.Run(kUntilLeasesExpired);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, StartsOf(fleet, "b"));
+  }
+
  private:
   static void AddJob(FakeFleet* fleet, const std::string& id) {
     fleet->cell()->OnJob(FakeFleet::MakeJob(id, {FakeFleet::MakeStep(1)}),
--- a/quetzal/cell/internal/accounting.cc
+++ b/quetzal/cell/internal/accounting.cc
@@ -141,6 +141,11 @@
   return IsUnaccounted(worker) && !worker.former_runs;
 }
 
+bool MayHaveUnchargedRuns(const Worker& worker) {
+  return MayHaveUnknownRuns(worker) ||
+         (IsUnaccounted(worker) && worker.orphan_runs > 0);
+}
+
 void ExpireLeases(State* state, Time now) {
   const Milliseconds lease = MaxLeaseLifetime(*state);
   // Two placers can't both have a majority, so a former one sent its last
--- a/quetzal/cell/internal/accounting.h
+++ b/quetzal/cell/internal/accounting.h
@@ -20,6 +20,9 @@
 bool IsUnaccounted(const Worker& worker);
 // True if the worker may have runs of a former placer that aren't known yet.
 bool MayHaveUnknownRuns(const Worker& worker);
+// True if the worker may execute runs that aren't charged to their teams: ones
+// that aren't known yet, or whose jobs aren't.
+bool MayHaveUnchargedRuns(const Worker& worker);
 // Ends runs whose leases have certainly expired, and detects when every worker
 // is accounted for.
 void ExpireLeases(State* state, Time now);
