A gang's adopted run isn't broken because its former run was

Found by review; no caller saw it. Once a member of such a gang failed, the placer neither stopped the other members nor started the gang again.

Cause: a stale list names a member of the gang's former run. If that worker answers first, the member counts as ended and the gang as broken. The members of the present run were then adopted into the broken gang, whose ends are ignored.

Change: adopting another run of a gang without members makes it whole again.

--- a/quetzal/cell/closed_worker_test.cc
+++ b/quetzal/cell/closed_worker_test.cc
@@ -29,6 +29,7 @@
   CPPUNIT_TEST(AListOfAnOlderTermIsNotReliedOn);
   CPPUNIT_TEST(ATaskWhoseEndIsNotStoredWaitsForItsWorker);
   CPPUNIT_TEST(RunsOfACancelledJobCountAgainstTheTeamsLimit);
+  CPPUNIT_TEST(AnAdoptedGangIsStartedAgainAfterAStaleListEndedItsFormerRun);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -277,6 +278,41 @@
     CPPUNIT_ASSERT_EQUAL(size_t{1}, StartsOf(fleet, "b"));
   }
 
+  // The worker of the stale list answers before those of the present run.
+  void AnAdoptedGangIsStartedAgainAfterAStaleListEndedItsFormerRun() {
+    FakeFleet fleet(3);
+    fleet.Recover();
+    StepSpec gang = FakeFleet::MakeStep(2);
+    gang.demand.cpu_milli = 3'000;
+    gang.gang = true;
+    const AcceptedJob job = FakeFleet::MakeJob("g", {gang});
+    fleet.cell()->OnJob(job, Revision{1}, std::nullopt, fleet.now());
+    fleet.Run(kShortly);
+    FakeWorker& stale = fleet.WorkerOf(Task("g", 0, 0));
+    stale.unresponsive = true;
+    fleet.Run(kUntilClosed);
+    fleet.roster_writes_succeed_ = false;
+    fleet.Run(kUntilLeasesExpired);
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, fleet.running());
+    CPPUNIT_ASSERT(stale.running.empty());
+
+    for (auto& [id, worker] : fleet.workers_) {
+      worker.unresponsive = &worker != &stale;
+    }
+    fleet.StartTerm(Fence{9}, 32);
+    fleet.cell()->OnJob(job, Revision{1}, std::nullopt, fleet.now());
+    fleet.Recover();
+    fleet.Run(kShortly);
+    for (auto& [id, worker] : fleet.workers_) worker.unresponsive = false;
+    fleet.Run(kShortly);
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, fleet.running());
+    const size_t starts = fleet.starts_.size();
+    fleet.WorkerOf(Task("g", 0, 0)).End(Task("g", 0, 0), TaskOutcome::kFailed);
+    fleet.Run(Milliseconds(2'000));
+    CPPUNIT_ASSERT_EQUAL(starts + 2, fleet.starts_.size());
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, fleet.running());
+  }
+
  private:
   static void AddJob(FakeFleet* fleet, const std::string& id) {
     fleet->cell()->OnJob(FakeFleet::MakeJob(id, {FakeFleet::MakeStep(1)}),
--- a/quetzal/cell/internal/workers.cc
+++ b/quetzal/cell/internal/workers.cc
@@ -261,7 +261,10 @@
     wanted = wanted && !task.progress.done && task.active_runs == 0;
     task.progress.last_run = std::max(task.progress.last_run, row.run);
     if (wanted && step.spec->gang) {
-      if (step.gang_members == 0) step.gang_run = row.run;
+      if (step.gang_members == 0 && step.gang_run != row.run) {
+        step.gang_run = row.run;
+        step.gang_broken = false;
+      }
       wanted = step.gang_run == row.run;
     }
   }
