A run that was listed once hasn't stalled

Found by review; no caller saw it. A new placer stopped a run at the first list that showed it, and gave its worker no tasks for a while.

Cause: a run of the former roster counts as seen at 0 percent at the takeover. If its worker can't be reached for longer than the time for a stall, and the run is at 0 percent (its worker was suspended, or its gang isn't complete), its first list looked like no progress.

Evidence: ARunThatWasListedOnceHasNotStalled failed before (1 stop, 0 expected) and passes now; it also passes if no entry is closed.

Change: progress is compared from a worker's first list on.

--- a/quetzal/cell/closed_worker_test.cc
+++ b/quetzal/cell/closed_worker_test.cc
@@ -30,6 +30,7 @@
   CPPUNIT_TEST(ATaskWhoseEndIsNotStoredWaitsForItsWorker);
   CPPUNIT_TEST(RunsOfACancelledJobCountAgainstTheTeamsLimit);
   CPPUNIT_TEST(AnAdoptedGangIsStartedAgainAfterAStaleListEndedItsFormerRun);
+  CPPUNIT_TEST(ARunThatWasListedOnceHasNotStalled);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -313,6 +314,24 @@
     CPPUNIT_ASSERT_EQUAL(size_t{2}, fleet.running());
   }
 
+  // Its worker did no work while it was silent.
+  void ARunThatWasListedOnceHasNotStalled() {
+    FakeFleet fleet(3);
+    for (auto& [id, worker] : fleet.workers_) worker.fixed_percent = 0;
+    FakeWorker& worker = StartAndSilence(&fleet);
+    for (auto& [id, other] : fleet.workers_) {
+      if (&other != &worker) other.fixed_percent.reset();
+    }
+    TakeOver(&fleet);
+    fleet.Run(Milliseconds(1'600));
+    worker.unresponsive = false;
+    fleet.Run(Milliseconds(300));
+    worker.fixed_percent.reset();
+    fleet.Run(kShortly);
+    CPPUNIT_ASSERT_EQUAL(0, fleet.stops_);
+    CPPUNIT_ASSERT(worker.running.contains(Task("a", 0, 0)));
+  }
+
  private:
   static void AddJob(FakeFleet* fleet, const std::string& id) {
     fleet->cell()->OnJob(FakeFleet::MakeJob(id, {FakeFleet::MakeStep(1)}),
--- a/quetzal/cell/internal/workers.cc
+++ b/quetzal/cell/internal/workers.cc
@@ -352,6 +352,8 @@
     if (run == nullptr) continue;
     run->last_run_list = worker->run_lists;
     run->response_tail = row.response_tail;
+    // Of a run that the former roster lists, no progress was seen before.
+    if (!worker->reached) run->progressed_at = now;
     StopIfStalled(state, worker, row, run, now);
     if (!row.checkpoint.empty()) run->checkpoint = row.checkpoint;
     if (run->state == RunState::kStarting) {
