Reported runs of jobs that have ended count against their teams' limits

Found by review; no caller saw it. After a takeover a team could get more than its limit while a worker still executed runs of its jobs that ended before the takeover.

Cause: the new placer doesn't know the team of a run whose job it doesn't know. It stops such a run after 2 s, as the job may only be unknown yet, and charged it to no team.

Evidence: AReportedRunOfAnEndedJobCountsAgainstTheTeamsLimit failed before (two runs at a limit of one) and passes now.

Change: the whole capacity of a worker counts while it has runs of unknown jobs. Tasks of teams with a limit may wait for these 2 s and the stop.

--- a/quetzal/cell/closed_worker_test.cc
+++ b/quetzal/cell/closed_worker_test.cc
@@ -29,6 +29,7 @@
   CPPUNIT_TEST(AListOfAnOlderTermIsNotReliedOn);
   CPPUNIT_TEST(ATaskWhoseEndIsNotStoredWaitsForItsWorker);
   CPPUNIT_TEST(RunsOfACancelledJobCountAgainstTheTeamsLimit);
+  CPPUNIT_TEST(AReportedRunOfAnEndedJobCountsAgainstTheTeamsLimit);
   CPPUNIT_TEST(AnAdoptedGangIsStartedAgainAfterAStaleListEndedItsFormerRun);
   CPPUNIT_TEST(ARunThatWasListedOnceHasNotStalled);
   CPPUNIT_TEST_SUITE_END();
@@ -279,6 +280,25 @@
     CPPUNIT_ASSERT_EQUAL(size_t{1}, StartsOf(fleet, "b"));
   }
 
+  // It is stopped once it is certain that its job isn't just unknown yet.
+  void AReportedRunOfAnEndedJobCountsAgainstTheTeamsLimit() {
+    FakeFleet fleet(3);
+    fleet.SetLimit({.cpu_milli = 1'000});
+    FakeWorker& worker = StartAndSilence(&fleet);
+    fleet.cell()->OnCancel(JobId("a"), fleet.now());
+    fleet.Run(kShortly);
+    worker.unresponsive = false;
+    fleet.StartTerm(Fence{9}, 32);
+    fleet.cell()->OnEndedJob(JobId("a"), fleet.now());
+    AddJob(&fleet, "b");
+    fleet.Recover();
+    for (int i = 0; i < 100; ++i) {
+      fleet.Run(Milliseconds(50));
+      CPPUNIT_ASSERT(fleet.running() <= 1);
+    }
+    CPPUNIT_ASSERT(fleet.IsRunning(Task("b", 0, 0)));
+  }
+
   // The worker of the stale list answers before those of the present run.
   void AnAdoptedGangIsStartedAgainAfterAStaleListEndedItsFormerRun() {
     FakeFleet fleet(3);
--- a/quetzal/cell/internal/accounting.cc
+++ b/quetzal/cell/internal/accounting.cc
@@ -142,8 +142,7 @@
 }
 
 bool MayHaveUnchargedRuns(const Worker& worker) {
-  return MayHaveUnknownRuns(worker) ||
-         (IsUnaccounted(worker) && worker.orphan_runs > 0);
+  return MayHaveUnknownRuns(worker) || worker.orphan_runs > 0;
 }
 
 void ExpireLeases(State* state, Time now) {
--- a/quetzal/cell/internal/placement.cc
+++ b/quetzal/cell/internal/placement.cc
@@ -324,9 +324,9 @@
   Resources used;
   const auto found = state.team_usage.find(job.accepted.team);
   if (found != state.team_usage.end()) used = found->second;
-  if (!state.all_workers_accounted) {
-    // Workers that weren't reached yet may run the team's tasks on their whole
-    // capacity.
+  if (!state.all_runs_known || state.orphans > 0) {
+    // Workers that weren't reached yet, and those with runs of unknown jobs,
+    // may run the team's tasks on their whole capacity.
     for (const auto& [id, worker] : state.workers) {
       if (MayHaveUnchargedRuns(worker)) used += worker.entry.capacity;
     }
