One unanswered poll closes no worker's entry

Found by review; no caller saw it. A worker whose answer to one poll was lost gets no tasks until two writes of the roster are stored, or while the store can't be written.

Cause: the poll before waits up to 1 s at the worker, and the lost one ends after 1.9 s more. So 2.9 s have passed since the newest confirmation was sent, more than the 2.5 s after which a silent worker's entry is closed, when the first poll fails.

Evidence: OnePollWithoutAnswerClosesNoWorker failed before (the task isn't started while writes of the roster fail) and passes now.

Change: an entry is closed once a second poll in a row got no answer. A worker that is cut off is closed about 1.1 s later than before.

--- a/quetzal/cell/closed_worker_test.cc
+++ b/quetzal/cell/closed_worker_test.cc
@@ -30,6 +30,7 @@
   CPPUNIT_TEST(ATaskWhoseEndIsNotStoredWaitsForItsWorker);
   CPPUNIT_TEST(RunsOfACancelledJobCountAgainstTheTeamsLimit);
   CPPUNIT_TEST(AReportedRunOfAnEndedJobCountsAgainstTheTeamsLimit);
+  CPPUNIT_TEST(OnePollWithoutAnswerClosesNoWorker);
   CPPUNIT_TEST(AnAdoptedGangIsStartedAgainAfterAStaleListEndedItsFormerRun);
   CPPUNIT_TEST(ARunThatWasListedOnceHasNotStalled);
   CPPUNIT_TEST_SUITE_END();
@@ -299,6 +300,35 @@
     CPPUNIT_ASSERT(fleet.IsRunning(Task("b", 0, 0)));
   }
 
+  // The poll before it waited at the worker.
+  void OnePollWithoutAnswerClosesNoWorker() {
+    FakeFleet fleet(1);
+    fleet.Recover();
+    fleet.Run(kShortly);
+    FakeWorker& worker = fleet.workers_.begin()->second;
+    const PollRequest request{.fence = testing::kFence,
+                              .lease_until = WorkerTime{worker.clock_ms},
+                              .wait = CellSettings{}.poll_wait};
+    fleet.hold_polls_ = true;
+    fleet.Run(Milliseconds(10));
+    const Time sent = fleet.now();
+    fleet.Run(request.wait);
+    fleet.cell()->OnPollAnswer(worker.entry.id, request, sent,
+                               {.outcome = OrderOutcome::kDone,
+                                .clock = WorkerTime{worker.clock_ms},
+                                .incarnation = worker.entry.incarnation},
+                               fleet.now());
+    const Time lost = fleet.now();
+    constexpr Milliseconds kPollTimeout{1'900};
+    fleet.Run(kPollTimeout);
+    fleet.cell()->OnPollAnswer(worker.entry.id, request, lost, {}, fleet.now());
+    fleet.hold_polls_ = false;
+    fleet.roster_writes_succeed_ = false;
+    AddJob(&fleet, "a");
+    fleet.Run(kShortly);
+    CPPUNIT_ASSERT(fleet.IsRunning(Task("a", 0, 0)));
+  }
+
   // The worker of the stale list answers before those of the present run.
   void AnAdoptedGangIsStartedAgainAfterAStaleListEndedItsFormerRun() {
     FakeFleet fleet(3);
--- a/quetzal/cell/internal/state.h
+++ b/quetzal/cell/internal/state.h
@@ -117,6 +117,7 @@
   std::string polled_at;  // of the newest poll
   bool poll_in_flight = false;
   bool unresponsive = false;  // its last poll got no answer
+  int unanswered_polls = 0;   // in a row
   // Unresponsive for so long that its entry in the roster is closed.
   bool silent = false;
   Time next_poll_at;
--- a/quetzal/cell/internal/workers.cc
+++ b/quetzal/cell/internal/workers.cc
@@ -37,6 +37,9 @@
 // A worker that was silent for longer gets no work in any case, so its entry in
 // the roster is closed, and a new placer waits for its listed runs only.
 constexpr Milliseconds kSilenceBeforeClosing = kConfirmationLifetime;
+// A poll that waits at the worker lasts longer than that if its answer is lost,
+// so one alone doesn't close an entry, which takes two writes of the roster.
+constexpr int kUnansweredPollsBeforeClosing = 2;
 // A worker that answers neither starts nor polls for longer may be gone, and
 // gets no more work meanwhile.
 constexpr Milliseconds kSlowStartAnswer{350};
@@ -554,6 +557,7 @@
            {"problem", answer.problem}});
     }
     worker->unresponsive = true;
+    ++worker->unanswered_polls;
     return;
   }
   if (answer.incarnation != worker->incarnation) {
@@ -568,6 +572,7 @@
   }
   if (!worker->reached || worker->known_empty) state->roster_changed = true;
   worker->unresponsive = false;
+  worker->unanswered_polls = 0;
   if (std::exchange(worker->silent, false)) state->roster_changed = true;
   worker->known_empty = false;
   // A former placer may have extended its leases in full until now.
@@ -621,8 +626,8 @@
     }
     ++each;
     if (!state->recovered) continue;
-    if (worker.unresponsive && !worker.silent &&
-        now - worker.confirmed_at >= kSilenceBeforeClosing) {
+    if (worker.unanswered_polls >= kUnansweredPollsBeforeClosing &&
+        !worker.silent && now - worker.confirmed_at >= kSilenceBeforeClosing) {
       worker.silent = true;
       state->roster_changed = true;
     }
