A broken gang's member that is listed later is stopped

Found by review; no caller saw it. The placer took such a run for one at work, and didn't start the gang again while it lasted.

Cause: a gang is broken when one of its members ends; the runs that are known then are stopped. A member on a worker that answers the new placer later was adopted all the same.

Evidence: AMemberOfABrokenGangThatIsListedLaterIsStopped failed before (1 task running, 2 expected) and passes now.

Change: runs of a broken gang aren't wanted when they are adopted.

--- a/quetzal/cell/closed_worker_test.cc
+++ b/quetzal/cell/closed_worker_test.cc
@@ -31,6 +31,7 @@
   CPPUNIT_TEST(RunsOfACancelledJobCountAgainstTheTeamsLimit);
   CPPUNIT_TEST(AReportedRunOfAnEndedJobCountsAgainstTheTeamsLimit);
   CPPUNIT_TEST(OnePollWithoutAnswerClosesNoWorker);
+  CPPUNIT_TEST(AMemberOfABrokenGangThatIsListedLaterIsStopped);
   CPPUNIT_TEST(AnAdoptedGangIsStartedAgainAfterAStaleListEndedItsFormerRun);
   CPPUNIT_TEST(ARunThatWasListedOnceHasNotStalled);
   CPPUNIT_TEST_SUITE_END();
@@ -329,6 +330,29 @@
     CPPUNIT_ASSERT(fleet.IsRunning(Task("a", 0, 0)));
   }
 
+  void AMemberOfABrokenGangThatIsListedLaterIsStopped() {
+    FakeFleet fleet(3);
+    fleet.Recover();
+    StepSpec gang = FakeFleet::MakeStep(2, 3'000);
+    gang.gang = true;
+    const AcceptedJob job = FakeFleet::MakeJob("g", {gang});
+    fleet.cell()->OnJob(job, Revision{1}, std::nullopt, fleet.now());
+    fleet.Run(kShortly);
+    FakeWorker& restarted = fleet.WorkerOf(Task("g", 0, 0));
+    FakeWorker& later = fleet.WorkerOf(Task("g", 0, 1));
+    later.unresponsive = true;
+    fleet.StartTerm(Fence{9}, 32);
+    fleet.cell()->OnJob(job, Revision{1}, std::nullopt, fleet.now());
+    fleet.Recover();
+    fleet.Run(kShortly);
+    restarted.Restart();
+    fleet.Run(kShortly);
+    later.unresponsive = false;
+    fleet.Run(Milliseconds(2'000));
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, fleet.running());
+    CPPUNIT_ASSERT_EQUAL(size_t{4}, fleet.starts_.size());
+  }
+
   // The worker of the stale list answers before those of the present run.
   void AnAdoptedGangIsStartedAgainAfterAStaleListEndedItsFormerRun() {
     FakeFleet fleet(3);
--- a/quetzal/cell/internal/workers.cc
+++ b/quetzal/cell/internal/workers.cc
@@ -268,7 +268,8 @@
         step.gang_run = row.run;
         step.gang_broken = false;
       }
-      wanted = step.gang_run == row.run;
+      // Without the member that broke it, the others can't go on.
+      wanted = step.gang_run == row.run && !step.gang_broken;
     }
   }
   if (job == nullptr) {
