A closed entry lists each run of a task on its worker

Kept by task, the list would have named one run of a task only, where a late start was executed beside a newer one.

--- a/quetzal/cell/internal/accounting.cc
+++ b/quetzal/cell/internal/accounting.cc
@@ -1,7 +1,7 @@
 #include "quetzal/cell/internal/accounting.h"
 
 #include <algorithm>
-#include <map>
+#include <set>
 #include <utility>
 
 #include "quetzal/cell/internal/workers.h"
@@ -53,13 +53,12 @@
 // Includes runs whose ends may not be stored: a new placer learns of these ends
 // from the worker only, and must not start their tasks before.
 std::vector<RosterRun> RunsOf(const Worker& worker) {
-  std::map<TaskId, int64_t> numbers;
+  std::set<std::pair<TaskId, int64_t>> numbers;
   for (const UnacknowledgedEnd& end : worker.unacked) {
-    int64_t& number = numbers[end.run.task];
-    number = std::max(number, end.run.number);
+    numbers.emplace(end.run.task, end.run.number);
   }
   for (const auto& [task_id, run] : worker.runs) {
-    numbers[task_id] = run.number;
+    numbers.emplace(task_id, run.number);
   }
   std::vector<RosterRun> runs;
   runs.reserve(numbers.size());
