A stop that was sent before a worker's first list is repeated

Found by review; no caller saw it. After a takeover a run that its worker no longer has was never counted as ended: its task, and tasks of its team, waited for ever.

Cause: runs of closed workers are known, and stopped, before the worker's incarnation is. If the first list arrives while such a stop is under way, the stop's answer names another incarnation and was dropped, so that the stop counted as under way for ever.

Evidence: AStopThatPrecededTheFirstListIsRepeated failed before (the other task of the team isn't started) and passes now.

Change: the answer ends the stop's being under way; only its clock isn't used.

--- a/quetzal/cell/closed_worker_test.cc
+++ b/quetzal/cell/closed_worker_test.cc
@@ -31,6 +31,7 @@
   CPPUNIT_TEST(RunsOfACancelledJobCountAgainstTheTeamsLimit);
   CPPUNIT_TEST(AReportedRunOfAnEndedJobCountsAgainstTheTeamsLimit);
   CPPUNIT_TEST(OnePollWithoutAnswerClosesNoWorker);
+  CPPUNIT_TEST(AStopThatPrecededTheFirstListIsRepeated);
   CPPUNIT_TEST(AMemberOfABrokenGangThatIsListedLaterIsStopped);
   CPPUNIT_TEST(AnAdoptedGangIsStartedAgainAfterAStaleListEndedItsFormerRun);
   CPPUNIT_TEST(ARunThatWasListedOnceHasNotStalled);
@@ -353,6 +354,24 @@
     CPPUNIT_ASSERT_EQUAL(size_t{4}, fleet.starts_.size());
   }
 
+  // Its answer arrives after the first list, which tells the incarnation.
+  void AStopThatPrecededTheFirstListIsRepeated() {
+    constexpr int kDelays = 40;  // in one of them a poll and the stop are due
+    for (int i = 0; i < kDelays; ++i) {
+      FakeFleet fleet(1);
+      fleet.SetLimit({.cpu_milli = 1'000});
+      FakeWorker& worker = StartAndSilence(&fleet);
+      TakeOver(&fleet);
+      fleet.Run(Milliseconds(200) + i * Milliseconds(10));
+      worker.Restart();
+      fleet.cell()->OnWorkerEntry(worker.entry, fleet.now());
+      worker.unresponsive = false;
+      fleet.cell()->OnCancel(JobId("a"), fleet.now());
+      fleet.Run(Milliseconds(3'000));
+      CPPUNIT_ASSERT(fleet.IsRunning(Task("b", 0, 0)));
+    }
+  }
+
   // The worker of the stale list answers before those of the present run.
   void AnAdoptedGangIsStartedAgainAfterAStaleListEndedItsFormerRun() {
     FakeFleet fleet(3);
--- a/quetzal/cell/internal/orders.cc
+++ b/quetzal/cell/internal/orders.cc
@@ -166,10 +166,11 @@
     return;
   }
   Run* const run = FindRun(worker, order.task, order.run);
-  // The clock of a former incarnation can't be compared with the present one's.
-  if (run == nullptr || order.incarnation != worker->incarnation) return;
+  if (run == nullptr) return;
   run->stop_in_flight = false;
   run->next_stop_at = now + kStopRetry;
+  // The clock of a former incarnation can't be compared with the present one's.
+  if (order.incarnation != worker->incarnation) return;
   if (answer.outcome == OrderOutcome::kDone ||
       answer.outcome == OrderOutcome::kStaleRun) {
     run->stop_worker_time = answer.clock;
