Attaching runs of two runs of a gang no longer ends the process

Found by review; no caller saw it. A placer that took over could end with a segmentation fault while a job arrived.

Cause: the runs that are known of a job before the job itself are adopted one by one. Adopting a member of a gang's later run forgets members of the run before it, also those that are next in line.

Evidence: ListedRunsOfTwoRunsOfAGangAreAttached ends with a segmentation fault before and passes now.

Change: a run that is gone is left out.

--- a/quetzal/cell/closed_worker_test.cc
+++ b/quetzal/cell/closed_worker_test.cc
@@ -35,6 +35,7 @@
   CPPUNIT_TEST(AMemberOfABrokenGangThatIsListedLaterIsStopped);
   CPPUNIT_TEST(AnAdoptedGangIsStartedAgainAfterAStaleListEndedItsFormerRun);
   CPPUNIT_TEST(ARunThatWasListedOnceHasNotStalled);
+  CPPUNIT_TEST(ListedRunsOfTwoRunsOfAGangAreAttached);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -425,6 +426,26 @@
     CPPUNIT_ASSERT(worker.running.contains(Task("a", 0, 0)));
   }
 
+  void ListedRunsOfTwoRunsOfAGangAreAttached() {
+    FakeFleet fleet(3);
+    for (const auto& [id, worker] : fleet.workers_) {
+      fleet.roster_[id] = {worker.entry.address, worker.entry.capacity};
+    }
+    FakeWorker& silent = fleet.workers_.begin()->second;
+    silent.unresponsive = true;
+    fleet.roster_[silent.entry.id].runs = {
+        {Task("g", 0, 0), 17}, {Task("g", 0, 1), 18}, {Task("g", 0, 2), 17}};
+    fleet.roster_term_ = 1;
+    fleet.StartTerm(Fence{9}, 32);
+    fleet.Recover();
+    StepSpec gang = FakeFleet::MakeStep(3);
+    gang.gang = true;
+    fleet.cell()->OnJob(FakeFleet::MakeJob("g", {gang}), Revision{1},
+                        std::nullopt, fleet.now());
+    fleet.Run(kUntilLeasesExpired);
+    CPPUNIT_ASSERT_EQUAL(size_t{3}, fleet.running());
+  }
+
  private:
   static void AddJob(FakeFleet* fleet, const std::string& id) {
     fleet->cell()->OnJob(FakeFleet::MakeJob(id, {FakeFleet::MakeStep(1)}),
--- a/quetzal/cell/internal/workers.cc
+++ b/quetzal/cell/internal/workers.cc
@@ -469,9 +469,10 @@
     }
     if (worker.orphan_runs == 0) continue;
     for (const auto& [task_id, number] : RunNumbersByTask(worker)) {
-      const Run& run = *FindRun(&worker, task_id, number);
-      if (!run.orphan_since || task_id.job != id) continue;
-      const RunningTask row{task_id, number, run.checkpoint};
+      const Run* const run = FindRun(&worker, task_id, number);
+      // Adopting another member of its gang may have replaced the run.
+      if (run == nullptr || !run->orphan_since || task_id.job != id) continue;
+      const RunningTask row{task_id, number, run->checkpoint};
       RemoveRun(state, &worker, task_id, number);
       AdoptRun(state, &worker, row, now);
     }
