No entry is closed while the store may be out of reach

Found by review; no caller saw it. A worker that was cut off for some seconds during an outage of the store got no tasks until the store was back, though it answered again.

Cause: its entry was to be closed; the write failed, and without the store the entry can't be shown to be open.

Evidence: AWorkerThatWasCutOffDuringAnOutageOfTheStoreGetsTasks failed before and passes now.

Change: silent workers' entries are closed only while this placer's lease of the leader key is valid. In the first moments of an outage a write may still fail that way.

--- a/quetzal/cell/closed_worker_test.cc
+++ b/quetzal/cell/closed_worker_test.cc
@@ -36,6 +36,7 @@
   CPPUNIT_TEST(AnAdoptedGangIsStartedAgainAfterAStaleListEndedItsFormerRun);
   CPPUNIT_TEST(ARunThatWasListedOnceHasNotStalled);
   CPPUNIT_TEST(ListedRunsOfTwoRunsOfAGangAreAttached);
+  CPPUNIT_TEST(AWorkerThatWasCutOffDuringAnOutageOfTheStoreGetsTasks);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -446,6 +447,24 @@
     CPPUNIT_ASSERT_EQUAL(size_t{3}, fleet.running());
   }
 
+  void AWorkerThatWasCutOffDuringAnOutageOfTheStoreGetsTasks() {
+    FakeFleet fleet(1);
+    fleet.Recover();
+    fleet.cell()->OnJob(FakeFleet::MakeJob("a", {FakeFleet::MakeStep(5)}),
+                        Revision{1}, std::nullopt, fleet.now());
+    fleet.Run(kShortly);
+    FakeWorker& worker = fleet.WorkerOf(Task("a", 0, 0));
+    fleet.roster_writes_succeed_ = false;
+    fleet.cell()->OnLeadership(/*is_certain=*/false);
+    worker.unresponsive = true;
+    fleet.Run(kUntilClosed);
+    worker.unresponsive = false;
+    fleet.Run(kShortly);
+    worker.End(Task("a", 0, 0), TaskOutcome::kDone);
+    fleet.Run(kShortly);
+    CPPUNIT_ASSERT(worker.running.contains(Task("a", 0, 4)));
+  }
+
  private:
   static void AddJob(FakeFleet* fleet, const std::string& id) {
     fleet->cell()->OnJob(FakeFleet::MakeJob(id, {FakeFleet::MakeStep(1)}),
--- a/quetzal/cell/internal/workers.cc
+++ b/quetzal/cell/internal/workers.cc
@@ -628,8 +628,11 @@
     }
     ++each;
     if (!state->recovered) continue;
+    // While the store may be out of reach, a closed entry couldn't be opened
+    // once the worker is back.
     if (worker.unanswered_polls >= kUnansweredPollsBeforeClosing &&
-        !worker.silent && now - worker.confirmed_at >= kSilenceBeforeClosing) {
+        !worker.silent && state->leadership_is_certain &&
+        now - worker.confirmed_at >= kSilenceBeforeClosing) {
       worker.silent = true;
       state->roster_changed = true;
     }
