Slow turns of a placer's main loop are logged with what they were spent on

The lines can't tell whether decisions, answers of workers or the store took the time: only decisions had a known cost, and frequent lines use up the limit of a second.

TurnProfile sums the time of named sections of a turn; the placer logs turns of 250 ms or more.

--- a/programs/cell_placer/main.cc
+++ b/programs/cell_placer/main.cc
@@ -12,6 +12,7 @@
 #include "quetzal/http/http.h"
 #include "quetzal/leader_election/leader_election.h"
 #include "quetzal/program/program.h"
+#include "quetzal/turn_profile/turn_profile.h"
 
 namespace quetzal {
 namespace {
@@ -25,6 +26,9 @@
 constexpr double kSufficientCores = 0.5;
 constexpr double kElectionDelayMsPerMissingCore = 600;
 constexpr Milliseconds kResignTimeout{800};
+// A fifth of the leader key's lease, in which neither its renewal is sent nor
+// any timeout fires.
+constexpr Milliseconds kSlowTurn{250};
 // Share of the file descriptors for idle connections to workers: starts come
 // in bursts, each on its own connection, and a new connection to a distant
 // worker costs a round trip. The rest is for connections that aren't known to
@@ -77,6 +81,13 @@
              },
          .on_disconnect = [](HttpCallId) {}});
     if (!metrics_server_) return false;
+    OnSlowTurn(kSlowTurn, [this] {
+      const TurnProfile& turn = TurnProfile::Instance();
+      metrics_.Count("quetzal_slow_turns_total");
+      log_.ImportantLine("slow_turn", {{"ms", turn.TurnDuration().count()},
+                                       {"leads", term_ ? "yes" : "no"},
+                                       {"sections", turn.Describe()}});
+    });
     suspended_ = SuspendedTime();
     const double missing_cores =
         std::max(0.0, kSufficientCores - settings_.processor_share);
--- a/programs/cell_placer/term.cc
+++ b/programs/cell_placer/term.cc
@@ -7,6 +7,7 @@
 
 #include "platform/adapter.h"
 #include "quetzal/program/program.h"
+#include "quetzal/turn_profile/turn_profile.h"
 
 namespace quetzal {
 namespace {
@@ -192,6 +193,7 @@
 }
 
 void Term::OnCellItem(const StoreItem& item) {
+  const TurnProfile::Section section("jobs");
   progress_writer_.OnItem(item);
   const CellKey key = ParseCellKey(item.key);
   const JobId id(key.name);
@@ -290,16 +292,25 @@
   Defer(kDecisionDelay, [this] {
     decision_pending_ = false;
     if (!dependencies_.may_send_orders(cell_)) return;
-    cell_.OnLeadership(dependencies_.leadership_is_certain());
-    cell_.Decide(Now());
-    for (const CellAction& action : cell_.TakeActions()) {
-      Execute(action);
-    }
-    WriteRoster();
-    progress_writer_.Flush();
+    Decide();
   });
 }
 
+void Term::Decide() {
+  cell_.OnLeadership(dependencies_.leadership_is_certain());
+  {
+    const TurnProfile::Section section("decide");
+    cell_.Decide(Now());
+  }
+  {
+    const TurnProfile::Section section("execute");
+    for (const CellAction& action : cell_.TakeActions()) Execute(action);
+  }
+  const TurnProfile::Section section("write");
+  WriteRoster();
+  progress_writer_.Flush();
+}
+
 void Term::DecidePeriodically() {
   ScheduleDecision();
   Defer(kMaxDecisionInterval, [this] { DecidePeriodically(); });
@@ -334,6 +345,7 @@
       action.worker, request,
       lifetime_.Guard<PollAnswer>(
           [this, id, request, sent](const PollAnswer& answer) {
+            const TurnProfile::Section section("polls");
             cell_.OnPollAnswer(id, request, sent, answer, Now());
             ScheduleDecision();
           }));
@@ -347,6 +359,7 @@
       action.worker, order,
       lifetime_.Guard<OrderAnswer>(
           [this, id, order, sent](const OrderAnswer& answer) {
+            const TurnProfile::Section section("starts");
             dependencies_.metrics->Observe(
                 "quetzal_worker_call_ms", {{"call", "start"}},
                 static_cast<double>((Now() - sent).count()));
@@ -386,6 +399,7 @@
       helper, query, action.timeout,
       lifetime_.Guard<AdviceAnswer>(
           [this, helper, query](const AdviceAnswer& answer) {
+            const TurnProfile::Section section("advice");
             cell_.OnAdvice(helper, query, answer, Now());
             ScheduleDecision();
           }));
--- a/programs/cell_placer/term.h
+++ b/programs/cell_placer/term.h
@@ -69,6 +69,7 @@
   void AddRequest(const JobId& id, const StoreItem& item);
   bool IsListed() const;
   void DecidePeriodically();
+  void Decide();
   void Execute(const CellAction& action);
   void PollWorker(const PollAction& action);
   void StartTask(const StartAction& action);
--- a/quetzal/program/program.cc
+++ b/quetzal/program/program.cc
@@ -13,6 +13,7 @@
 #include <utility>
 
 #include "quetzal/program/internal/timer_queue.h"
+#include "quetzal/turn_profile/turn_profile.h"
 
 namespace quetzal {
 namespace {
@@ -29,6 +30,35 @@
   return loop;
 }
 
+// Observes the turns of the main loop, which calls `Poll` between them.
+class TurnObserver {
+ public:
+  static TurnObserver& Instance() {
+    static auto* const observer = new TurnObserver;
+    return *observer;
+  }
+
+  void Report(Milliseconds threshold, std::function<void()> handler) {
+    threshold_ = threshold;
+    handler_ = std::move(handler);
+    TurnProfile::Instance().BeginTurn();
+    g_main_context_set_poll_func(nullptr, &Poll);
+  }
+
+ private:
+  static gint Poll(GPollFD* descriptors, guint count, gint timeout_ms) {
+    TurnProfile& profile = TurnProfile::Instance();
+    const TurnObserver& observer = Instance();
+    if (profile.TurnDuration() >= observer.threshold_) observer.handler_();
+    const gint ready = g_poll(descriptors, count, timeout_ms);
+    profile.BeginTurn();
+    return ready;
+  }
+
+  Milliseconds threshold_{0};
+  std::function<void()> handler_;
+};
+
 gboolean RunPeriodic(gpointer data) {
   (*static_cast<std::function<void()>*>(data))();
   return G_SOURCE_CONTINUE;
@@ -117,6 +147,10 @@
                                                std::move(function));
 }
 
+void OnSlowTurn(Milliseconds threshold, std::function<void()> handler) {
+  TurnObserver::Instance().Report(threshold, std::move(handler));
+}
+
 std::string UniqueProcessName(const std::string& name) {
   std::random_device random;
   std::uniform_int_distribution<uint32_t> digits(0, 0xffffffU);
--- a/quetzal/program/program.h
+++ b/quetzal/program/program.h
@@ -38,6 +38,10 @@
 void RunEvery(Milliseconds period, std::function<void()> function);
 // Calls `function` once after a delay.
 void RunAfter(Milliseconds delay, std::function<void()> function);
+// Calls `handler` after each turn of the main loop, the time for which it runs
+// callbacks without looking for new events, that lasted `threshold` or longer.
+// `TurnProfile` tells what the turn was spent on. Replaces an earlier handler.
+void OnSlowTurn(Milliseconds threshold, std::function<void()> handler);
 // A name that in practice differs for each start of a process: "name@" and
 // random digits.
 std::string UniqueProcessName(const std::string& name);
