HTTP client: answers that wait to be read aren't timed out

At 11.27 s the leader's main loop stood still for a second; then hundreds of starts and polls failed at once, 'Timeout was reached', although their answers lay in the sockets. Runs were stopped, gangs broken, and healthy workers were taken for silent, so that the backlog grew and the next pause was longer.

Cause: libcurl compares its time limits with the clock before it reads a socket, so a pause of this process, by load, a freeze or a short processor quota, counts against its peers.

Change: the client times its requests itself, by the time in which it attended to its sockets: waiting counts in full, a turn of the loop up to 50 ms. Requests time out only after all ready sockets were handled. A turn handles 64 sockets instead of 256, so that the renewal of the leader key isn't delayed.

--- a/quetzal/http_client/http_client.cc
+++ b/quetzal/http_client/http_client.cc
@@ -11,11 +11,13 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <map>
 #include <unordered_set>
 #include <utility>
 
 #include "quetzal/http_client/internal/ready_source.h"
 #include "quetzal/http_client/internal/socket_set.h"
+#include "quetzal/turn_profile/turn_profile.h"
 
 namespace quetzal {
 namespace {
@@ -31,16 +33,22 @@
 constexpr unsigned kTcpUserTimeoutMs = 1'500;
 // A separate limit tells a failed connection from a slow response. It allows
 // three round trips between regions.
-constexpr CurlNumber kConnectTimeoutMs = 1'000;
+constexpr Milliseconds kConnectTimeout{1'000};
+// Requests aren't timed out while answers may wait in sockets that weren't
+// handled yet, but for no more turns of the main loop than this.
+constexpr int kMaxIncompleteRounds = 32;
 
 // Requests with a `stall_timeout` are looked at this often for progress.
 constexpr Milliseconds kStallCheckInterval{100};
 constexpr gint64 kMicrosecondsInMillisecond = 1'000;
 
-CurlNumber TimeoutMs(const HttpClientRequest& request) {
-  return static_cast<CurlNumber>(request.timeout.count());
+gint64 Microseconds(Milliseconds duration) {
+  return duration.count() * kMicrosecondsInMillisecond;
 }
 
+struct Transfer;
+using Deadlines = std::multimap<gint64, Transfer*>;  // by attended time
+
 struct Transfer {
   CURL* easy = nullptr;
   curl_slist* headers = nullptr;
@@ -48,9 +56,11 @@
   HttpClient::Callback callback;
   HttpClientResult result;
   gint64 started_us = 0;
+  gint64 deadline_us = 0;       // in attended time
   gint64 stall_timeout_us = 0;  // 0: none
   gint64 progressed_us = 0;     // when `moved_bytes` was last seen to change
   curl_off_t moved_bytes = 0;   // in both directions, with the heads
+  Deadlines::iterator next_deadline;
   SocketSet* sockets = nullptr;
   bool is_read = false;      // may be repeated
   bool may_be_sent = false;  // at least in part
@@ -150,14 +160,17 @@
     transfer->callback = std::move(callback);
     transfer->body = request.body;
     transfer->started_us = g_get_monotonic_time();
-    transfer->stall_timeout_us =
-        request.stall_timeout.count() * kMicrosecondsInMillisecond;
+    transfer->stall_timeout_us = Microseconds(request.stall_timeout);
     transfer->progressed_us = transfer->started_us;
     transfer->sockets = &sockets_;
     transfer->is_read = request.method == "GET";
     transfer->easy = AcquireHandle();
     Prepare(request, transfer);
     transfers_.insert(transfer);
+    const gint64 now_us = source_->attended_us();
+    transfer->deadline_us = now_us + Microseconds(request.timeout);
+    AddDeadline(transfer, now_us + Microseconds(std::min(kConnectTimeout,
+                                                         request.timeout)));
     if (transfer->stall_timeout_us > 0) {
       may_stall_.insert(transfer);
       ScheduleStallCheck();
@@ -197,9 +210,6 @@
     curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
-    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, TimeoutMs(request));
-    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
-                     std::min(kConnectTimeoutMs, TimeoutMs(request)));
     curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT,
                      request.on_new_connection ? 1L : 0L);
     curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
@@ -254,9 +264,23 @@
     return 0;
   }
 
-  // Handles all ready sockets and, if it expired, the timer.
+  // libcurl's own time limits aren't used: after a pause of this process it
+  // ends requests whose answers wait to be read.
   void OnReady(bool timer_expired) {
-    for (const SocketSet::Ready& ready : sockets_.TakeReady()) {
+    const TurnProfile::Section section("http client");
+    const bool is_complete = HandleReadySockets();
+    if (timer_expired) RunSocketAction(CURL_SOCKET_TIMEOUT, 0);
+    FinishTransfers();
+    incomplete_rounds_ = is_complete ? 0 : incomplete_rounds_ + 1;
+    if (is_complete || incomplete_rounds_ > kMaxIncompleteRounds) {
+      FinishExpired();
+    }
+  }
+
+  // Returns whether no other sockets were ready.
+  bool HandleReadySockets() {
+    const SocketSet::ReadyRound round = sockets_.TakeReady();
+    for (const SocketSet::Ready& ready : round.sockets) {
       int events = 0;
       if ((ready.events & EPOLLIN) != 0) events |= CURL_CSELECT_IN;
       if ((ready.events & EPOLLOUT) != 0) events |= CURL_CSELECT_OUT;
@@ -267,8 +291,37 @@
       if (!sockets_.IsWatched(ready.descriptor)) continue;
       RunSocketAction(ready.descriptor, events);
     }
-    if (timer_expired) RunSocketAction(CURL_SOCKET_TIMEOUT, 0);
-    FinishTransfers();
+    return round.is_complete;
+  }
+
+  void AddDeadline(Transfer* transfer, gint64 attended_us) {
+    transfer->next_deadline = deadlines_.emplace(attended_us, transfer);
+    source_->SetDeadline(deadlines_.begin()->first);
+  }
+
+  void RemoveDeadline(Transfer* transfer) {
+    deadlines_.erase(transfer->next_deadline);
+    source_->SetDeadline(deadlines_.empty()
+                             ? std::nullopt
+                             : std::optional(deadlines_.begin()->first));
+  }
+
+  // The first deadline of a request is that of its connection.
+  void FinishExpired() {
+    const gint64 now_us = source_->attended_us();
+    std::vector<Transfer*> expired;
+    for (const auto& [deadline_us, transfer] : deadlines_) {
+      if (deadline_us > now_us) break;
+      expired.push_back(transfer);
+    }
+    for (Transfer* const transfer : expired) {
+      if (transfer->may_be_sent && transfer->deadline_us > now_us) {
+        RemoveDeadline(transfer);
+        AddDeadline(transfer, transfer->deadline_us);
+      } else {
+        Finish(transfer, CURLE_OPERATION_TIMEDOUT);
+      }
+    }
   }
 
   // One timer for all requests with a `stall_timeout`; none without them.
@@ -295,7 +348,9 @@
   void OnStallCheck() {
     stall_timer_ = 0;
     // Bytes that arrived while this process was paused are progress.
-    OnReady(/*timer_expired=*/false);
+    for (int i = 0; i < kMaxIncompleteRounds && !HandleReadySockets(); ++i) {
+    }
+    FinishTransfers();
     const gint64 now_us = g_get_monotonic_time();
     std::vector<Transfer*> stalled;
     for (Transfer* const transfer : may_stall_) {
@@ -341,6 +396,7 @@
     curl_multi_remove_handle(multi_, transfer->easy);
     transfers_.erase(transfer);
     may_stall_.erase(transfer);
+    RemoveDeadline(transfer);
     transfer->callback(result);
     Free(transfer);
   }
@@ -356,6 +412,8 @@
   SocketSet sockets_;
   std::unique_ptr<ReadySource> source_;
   std::unordered_set<Transfer*> transfers_;
+  Deadlines deadlines_;
+  int incomplete_rounds_ = 0;                // in a row
   std::unordered_set<Transfer*> may_stall_;  // those with a `stall_timeout`
   guint stall_timer_ = 0;
   std::vector<CURL*> idle_handles_;  // kept, as handles are costly to create
--- a/quetzal/http_client/http_client.h
+++ b/quetzal/http_client/http_client.h
@@ -28,7 +28,9 @@
   std::string url;
   std::vector<std::string> headers;  // "Name: value"
   std::string body;                  // sent as JSON if not empty
-  Milliseconds timeout{1'000};       // from `Send` to the end of the response
+  // From `Send` to the end of the response. Of the time in which this process
+  // is busy or paused, and reads no responses, only a part counts.
+  Milliseconds timeout{1'000};
   // Ends the request earlier, within 100 ms more, if no bytes are sent or
   // arrive for this long. 0: never. Lets a large response take its time on a
   // slow link without waiting as long for a peer that is gone.
--- a/quetzal/http_client/internal/ready_source.cc
+++ b/quetzal/http_client/internal/ready_source.cc
@@ -7,6 +7,16 @@
 namespace {
 
 constexpr gint64 kMicrosecondsInMillisecond = 1'000;
+// Of a turn of the loop, as attended time.
+constexpr gint64 kMaxTurnUs = 50'000;
+
+// Milliseconds for `poll`, rounded up.
+gint TimeoutFor(gint64 left_us) {
+  const gint64 ms =
+      (std::max<gint64>(0, left_us) + kMicrosecondsInMillisecond - 1) /
+      kMicrosecondsInMillisecond;
+  return static_cast<gint>(std::min<gint64>(ms, G_MAXINT));
+}
 
 }  // namespace
 
@@ -20,20 +30,24 @@
     return reinterpret_cast<Source*>(source)->owner;
   }
   static gboolean Prepare(GSource* source, gint* timeout) {
-    const gint64 deadline_us = OwnerOf(source)->deadline_us_;
+    ReadySource* const owner = OwnerOf(source);
+    owner->OnTurnEnd();
     *timeout = -1;
-    if (deadline_us == kNoDeadline) return FALSE;
-    const gint64 left =
-        std::max<gint64>(0, deadline_us - g_get_monotonic_time());
-    const gint64 ms =
-        (left + kMicrosecondsInMillisecond - 1) / kMicrosecondsInMillisecond;
-    *timeout = static_cast<gint>(std::min<gint64>(ms, G_MAXINT));
-    return ms == 0 ? TRUE : FALSE;
+    if (owner->deadline_us_ != kNoDeadline) {
+      *timeout = TimeoutFor(owner->deadline_us_ - g_get_monotonic_time());
+    }
+    if (owner->attended_deadline_us_) {
+      const gint left =
+          TimeoutFor(*owner->attended_deadline_us_ - owner->attended_us_);
+      *timeout = *timeout < 0 ? left : std::min(*timeout, left);
+    }
+    return *timeout == 0 ? TRUE : FALSE;
   }
   static gboolean Check(GSource* source) {
     ReadySource* const owner = OwnerOf(source);
+    owner->OnTurnStart();
     return g_source_query_unix_fd(source, owner->watch_) != 0 ||
-                   owner->IsTimerExpired()
+                   owner->IsTimerExpired() || owner->IsDeadlinePast()
                ? TRUE
                : FALSE;
   }
@@ -48,7 +62,9 @@
 };
 
 ReadySource::ReadySource(int descriptor, OnReady on_ready)
-    : on_ready_(std::move(on_ready)) {
+    : turn_started_us_(g_get_monotonic_time()),
+      turn_ended_us_(turn_started_us_),
+      on_ready_(std::move(on_ready)) {
   static GSourceFuncs functions = {.prepare = &Source::Prepare,
                                    .check = &Source::Check,
                                    .dispatch = &Source::Dispatch};
@@ -69,6 +85,30 @@
                        : kNoDeadline;
 }
 
+void ReadySource::SetDeadline(std::optional<gint64> attended_us) {
+  attended_deadline_us_ = attended_us;
+}
+
+gint64 ReadySource::attended_us() const {
+  return attended_us_ +
+         std::min(g_get_monotonic_time() - turn_started_us_, kMaxTurnUs);
+}
+
+void ReadySource::OnTurnEnd() {
+  attended_us_ = attended_us();
+  turn_ended_us_ = g_get_monotonic_time();
+  turn_started_us_ = turn_ended_us_;
+}
+
+void ReadySource::OnTurnStart() {
+  turn_started_us_ = g_get_monotonic_time();
+  attended_us_ += turn_started_us_ - turn_ended_us_;
+}
+
+bool ReadySource::IsDeadlinePast() const {
+  return attended_deadline_us_ && *attended_deadline_us_ <= attended_us();
+}
+
 bool ReadySource::IsTimerExpired() const {
   return deadline_us_ != kNoDeadline && deadline_us_ <= g_get_monotonic_time();
 }
--- a/quetzal/http_client/internal/socket_set.cc
+++ b/quetzal/http_client/internal/socket_set.cc
@@ -12,7 +12,8 @@
 namespace quetzal::http_client_internal {
 namespace {
 
-constexpr size_t kMaxReadyPerRound = 256;  // the rest follow in the next round
+// The rest follow in the next round, after the loop's timers.
+constexpr size_t kMaxReadyPerRound = 64;
 
 // libcurl takes an unused connection that was reset for alive until the error
 // has been read.
@@ -74,10 +75,10 @@
   sockets_.erase(found);
 }
 
-std::vector<SocketSet::Ready> SocketSet::TakeReady() {
+SocketSet::ReadyRound SocketSet::TakeReady() {
   std::array<epoll_event, kMaxReadyPerRound> events;
   const int count = epoll_wait(epoll_, events.data(), kMaxReadyPerRound, 0);
-  std::vector<Ready> ready;
+  ReadyRound round{.is_complete = count < static_cast<int>(kMaxReadyPerRound)};
   for (int i = 0; i < count; ++i) {
     const int descriptor = events[static_cast<size_t>(i)].data.fd;
     Socket& socket = sockets_[descriptor];
@@ -90,9 +91,10 @@
       }
       continue;
     }
-    ready.push_back({descriptor, events[static_cast<size_t>(i)].events});
+    round.sockets.push_back(
+        {descriptor, events[static_cast<size_t>(i)].events});
   }
-  return ready;
+  return round;
 }
 
 }  // namespace quetzal::http_client_internal
--- a/quetzal/http_client/internal/socket_set.h
+++ b/quetzal/http_client/internal/socket_set.h
@@ -31,8 +31,12 @@
   void OnOpened(int descriptor);
   // Should be called before the descriptor is closed, as its number is reused.
   void Remove(int descriptor);
-  // Returns the sockets that are ready now, each at most once.
-  std::vector<Ready> TakeReady();
+  struct ReadyRound {
+    std::vector<Ready> sockets;  // each at most once
+    bool is_complete = true;     // no others were ready
+  };
+  // Returns a limited number of the sockets that are ready now.
+  ReadyRound TakeReady();
 
  private:
   struct Socket {
