HTTP client: closed idle connections cost in proportion to their number

Cause: once a second, libcurl looks whether the idle connections of a multi handle are alive, and begins anew after each that it finds closed. With thousands of idle connections, hundreds closed at once cost hundreds of thousands of calls of poll.

Change: the idle connections are divided among up to 64 multi handles, those to one authority in the same.

--- a/quetzal/http_client/http_client.cc
+++ b/quetzal/http_client/http_client.cc
@@ -11,9 +11,13 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <functional>
 #include <map>
+#include <optional>
+#include <string_view>
 #include <unordered_set>
 #include <utility>
+#include <vector>
 
 #include "quetzal/http_client/internal/ready_source.h"
 #include "quetzal/http_client/internal/socket_set.h"
@@ -62,6 +66,7 @@
   curl_off_t moved_bytes = 0;   // in both directions, with the heads
   Deadlines::iterator next_deadline;
   SocketSet* sockets = nullptr;
+  size_t shard = 0;
   bool is_read = false;      // may be repeated
   bool may_be_sent = false;  // at least in part
   bool was_repetition_prevented = false;
@@ -130,28 +135,54 @@
   return now_us - transfer->progressed_us >= transfer->stall_timeout_us;
 }
 
+// libcurl looks through all idle connections of a multi handle again for each
+// that its peer has closed. So they are divided among several handles, with all
+// connections to an authority in one.
+constexpr int kIdleConnectionsPerShard = 96;
+constexpr int kMaxShards = 64;
+
+// "host:port" of a URL.
+std::string_view AuthorityOf(std::string_view url) {
+  constexpr std::string_view kSchemeEnd = "://";
+  const size_t scheme_end = url.find(kSchemeEnd);
+  if (scheme_end != std::string_view::npos) {
+    url.remove_prefix(scheme_end + kSchemeEnd.size());
+  }
+  return url.substr(0, url.find('/'));
+}
+
 class CurlClient : public HttpClient {
  public:
   explicit CurlClient(const HttpClientLimits& limits)
-      : multi_(curl_multi_init()),
+      : shards_(static_cast<size_t>(
+            std::clamp(limits.max_idle_connections / kIdleConnectionsPerShard,
+                       1, kMaxShards))),
         source_(std::make_unique<ReadySource>(
             sockets_.descriptor(),
             [this](bool timer_expired) { OnReady(timer_expired); })) {
-    curl_multi_setopt(multi_, CURLMOPT_SOCKETFUNCTION, &OnSocketUpdate);
-    curl_multi_setopt(multi_, CURLMOPT_SOCKETDATA, this);
-    curl_multi_setopt(multi_, CURLMOPT_TIMERFUNCTION, &OnTimerUpdate);
-    curl_multi_setopt(multi_, CURLMOPT_TIMERDATA, this);
-    curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS,
-                      static_cast<CurlNumber>(limits.max_idle_connections));
-    curl_multi_setopt(multi_, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
+    const int idle_connections =
+        limits.max_idle_connections / static_cast<int>(shards_.size());
+    for (size_t i = 0; i < shards_.size(); ++i) {
+      Shard& shard = shards_[i];
+      shard.client = this;
+      shard.index = i;
+      shard.multi = curl_multi_init();
+      curl_multi_setopt(shard.multi, CURLMOPT_SOCKETFUNCTION, &OnSocketUpdate);
+      curl_multi_setopt(shard.multi, CURLMOPT_SOCKETDATA, &shard);
+      curl_multi_setopt(shard.multi, CURLMOPT_TIMERFUNCTION, &OnTimerUpdate);
+      curl_multi_setopt(shard.multi, CURLMOPT_TIMERDATA, &shard);
+      curl_multi_setopt(shard.multi, CURLMOPT_MAXCONNECTS,
+                        static_cast<CurlNumber>(idle_connections));
+      curl_multi_setopt(shard.multi, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
+    }
   }
   ~CurlClient() override {
     if (stall_timer_ != 0) g_source_remove(stall_timer_);
     for (Transfer* const transfer : transfers_) {
-      curl_multi_remove_handle(multi_, transfer->easy);
+      curl_multi_remove_handle(shards_[transfer->shard].multi, transfer->easy);
       Free(transfer);
     }
-    curl_multi_cleanup(multi_);
+    for (const Shard& shard : shards_) curl_multi_cleanup(shard.multi);
     for (CURL* const easy : idle_handles_) curl_easy_cleanup(easy);
   }
 
@@ -175,10 +206,20 @@
       may_stall_.insert(transfer);
       ScheduleStallCheck();
     }
-    curl_multi_add_handle(multi_, transfer->easy);
+    transfer->shard = std::hash<std::string_view>()(AuthorityOf(request.url)) %
+                      shards_.size();
+    curl_multi_add_handle(shards_[transfer->shard].multi, transfer->easy);
   }
 
  private:
+  struct Shard {
+    CurlClient* client = nullptr;
+    size_t index = 0;
+    CURLM* multi = nullptr;
+    std::optional<gint64> timer_us;  // on the monotonic clock
+    bool may_have_finished = false;  // some of its transfers
+  };
+
   CURL* AcquireHandle() {
     if (idle_handles_.empty()) return curl_easy_init();
     CURL* const easy = idle_handles_.back();
@@ -226,11 +267,12 @@
   }
 
   static int OnSocketUpdate(CURL* /*easy*/, curl_socket_t descriptor, int what,
-                            void* self, void* /*socket_data*/) {
+                            void* data, void* /*socket_data*/) {
+    const Shard& shard = *static_cast<Shard*>(data);
     uint32_t events = 0;
     if (what == CURL_POLL_IN || what == CURL_POLL_INOUT) events |= EPOLLIN;
     if (what == CURL_POLL_OUT || what == CURL_POLL_INOUT) events |= EPOLLOUT;
-    static_cast<CurlClient*>(self)->sockets_.SetEvents(descriptor, events);
+    shard.client->sockets_.SetEvents(descriptor, events, shard.index);
     return 0;
   }
 
@@ -257,19 +299,43 @@
   }
 
   static int OnTimerUpdate(CURLM* /*multi*/, CurlNumber timeout_ms,
-                           void* self) {
-    static_cast<CurlClient*>(self)->source_->SetTimer(
-        Milliseconds(timeout_ms),
-        /*armed=*/timeout_ms >= 0);
+                           void* data) {
+    Shard& shard = *static_cast<Shard*>(data);
+    shard.timer_us.reset();
+    if (timeout_ms >= 0) {
+      shard.timer_us =
+          g_get_monotonic_time() + Microseconds(Milliseconds(timeout_ms));
+    }
+    shard.client->UpdateTimer();
     return 0;
   }
 
+  void UpdateTimer() {
+    std::optional<gint64> first;
+    for (const Shard& shard : shards_) {
+      if (shard.timer_us && (!first || *shard.timer_us < *first)) {
+        first = shard.timer_us;
+      }
+    }
+    source_->SetTimer(first);
+  }
+
+  void RunExpiredTimers() {
+    const gint64 now_us = g_get_monotonic_time();
+    for (Shard& shard : shards_) {
+      if (!shard.timer_us || *shard.timer_us > now_us) continue;
+      shard.timer_us.reset();
+      RunSocketAction(&shard, CURL_SOCKET_TIMEOUT, 0);
+    }
+    UpdateTimer();
+  }
+
   // libcurl's own time limits aren't used: after a pause of this process it
   // ends requests whose answers wait to be read.
   void OnReady(bool timer_expired) {
     const TurnProfile::Section section("http client");
     const bool is_complete = HandleReadySockets();
-    if (timer_expired) RunSocketAction(CURL_SOCKET_TIMEOUT, 0);
+    if (timer_expired) RunExpiredTimers();
     FinishTransfers();
     incomplete_rounds_ = is_complete ? 0 : incomplete_rounds_ + 1;
     if (is_complete || incomplete_rounds_ > kMaxIncompleteRounds) {
@@ -289,7 +355,7 @@
       }
       // Handling an earlier socket may have closed this one.
       if (!sockets_.IsWatched(ready.descriptor)) continue;
-      RunSocketAction(ready.descriptor, events);
+      RunSocketAction(&shards_[ready.owner], ready.descriptor, events);
     }
     return round.is_complete;
   }
@@ -362,14 +428,24 @@
     ScheduleStallCheck();
   }
 
-  void RunSocketAction(curl_socket_t descriptor, int events) {
+  static void RunSocketAction(Shard* shard, curl_socket_t descriptor,
+                              int events) {
     int running = 0;
-    curl_multi_socket_action(multi_, descriptor, events, &running);
+    curl_multi_socket_action(shard->multi, descriptor, events, &running);
+    shard->may_have_finished = true;
   }
 
   void FinishTransfers() {
+    for (Shard& shard : shards_) {
+      if (std::exchange(shard.may_have_finished, false)) {
+        FinishTransfersOf(shard);
+      }
+    }
+  }
+
+  void FinishTransfersOf(const Shard& shard) {
     int left = 0;
-    while (CURLMsg* const message = curl_multi_info_read(multi_, &left)) {
+    while (CURLMsg* const message = curl_multi_info_read(shard.multi, &left)) {
       if (message->msg != CURLMSG_DONE) continue;
       const CURLcode code = message->data.result;
       Transfer* transfer = nullptr;
@@ -393,7 +469,7 @@
                            ? "the connection ended without an answer"
                            : curl_easy_strerror(code);
     }
-    curl_multi_remove_handle(multi_, transfer->easy);
+    curl_multi_remove_handle(shards_[transfer->shard].multi, transfer->easy);
     transfers_.erase(transfer);
     may_stall_.erase(transfer);
     RemoveDeadline(transfer);
@@ -408,7 +484,7 @@
     delete transfer;
   }
 
-  CURLM* multi_;
+  std::vector<Shard> shards_;  // not resized, as libcurl has their addresses
   SocketSet sockets_;
   std::unique_ptr<ReadySource> source_;
   std::unordered_set<Transfer*> transfers_;
--- a/quetzal/http_client/internal/ready_source.cc
+++ b/quetzal/http_client/internal/ready_source.cc
@@ -33,12 +33,11 @@
     ReadySource* const owner = OwnerOf(source);
     owner->OnTurnEnd();
     *timeout = -1;
-    if (owner->deadline_us_ != kNoDeadline) {
-      *timeout = TimeoutFor(owner->deadline_us_ - g_get_monotonic_time());
+    if (owner->timer_us_) {
+      *timeout = TimeoutFor(*owner->timer_us_ - g_get_monotonic_time());
     }
-    if (owner->attended_deadline_us_) {
-      const gint left =
-          TimeoutFor(*owner->attended_deadline_us_ - owner->attended_us_);
+    if (owner->deadline_us_) {
+      const gint left = TimeoutFor(*owner->deadline_us_ - owner->attended_us_);
       *timeout = *timeout < 0 ? left : std::min(*timeout, left);
     }
     return *timeout == 0 ? TRUE : FALSE;
@@ -55,7 +54,7 @@
                            gpointer /*data*/) {
     ReadySource* const owner = OwnerOf(source);
     const bool timer_expired = owner->IsTimerExpired();
-    if (timer_expired) owner->deadline_us_ = kNoDeadline;
+    if (timer_expired) owner->timer_us_.reset();
     owner->on_ready_(timer_expired);
     return G_SOURCE_CONTINUE;
   }
@@ -79,14 +78,10 @@
   g_source_unref(source_);
 }
 
-void ReadySource::SetTimer(Milliseconds delay, bool armed) {
-  deadline_us_ = armed ? g_get_monotonic_time() +
-                             delay.count() * kMicrosecondsInMillisecond
-                       : kNoDeadline;
-}
+void ReadySource::SetTimer(std::optional<gint64> at_us) { timer_us_ = at_us; }
 
 void ReadySource::SetDeadline(std::optional<gint64> attended_us) {
-  attended_deadline_us_ = attended_us;
+  deadline_us_ = attended_us;
 }
 
 gint64 ReadySource::attended_us() const {
@@ -106,11 +101,11 @@
 }
 
 bool ReadySource::IsDeadlinePast() const {
-  return attended_deadline_us_ && *attended_deadline_us_ <= attended_us();
+  return deadline_us_ && *deadline_us_ <= attended_us();
 }
 
 bool ReadySource::IsTimerExpired() const {
-  return deadline_us_ != kNoDeadline && deadline_us_ <= g_get_monotonic_time();
+  return timer_us_ && *timer_us_ <= g_get_monotonic_time();
 }
 
 }  // namespace quetzal::http_client_internal
--- a/quetzal/http_client/internal/ready_source.h
+++ b/quetzal/http_client/internal/ready_source.h
@@ -13,8 +13,6 @@
 #include <functional>
 #include <optional>
 
-#include "quetzal/ids/ids.h"
-
 namespace quetzal::http_client_internal {
 
 class ReadySource {
@@ -27,8 +25,8 @@
   ReadySource(const ReadySource&) = delete;
   ReadySource& operator=(const ReadySource&) = delete;
 
-  // Replaces the previous timer; disarms it if `armed` is false.
-  void SetTimer(Milliseconds delay, bool armed);
+  // On the monotonic clock; replaces the previous timer.
+  void SetTimer(std::optional<gint64> at_us);
 
   gint64 attended_us() const;
   // In attended time; replaces the previous one.
@@ -36,17 +34,15 @@
 
  private:
   struct Source;
-  static constexpr gint64 kNoDeadline = -1;
-
   bool IsTimerExpired() const;
   bool IsDeadlinePast() const;
   void OnTurnEnd();
   void OnTurnStart();
 
   GSource* source_;
-  gpointer watch_;                    // of the descriptor
-  gint64 deadline_us_ = kNoDeadline;  // of the timer, on the monotonic clock
-  std::optional<gint64> attended_deadline_us_;
+  gpointer watch_;  // of the descriptor
+  std::optional<gint64> timer_us_;
+  std::optional<gint64> deadline_us_;
   gint64 attended_us_ = 0;  // at the last start or end of a turn
   gint64 turn_started_us_;  // on the monotonic clock
   gint64 turn_ended_us_;
--- a/quetzal/http_client/internal/socket_set.cc
+++ b/quetzal/http_client/internal/socket_set.cc
@@ -31,8 +31,9 @@
 
 SocketSet::~SocketSet() { close(epoll_); }
 
-void SocketSet::SetEvents(int descriptor, uint32_t events) {
+void SocketSet::SetEvents(int descriptor, uint32_t events, size_t owner) {
   Socket& socket = sockets_[descriptor];
+  socket.owner = owner;
   socket.requested = events;
   if (events != 0 && events != socket.registered) {
     Register(descriptor, &socket, events);
@@ -92,7 +93,7 @@
       continue;
     }
     round.sockets.push_back(
-        {descriptor, events[static_cast<size_t>(i)].events});
+        {descriptor, events[static_cast<size_t>(i)].events, socket.owner});
   }
   return round;
 }
--- a/quetzal/http_client/internal/socket_set.h
+++ b/quetzal/http_client/internal/socket_set.h
@@ -3,6 +3,7 @@
 #ifndef QUETZAL_HTTP_CLIENT_INTERNAL_SOCKET_SET_H_
 #define QUETZAL_HTTP_CLIENT_INTERNAL_SOCKET_SET_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <unordered_map>
 #include <vector>
@@ -14,6 +15,7 @@
   struct Ready {
     int descriptor = -1;
     uint32_t events = 0;
+    size_t owner = 0;
   };
 
   SocketSet();
@@ -23,8 +25,9 @@
 
   int descriptor() const { return epoll_; }
   // `events`: epoll events to watch for, 0 for none. With 0 the socket stays
-  // registered until its next event, since most sockets are reused.
-  void SetEvents(int descriptor, uint32_t events);
+  // registered until its next event, since most sockets are reused. `owner` is
+  // returned with the socket when it is ready.
+  void SetEvents(int descriptor, uint32_t events, size_t owner);
   bool IsWatched(int descriptor) const;
   // A new socket got the descriptor. It isn't registered, even if an earlier
   // socket with the same number was closed without `Remove`.
@@ -42,6 +45,7 @@
   struct Socket {
     uint32_t requested = 0;
     uint32_t registered = 0;
+    size_t owner = 0;
   };
   void Register(int descriptor, Socket* socket, uint32_t events);
 
