A start without an answer is given up only once it can't be running

Callers saw tasks that ran twice, if a worker restarted under its id where the placer couldn't reach it, and its next incarnation executed a start late.

Cause: an order without an answer may be executed up to 12 s later, and orders name a worker by its id only. The next incarnation's clock began anew, so the order's lease lasts in full from its execution. The placer ended such a run one lease after its newest order. A start that was answered by an incarnation that no poll had reached was taken for one of the former incarnation too.

Change: a run is confirmed once a list contains it, or once its start was answered with a clock no lower than the newest list's. Runs that aren't count as running for max_order_delay (12 s) longer: 18.5 s after the newest order that extends leases. Confirmed runs of the same worker end as before. So do all once the list has lacked the worker for 2.5 s: it is to be treated as gone, and its tasks would break LOST by waiting longer.

--- a/quetzal/cell/cell.h
+++ b/quetzal/cell/cell.h
@@ -23,7 +23,10 @@
 //    and doesn't wait for others. Workers that never answered aren't in it.
 //    Silent and draining ones are closed, with the list of their runs.
 //  - A start without an answer is stopped, and counts as running until the
-//    worker's reports show that it is not.
+//    worker's reports show that it is not. It may be executed late, by the
+//    worker's next incarnation, whose clock began anew: it is given up only
+//    `max_order_delay` after its lease would have expired, or as other runs
+//    once the platform's list has lost the worker.
 //  - Ends of runs are acknowledged to workers only after they are stored.
 //  - Tasks of jobs that a former placer may have started wait until every open
 //    worker was reached or its leases have expired. Runs of closed workers
@@ -58,6 +61,9 @@
 struct CellSettings {
   // Longest lease that a worker grants; the platform's limit.
   Milliseconds max_lease{6'000};
+  // How long after it was sent an order without an answer may be executed; the
+  // platform's limit.
+  Milliseconds max_order_delay{12'000};
   // How long a poll waits at the worker for a run to end. Shorter waits detect
   // a lost connection sooner.
   Milliseconds poll_wait{1'000};
--- a/quetzal/cell/internal/accounting.cc
+++ b/quetzal/cell/internal/accounting.cc
@@ -156,9 +156,7 @@
   bool all_runs_known = is_ready;
   for (auto& [id, worker] : state->workers) {
     if (worker.reached || worker.known_empty) {
-      if (!worker.runs.empty() && now - worker.lease_extended_at > lease) {
-        EndAllRuns(state, &worker, "lease lapsed", now);
-      }
+      EndExpiredRuns(state, &worker, now);
       continue;
     }
     if (expired && state->workers_listed) {
--- a/quetzal/cell/internal/orders.cc
+++ b/quetzal/cell/internal/orders.cc
@@ -107,6 +107,8 @@
       if (run != nullptr) {
         run->start_worker_time = answer.clock;
         run->start_answered_at = now;
+        // The clock of another incarnation began anew.
+        run->start_confirmed = answer.clock >= worker->clock;
         if (run->state == RunState::kStarting) {
           run->state = RunState::kRunning;
           run->progressed_at = now;
--- a/quetzal/cell/internal/state.cc
+++ b/quetzal/cell/internal/state.cc
@@ -41,6 +41,10 @@
 
 }  // namespace
 
+bool IsConfirmed(const Run& run) {
+  return run.last_run_list > 0 || run.start_confirmed;
+}
+
 Run* FindRun(Worker* worker, const TaskId& task, int64_t number) {
   const RunIterator found = FindRunIterator(worker, task, number);
   return found == worker->runs.end() ? nullptr : &found->second;
--- a/quetzal/cell/internal/state.h
+++ b/quetzal/cell/internal/state.h
@@ -47,6 +47,8 @@
   Time ordered_at;
   WorkerTime start_worker_time{0};  // in the answer to the start
   Time start_answered_at;
+  // By an answer to the start from the incarnation that polls have reached.
+  bool start_confirmed = false;
   int percent = 0;     // of its work, as last reported
   Time progressed_at;  // when `percent` last changed
   // The newest of its worker's run lists that contains it.
@@ -276,6 +278,9 @@
   Worker* FindOrAddWorker(const WorkerId& id);
 };
 
+// False if the run's start may be executed yet, or may have been executed by an
+// incarnation that no poll has reached.
+bool IsConfirmed(const Run& run);
 // Null if the worker doesn't have this run of the task.
 Run* FindRun(Worker* worker, const TaskId& task, int64_t number);
 
--- a/quetzal/cell/internal/workers.cc
+++ b/quetzal/cell/internal/workers.cc
@@ -21,7 +21,8 @@
 // then needed more often.
 constexpr Milliseconds kPollWaitWhilePacing{400};
 // A worker whose entry is gone may be back within about two seconds of the
-// store's return. Its leases are extended for this long, and no longer.
+// store's return. Its leases are extended for this long, and no longer; then
+// it counts as gone.
 constexpr Milliseconds kUnlistedGrace{2'500};
 // A run without progress for this long has stalled. The slowest healthy run,
 // 10 s of work at an eighth of a worker's speed, advances a percent in 0.8 s.
@@ -65,10 +66,30 @@
   return run_numbers;
 }
 
-// How long a lease of the worker may still last, on the placer's clock.
+// True if the platform's list has lost the worker for good.
+bool IsGone(const Worker& worker, Time now) {
+  return !worker.listed && now - worker.unlisted_since >= kUnlistedGrace;
+}
+
+// When the lease of the run has certainly expired, on the placer's clock. An
+// order without an answer may be executed late, by the worker's next
+// incarnation: its clock began anew, so the lease then lasts in full.
+Time LeaseEnd(const State& state, const Worker& worker, const Run& run,
+              Time now) {
+  Time extended_at = worker.lease_extended_at;
+  if (!IsConfirmed(run) && !IsGone(worker, now)) {
+    extended_at += state.settings.max_order_delay;
+  }
+  return extended_at + MaxLeaseLifetime(state);
+}
+
+// How long a lease of the worker's runs may still last.
 Milliseconds LeaseLeft(const State& state, const Worker& worker, Time now) {
-  return std::max(Milliseconds(0),
-                  MaxLeaseLifetime(state) - (now - worker.lease_extended_at));
+  Milliseconds left{0};
+  for (const auto& [task_id, run] : worker.runs) {
+    left = std::max(left, LeaseEnd(state, worker, run, now) - now);
+  }
+  return left;
 }
 
 void LogLostRuns(State* state, const Worker& worker, const char* why,
@@ -111,6 +132,7 @@
       continue;
     }
     run.start_worker_time = WorkerTime{0};
+    run.start_confirmed = false;
     run.stop_in_flight = false;
     run.stop_worker_time.reset();
     ScheduleStop(worker, &run, now);
@@ -446,6 +468,30 @@
   state->roster_changed = true;
 }
 
+void EndExpiredRuns(State* state, Worker* worker, Time now) {
+  if (now - worker->lease_extended_at <= MaxLeaseLifetime(*state)) return;
+  std::vector<std::pair<TaskId, int64_t>> expired;
+  for (const auto& [task_id, run] : worker->runs) {
+    if (now > LeaseEnd(*state, *worker, run, now)) {
+      expired.emplace_back(task_id, run.number);
+    }
+  }
+  if (expired.empty()) return;
+  if (expired.size() == worker->runs.size()) {
+    EndAllRuns(state, worker, "lease lapsed", now);
+    return;
+  }
+  state->log->ImportantLine(
+      "worker_runs_expired",
+      {{"worker", worker->entry.id.text()},
+       {"runs", static_cast<int64_t>(expired.size())},
+       {"unconfirmed_runs",
+        static_cast<int64_t>(worker->runs.size() - expired.size())}});
+  for (const auto& [task_id, number] : expired) {
+    EndRun(state, worker, task_id, number, TaskOutcome::kLeaseExpired, "", now);
+  }
+}
+
 void AdoptFormerRuns(State* state, Time now) {
   for (auto& [id, worker] : state->workers) {
     if (!IsUnaccounted(worker) || !worker.former_runs) continue;
--- a/quetzal/cell/internal/workers.h
+++ b/quetzal/cell/internal/workers.h
@@ -13,6 +13,8 @@
                      Time sent, const PollAnswer& answer, Time now);
 // Ends all runs of a worker on which nothing runs any more.
 void EndAllRuns(State* state, Worker* worker, const char* why, Time now);
+// Ends the runs of the worker whose leases have certainly expired.
+void EndExpiredRuns(State* state, Worker* worker, Time now);
 // Adopts the runs that the former roster lists of workers that can't be given
 // others. Called once jobs and roster are loaded.
 void AdoptFormerRuns(State* state, Time now);
