Leases that a restarted worker extends late are waited for

A task could run twice if a worker restarted, was given the task, and was cut off from the placer.

Cause: a poll that was sent to the former incarnation and got no answer may be executed up to 12 s later by the present one. Its deadline lies beyond the new clock, so the worker extends the leases of all its runs by the longest lease. The placer counted from the newest order that it had sent.

Evidence: ALateExtensionIsWaitedFor failed before (!fleet.ran_twice_), and passes now.

Change: when a restart is noticed, the time of the newest order that may have extended leases is kept; the leases of the present incarnation count as extended max_order_delay after it. Workers that the list has lost are excepted (ALateExtensionOnAGoneWorkerDoesntDelayItsTask, green before and after).

After: late_start_test passes (8 tests).

--- a/quetzal/cell/cell.h
+++ b/quetzal/cell/cell.h
@@ -25,8 +25,10 @@
 //  - A start without an answer is stopped, and counts as running until the
 //    worker's reports show that it is not. It may be executed late, by the
 //    worker's next incarnation, whose clock began anew: it is given up only
-//    `max_order_delay` after its lease would have expired, or as other runs
-//    once the platform's list has lost the worker.
+//    `max_order_delay` after its lease would have expired. Polls extend leases
+//    late as well, so the same holds for all runs of a worker that restarted
+//    less than that ago. Once the platform's list has lost the worker, neither
+//    is waited for.
 //  - Ends of runs are acknowledged to workers only after they are stored.
 //  - Tasks of jobs that a former placer may have started wait until every open
 //    worker was reached or its leases have expired. Runs of closed workers
--- a/quetzal/cell/internal/state.h
+++ b/quetzal/cell/internal/state.h
@@ -126,6 +126,8 @@
   Time confirmed_at;  // when its newest answered poll was sent
   // When the newest order that may extend leases was sent.
   Time lease_extended_at;
+  // The same of the orders that were sent to former incarnations.
+  std::optional<Time> former_lease_extended_at;
   Resources used;
   // Runs of unknown jobs and size: with any the worker counts as full.
   int orphan_runs = 0;
--- a/quetzal/cell/internal/workers.cc
+++ b/quetzal/cell/internal/workers.cc
@@ -77,8 +77,14 @@
 Time LeaseEnd(const State& state, const Worker& worker, const Run& run,
               Time now) {
   Time extended_at = worker.lease_extended_at;
-  if (!IsConfirmed(run) && !IsGone(worker, now)) {
-    extended_at += state.settings.max_order_delay;
+  if (!IsGone(worker, now)) {
+    const Milliseconds delay = state.settings.max_order_delay;
+    if (!IsConfirmed(run)) {
+      extended_at += delay;
+    } else if (worker.former_lease_extended_at) {
+      extended_at =
+          std::max(extended_at, *worker.former_lease_extended_at + delay);
+    }
   }
   return extended_at + MaxLeaseLifetime(state);
 }
@@ -137,6 +143,7 @@
     run.stop_worker_time.reset();
     ScheduleStop(worker, &run, now);
   }
+  worker->former_lease_extended_at = worker->lease_extended_at;
   ResetIncarnation(state, worker);
 }
 
--- a/quetzal/cell/late_start_test.cc
+++ b/quetzal/cell/late_start_test.cc
@@ -61,6 +61,8 @@
   CPPUNIT_TEST(AnUnconfirmedStartOnAGoneWorkerDoesntDelayItsTask);
   CPPUNIT_TEST(AnEntryMissingForAMomentShortensNoLease);
   CPPUNIT_TEST(AnUnconfirmedStartDoesntDelayOtherTasks);
+  CPPUNIT_TEST(ALateExtensionIsWaitedFor);
+  CPPUNIT_TEST(ALateExtensionOnAGoneWorkerDoesntDelayItsTask);
   CPPUNIT_TEST(ALateExtensionOfAnUnseenRunIsWaitedFor);
   CPPUNIT_TEST_SUITE_END();
 
@@ -155,6 +157,44 @@
     CPPUNIT_ASSERT(!fleet.ran_twice_);
   }
 
+  // The present incarnation executes a poll that was sent to the former one.
+  void ALateExtensionIsWaitedFor() {
+    FakeFleet fleet(2);
+    fleet.Recover();
+    const auto polls = RestartDuringPolls(&fleet);
+    ReportUnansweredPolls(&fleet);
+    fleet.Run(Milliseconds(500));
+    fleet.cell()->OnJob(MakeJob("a"), Revision{1}, std::nullopt, fleet.now());
+    fleet.Run(Milliseconds(100));
+    FakeWorker& worker = fleet.WorkerOf(Task("a", 0, 0));
+    worker.unresponsive = true;
+    fleet.Run(Milliseconds(5'900));
+    worker.ExtendLease(polls.at(worker.entry.id).lease_until);
+    fleet.Run(Milliseconds(5'000));
+    worker.ExtendLease(polls.at(worker.entry.id).lease_until);
+    fleet.Run(Milliseconds(6'500));
+    CPPUNIT_ASSERT(!fleet.ran_twice_);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, fleet.starts_.size());
+    fleet.Run(Milliseconds(1'000));
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, fleet.starts_.size());
+  }
+
+  void ALateExtensionOnAGoneWorkerDoesntDelayItsTask() {
+    FakeFleet fleet(2);
+    fleet.Recover();
+    RestartDuringPolls(&fleet);
+    ReportUnansweredPolls(&fleet);
+    fleet.Run(Milliseconds(500));
+    fleet.cell()->OnJob(MakeJob("a"), Revision{1}, std::nullopt, fleet.now());
+    fleet.Run(Milliseconds(100));
+    FakeWorker& worker = fleet.WorkerOf(Task("a", 0, 0));
+    worker.unresponsive = true;
+    fleet.Run(Milliseconds(4'000));
+    fleet.cell()->OnWorkerEntryRemoved(worker.entry.id, fleet.now());
+    fleet.Run(Milliseconds(3'000));
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, fleet.starts_.size());
+  }
+
   // The start is answered by an incarnation that no poll has reached.
   void ALateExtensionOfAnUnseenRunIsWaitedFor() {
     FakeFleet fleet(2);
