A failed write of the roster that only drops workers is repeated

A new placer asked workers that had long left, and kept the jobs of before waiting until their leases counted as expired.

Cause: once a write begins, entries that it drops no longer count as stored. If the write fails, what counts as stored equals what is wanted, and no further write begins, although the store still holds the old roster. The same holds for a write without an answer whose additions are no longer wanted.

Evidence: AFailedWriteThatDropsAWorkerIsRepeated failed before: assertion failed - Expression: roster.BeginWrite(wanted, kStart + 2 * kAfterWriteInterval)

Change: after a failure the roster is written again until a write is known to be stored.

--- a/quetzal/roster/roster.cc
+++ b/quetzal/roster/roster.cc
@@ -111,6 +111,9 @@
   pending_write_.reset();
 }
 
-void Roster::OnStoreFailed() { pending_write_.reset(); }
+void Roster::OnStoreFailed() {
+  is_own_ = false;
+  pending_write_.reset();
+}
 
 }  // namespace quetzal
--- a/quetzal/roster/roster.h
+++ b/quetzal/roster/roster.h
@@ -79,7 +79,8 @@
   // short time after a write began.
   bool CanWrite(Time now) const;
   // Returns the text to store, if `wanted` differs from the stored roster or
-  // this term hasn't written one, and a write may begin now.
+  // this term's newest write isn't known to be stored, and a write may begin
+  // now.
   std::optional<std::string> BeginWrite(const RosterEntries& wanted, Time now);
   void OnStored();
   // The write may still have been applied, so only entries that are the same in
@@ -89,7 +90,7 @@
  private:
   TermNumber term_;
   bool loaded_ = false;
-  bool is_own_ = false;  // this term wrote what is stored
+  bool is_own_ = false;  // this term's newest write is known to be stored
   RosterEntries stored_;
   std::optional<RosterEntries> pending_write_;
   Time next_write_at_;
--- a/quetzal/roster/roster_test.cc
+++ b/quetzal/roster/roster_test.cc
@@ -32,6 +32,7 @@
   CPPUNIT_TEST(AReopenedWorkerIsOpenOnlyOnceStored);
   CPPUNIT_TEST(ADroppedWorkerIsNotContainedOnceItsWriteBegins);
   CPPUNIT_TEST(AFailedWriteKeepsOnlyWorkersOfBothRosters);
+  CPPUNIT_TEST(AFailedWriteThatDropsAWorkerIsRepeated);
   CPPUNIT_TEST(WritesNothingBeforeLoad);
   CPPUNIT_TEST(CombinesChangesInOneWrite);
   CPPUNIT_TEST_SUITE_END();
@@ -160,6 +161,22 @@
     CPPUNIT_ASSERT(roster.BeginWrite(wanted, kStart + kAfterWriteInterval));
   }
 
+  void AFailedWriteThatDropsAWorkerIsRepeated() {
+    Roster roster(kTerm);
+    roster.Load({});
+    CPPUNIT_ASSERT(roster.BeginWrite(
+        {{WorkerId("a"), EntryAt("x")}, {WorkerId("b"), EntryAt("y")}},
+        kStart));
+    roster.OnStored();
+    const RosterEntries wanted = {{WorkerId("a"), EntryAt("x")}};
+    CPPUNIT_ASSERT(roster.BeginWrite(wanted, kStart + kAfterWriteInterval));
+    roster.OnStoreFailed();
+    CPPUNIT_ASSERT(roster.BeginWrite(wanted, kStart + 2 * kAfterWriteInterval));
+    roster.OnStored();
+    CPPUNIT_ASSERT(
+        !roster.BeginWrite(wanted, kStart + 3 * kAfterWriteInterval));
+  }
+
   void WritesNothingBeforeLoad() {
     Roster roster(kTerm);
     CPPUNIT_ASSERT(!roster.BeginWrite({{WorkerId("a"), EntryAt("x")}}, kStart));
