A placer and its successor count majorities over the stored roster

A former placer and most workers are cut off from the store and from the successor; the workers leave the platform's list; their tasks run twice.

Cause: each placer counts a majority of the workers that its own copy of the list contains. To the successor the few workers that remain are a majority, and it lets leases expire that the former placer, whose list is old, extends with a majority of its own. The reverse was a fault as well: with no worker of the roster left in the list, leases never counted as expired, and their tasks never started again.

Change: - A placer without a valid lease of the leader key goes on only while more than half of the workers of every roster that the store may hold confirm it, beside the rule on the workers that it counts itself. All entries count, closed ones too, as before. - Its successor relies on the expiry of leases once at least half of the roster that it read obeys it, listed or not, which leaves the former placer no majority. - Without that half it waits for the new limit kMaxTimeWithoutLease (16 s) and the longest lease. The limit is measured from the end of the last valid lease; the election's clock now includes suspensions of the machine. Orders that end for want of a lease are logged (orders_halted).

--- a/programs/cell_placer/main.cc
+++ b/programs/cell_placer/main.cc
@@ -17,8 +17,6 @@
 namespace quetzal {
 namespace {
 
-// Maximum age of the answers that count for Cell::HasMajority.
-constexpr Milliseconds kMaxMajorityAge{2'400};
 // After a longer suspension of the machine the placer steps down.
 constexpr Milliseconds kMaxSuspension{300};
 // A machine with fewer cores delays its campaign in proportion to what it
@@ -105,7 +103,7 @@
                   if (term_) term_->RaiseFence(fence);
                 },
             .on_lost = [this](const std::string&) { EndTerm(); }},
-        &RunAfter, &Now, &log_);
+        &RunAfter, &NowWithSuspensions, &log_);
     election_->Start();
     return true;
   }
@@ -132,7 +130,7 @@
         .may_send_orders =
             [this](const Cell& cell) { return MaySendOrders(cell); },
         .leadership_is_certain =
-            [this] { return election_->HasValidLease(Now()); },
+            [this] { return election_->HasValidLease(NowWithSuspensions()); },
         .on_leadership_lost =
             [this](const std::string& reason) { election_->StepDown(reason); }};
     advice_.Start();
@@ -158,8 +156,14 @@
       return false;
     }
     suspended_ = suspended;
-    return election_->HasValidLease(Now()) ||
-           cell.HasMajority(kMaxMajorityAge, Now());
+    const Milliseconds without_lease =
+        election_->TimeWithoutLease(NowWithSuspensions());
+    const bool may_send = cell.MaySendOrders(without_lease, Now());
+    if (std::exchange(may_send_, may_send) && !may_send) {
+      log_.ImportantLine("orders_halted",
+                         {{"without_lease_ms", without_lease.count()}});
+    }
+    return may_send;
   }
 
   CellProgramSettings settings_;
@@ -173,6 +177,7 @@
   std::unique_ptr<LeaderElection> election_;
   std::unique_ptr<Term> term_;
   Milliseconds suspended_{0};
+  bool may_send_ = false;  // by the last check of lease and majority
   bool stopping_ = false;
 };
 
--- a/quetzal/cell/cell.cc
+++ b/quetzal/cell/cell.cc
@@ -16,6 +16,10 @@
 
 namespace {
 
+// Maximum age of the answers that confirm a placer without a valid lease of the
+// leader key.
+constexpr Milliseconds kMaxMajorityAge{2'400};
+
 void QueueWrite(cell::State* state, cell::Job* job) {
   if (std::exchange(job->dirty, true)) return;
   state->dirty_jobs.push_back(job->accepted.id);
@@ -252,6 +256,12 @@
   return cell::HasMajority(parts_->state, age, now);
 }
 
+bool Cell::MaySendOrders(Milliseconds without_lease, Time now) const {
+  return without_lease < Milliseconds(0) ||
+         (without_lease < kMaxTimeWithoutLease &&
+          HasMajority(kMaxMajorityAge, now));
+}
+
 size_t Cell::waiting_tasks() const {
   size_t tasks = 0;
   for (const cell::Job* const job : parts_->state.waiting) {
--- a/quetzal/cell/cell.h
+++ b/quetzal/cell/cell.h
@@ -33,6 +33,11 @@
 //  - Tasks of jobs that a former placer may have started wait until every open
 //    worker was reached or its leases have expired. Runs of closed workers
 //    count as running for as long.
+//  - Leases that a former placer may extend count as expired some time after
+//    half of the workers of its stored roster, in the platform's list or not,
+//    were reached, or after it can't have gone on any more without a valid
+//    lease of the leader key. It goes on without one while more than half of
+//    them confirm it, for `kMaxTimeWithoutLease` at most.
 //  - Jobs that arrive while another placer may lead aren't started meanwhile.
 #ifndef QUETZAL_CELL_CELL_H_
 #define QUETZAL_CELL_CELL_H_
@@ -60,6 +65,11 @@
 // workers report them.
 inline constexpr int64_t kRunsPerTerm = 16;
 
+// How long a placer may send orders after its last valid lease of the leader
+// key ended. All placers must have the same limit, as a successor that can't
+// reach half of the former placer's workers waits for it.
+inline constexpr Milliseconds kMaxTimeWithoutLease{16'000};
+
 struct CellSettings {
   // Longest lease that a worker grants; the platform's limit.
   Milliseconds max_lease{6'000};
@@ -186,10 +196,17 @@
   // Forgets and returns finished jobs whose retention has ended.
   std::vector<JobId> TakeExpiredJobs(size_t max_count, Time now);
 
-  // True if more than half of the listed workers answered polls under this
-  // fence that were sent within the last `age`, so no other placer had a
-  // majority under a higher fence `age` ago.
+  // True if more than half of the workers of the stored roster answered polls
+  // under this fence that were sent within the last `age`, so no other placer
+  // had a majority under a higher fence `age` ago. While a write of the roster
+  // has no answer, that holds for both rosters. More than half of the workers
+  // that this placer counts must have answered too: the listed ones or, until a
+  // former placer's leases have expired, those of its roster.
   bool HasMajority(Milliseconds age, Time now) const;
+  // Whether this placer may send orders `without_lease` after its last lease of
+  // the leader key ended; negative while that is valid. The time has to include
+  // suspensions of the machine.
+  bool MaySendOrders(Milliseconds without_lease, Time now) const;
   // Number of tasks that wait to be started.
   size_t waiting_tasks() const;
 
--- a/quetzal/cell/internal/accounting.cc
+++ b/quetzal/cell/internal/accounting.cc
@@ -144,13 +144,54 @@
   return MayHaveUnknownRuns(worker) || worker.orphan_runs > 0;
 }
 
+namespace {
+
+bool IsConfirmedBy(const Worker& worker, Milliseconds age, Time now) {
+  return worker.reached && now - worker.confirmed_at < age;
+}
+
+// True if no former placer can have a majority of the former roster any more,
+// as at least half of its workers obey this one. Those that left the list count
+// too, as they may obey the former placer. Of a roster that can't be read only
+// the listed workers are known; more than half of them count as enough.
+bool IsFormerOutvoted(const State& state, Time now) {
+  if (!state.is_former_roster_known && !state.workers_listed) return false;
+  size_t former = 0;
+  size_t confirmed = 0;
+  for (const auto& [id, worker] : state.workers) {
+    if (!worker.in_former_roster) continue;
+    ++former;
+    if (IsConfirmedBy(worker, kConfirmationLifetime, now)) ++confirmed;
+  }
+  if (state.is_former_roster_known) {
+    return former > 0 && confirmed * 2 >= former;
+  }
+  return confirmed * 2 > former;
+}
+
+// A former placer sends its last orders before its confirmations of the time at
+// which it was outvoted end, or at its limit without a valid lease, which began
+// before this term. Until then it may have extended leases of any worker of its
+// roster, listed or not.
+bool HaveFormerLeasesExpired(const State& state, Time now) {
+  const Milliseconds lease = MaxLeaseLifetime(state);
+  if (state.former_outvoted_at &&
+      now - *state.former_outvoted_at > kConfirmationLifetime + lease) {
+    return true;
+  }
+  const Milliseconds limit(static_cast<int64_t>(
+      static_cast<double>(kMaxTimeWithoutLease.count()) * kMaxClockRatio));
+  return now - state.term_started_at > limit + lease;
+}
+
+}  // namespace
+
 void ExpireLeases(State* state, Time now) {
+  if (!state->former_outvoted_at && IsFormerOutvoted(*state, now)) {
+    state->former_outvoted_at = now;
+  }
   const Milliseconds lease = MaxLeaseLifetime(*state);
-  // Two placers can't both have a majority, so a former one sent its last
-  // orders before its confirmations of the time of this majority ended. It may
-  // have extended leases of any worker of its roster, listed or not.
-  const bool expired = state->had_majority && now - state->majority_since >
-                                                  lease + kConfirmationLifetime;
+  const bool expired = HaveFormerLeasesExpired(*state, now);
   const bool is_ready = state->recovered && state->workers_listed;
   bool all_accounted = is_ready;
   bool all_runs_known = is_ready;
@@ -188,24 +229,40 @@
 namespace {
 
 // Until all workers are accounted for, those that a former placer may have used
-// count: a majority of them can't obey both placers. Later those that answered
-// count, reachable or not, but no entries of others.
+// count: a majority of them can't obey both placers. Later those listed ones
+// count that answered, reachable or not, but no entries of others.
 bool CountsForMajority(const State& state, const Worker& worker) {
-  return state.all_workers_accounted ? !worker.answered_at.empty()
-                                     : worker.in_former_roster;
+  return state.all_workers_accounted
+             ? worker.listed && !worker.answered_at.empty()
+             : worker.in_former_roster;
+}
+
+bool HasMajorityOf(const State& state, const std::vector<WorkerId>& ids,
+                   Milliseconds age, Time now) {
+  const auto confirmed =
+      std::count_if(ids.begin(), ids.end(), [&](const WorkerId& id) {
+        const auto found = state.workers.find(id);
+        return found != state.workers.end() &&
+               IsConfirmedBy(found->second, age, now);
+      });
+  return static_cast<size_t>(confirmed) * 2 > ids.size();
 }
 
 }  // namespace
 
 bool HasMajority(const State& state, Milliseconds age, Time now) {
-  size_t listed = 0;
+  // A successor reads the stored roster and counts its workers.
+  for (const std::vector<WorkerId>& ids : state.roster.possible_workers()) {
+    if (!HasMajorityOf(state, ids, age, now)) return false;
+  }
+  size_t counted = 0;
   size_t confirmed = 0;
   for (const auto& [id, worker] : state.workers) {
-    if (!worker.listed || !CountsForMajority(state, worker)) continue;
-    ++listed;
-    if (worker.reached && now - worker.confirmed_at < age) ++confirmed;
+    if (!CountsForMajority(state, worker)) continue;
+    ++counted;
+    if (IsConfirmedBy(worker, age, now)) ++confirmed;
   }
-  return listed > 0 && confirmed * 2 > listed;
+  return confirmed * 2 > counted;
 }
 
 }  // namespace quetzal::cell
--- a/quetzal/cell/internal/accounting.h
+++ b/quetzal/cell/internal/accounting.h
@@ -26,6 +26,7 @@
 // Ends runs whose leases have certainly expired, and detects when every worker
 // is accounted for.
 void ExpireLeases(State* state, Time now);
+// As Cell::HasMajority.
 bool HasMajority(const State& state, Milliseconds age, Time now);
 
 }  // namespace quetzal::cell
--- a/quetzal/cell/internal/state.h
+++ b/quetzal/cell/internal/state.h
@@ -26,7 +26,8 @@
 inline constexpr Milliseconds kLeaseExpiryMargin{400};
 // How long a worker's answer confirms this placer. A placer that can't reach
 // the store continues while a majority of the workers confirms it, so a
-// successor waits this long before it relies on the expiry of leases.
+// successor that half of them obey waits this long before it relies on the
+// expiry of leases.
 inline constexpr Milliseconds kConfirmationLifetime{2'500};
 
 enum class RunState {
@@ -244,8 +245,8 @@
   bool has_former_runs = false;  // of closed workers
   // All runs that a former placer may have started are known or have ended.
   bool all_runs_known = false;
-  Time majority_since;
-  bool had_majority = false;
+  // Since when no former placer can have a majority of its roster.
+  std::optional<Time> former_outvoted_at;
   std::shared_ptr<const Catalog> catalog;
   std::unordered_map<WorkerId, Worker> workers;
   std::vector<Worker*> slots;  // by slot; null once the worker is forgotten
--- a/quetzal/cell/internal/workers.cc
+++ b/quetzal/cell/internal/workers.cc
@@ -664,10 +664,6 @@
 }
 
 void MaintainWorkers(State* state, Time now) {
-  if (!state->had_majority && HasMajority(*state, kConfirmationLifetime, now)) {
-    state->had_majority = true;
-    state->majority_since = now;
-  }
   ExpireLeases(state, now);
   if (std::exchange(state->newly_stored, false)) AcknowledgeStored(state, now);
   for (auto each = state->workers.begin(); each != state->workers.end();) {
--- a/quetzal/cell/testing/fake_fleet.h
+++ b/quetzal/cell/testing/fake_fleet.h
@@ -196,8 +196,10 @@
         worker.clock_ms += 10;
         worker.EndExpiredRuns();
       }
-      cell_->Decide(now_);
-      for (const CellAction& action : cell_->TakeActions()) Serve(action);
+      if (!orders_halted_) {
+        cell_->Decide(now_);
+        for (const CellAction& action : cell_->TakeActions()) Serve(action);
+      }
       if (store_up_) Store();
     }
   }
@@ -422,7 +424,8 @@
   std::set<WorkerId> denied_;
   OrderOutcome start_outcome_ = OrderOutcome::kDone;
   OrderOutcome pace_outcome_ = OrderOutcome::kDone;
-  bool hold_polls_ = false;  // polls get no answer, nor a timeout
+  bool orders_halted_ = false;  // the placer may send none for now
+  bool hold_polls_ = false;     // polls get no answer, nor a timeout
   std::vector<std::pair<PollAction, Time>> held_polls_;  // and when sent
   // Starts are carried out, and the test reports their outcomes to the cell.
   bool lose_start_answers_ = false;
--- a/quetzal/leader_election/leader_election.cc
+++ b/quetzal/leader_election/leader_election.cc
@@ -312,8 +312,11 @@
 }
 
 bool LeaderElection::HasValidLease(Time now) const {
-  return role_ == Role::kLeader &&
-         now - last_renewal_sent_ < settings_.lease_ttl - kLeaseMargin;
+  return is_leader() && TimeWithoutLease(now) < Milliseconds(0);
+}
+
+Milliseconds LeaderElection::TimeWithoutLease(Time now) const {
+  return now - last_renewal_sent_ - (settings_.lease_ttl - kLeaseMargin);
 }
 
 void LeaderElection::StepDown(const std::string& reason) {
--- a/quetzal/leader_election/leader_election.h
+++ b/quetzal/leader_election/leader_election.h
@@ -55,6 +55,8 @@
  public:
   using Clock = std::function<Time()>;
 
+  // `clock` has to include suspensions of the machine, as leases go on
+  // meanwhile.
   LeaderElection(Store* store, LeaderElectionSettings settings,
                  LeaderElectionHandlers handlers, StoreWatcher::Timer after,
                  Clock clock, EventLog* log);
@@ -73,6 +75,9 @@
   Fence fence() const { return fence_; }
   // True while the store can't have given the leader key to another placer.
   bool HasValidLease(Time now) const;
+  // How long ago the last lease of the leader key ended; negative while it is
+  // valid. Only for the leader.
+  Milliseconds TimeWithoutLease(Time now) const;
 
  private:
   enum class Role { kStandby, kCandidate, kLeader, kResigned };
--- a/quetzal/leader_election/leader_election_test.cc
+++ b/quetzal/leader_election/leader_election_test.cc
@@ -45,6 +45,7 @@
   CPPUNIT_TEST(ALeaseThatExpiredInAnOutageIsReacquired);
   CPPUNIT_TEST(AReplacedLeaderStepsDown);
   CPPUNIT_TEST(TheLeaseIsValidOnlyForItsTtlWithoutTheStore);
+  CPPUNIT_TEST(TheTimeWithoutALeaseBeginsAtTheEndOfTheLastValidOne);
   CPPUNIT_TEST(LeadershipSurvivesRenewalsWithoutAnswers);
   CPPUNIT_TEST(AMachineWithMoreCpuReplacesTheLeader);
   CPPUNIT_TEST(EqualMachinesKeepTheirLeader);
@@ -146,6 +147,27 @@
     CPPUNIT_ASSERT(!a.election.HasValidLease(clock_.now()));
   }
 
+  void TheTimeWithoutALeaseBeginsAtTheEndOfTheLastValidOne() {
+    Candidate a("a", &clock_, &store_, &log_);
+    a.election.Start();
+    clock_.Advance(Milliseconds(1'000));
+    CPPUNIT_ASSERT(a.election.TimeWithoutLease(clock_.now()) < Milliseconds(0));
+    store_.SetDown(true);
+    while (a.election.HasValidLease(clock_.now())) {
+      clock_.Advance(Milliseconds(1));
+    }
+    CPPUNIT_ASSERT(a.election.TimeWithoutLease(clock_.now()) ==
+                   Milliseconds(0));
+    constexpr Milliseconds kOutage{14'000};
+    clock_.Advance(kOutage);
+    CPPUNIT_ASSERT(a.election.is_leader());
+    CPPUNIT_ASSERT(a.election.TimeWithoutLease(clock_.now()) == kOutage);
+    store_.SetDown(false);
+    clock_.Advance(Milliseconds(2'000));
+    CPPUNIT_ASSERT(a.election.is_leader());
+    CPPUNIT_ASSERT(a.election.TimeWithoutLease(clock_.now()) < Milliseconds(0));
+  }
+
   // Guards against a lease that expires because a renewal waits for the
   // previous one: a lost answer takes longer to time out than the lease lasts.
   void LeadershipSurvivesRenewalsWithoutAnswers() {
--- a/quetzal/roster/roster.cc
+++ b/quetzal/roster/roster.cc
@@ -35,6 +35,13 @@
   return runs;
 }
 
+std::vector<WorkerId> WorkersOf(const RosterEntries& entries) {
+  std::vector<WorkerId> workers;
+  workers.reserve(entries.size());
+  for (const auto& [id, entry] : entries) workers.push_back(id);
+  return workers;
+}
+
 }  // namespace
 
 std::string EncodeRoster(const StoredRoster& roster) {
@@ -75,6 +82,7 @@
 
 void Roster::Load(StoredRoster stored) {
   stored_ = std::move(stored.entries);
+  possible_workers_ = {WorkersOf(stored_)};
   loaded_ = true;
   if (stored.term == term_ - 1) return;
   for (auto& [id, entry] : stored_) entry.runs.reset();
@@ -94,6 +102,7 @@
                                               Time now) {
   if (!CanWrite(now) || (is_own_ && wanted == stored_)) return std::nullopt;
   pending_write_ = wanted;
+  possible_workers_.insert(WorkersOf(wanted));
   next_write_at_ = now + kMinWriteInterval;
   // Entries that this write drops or changes may be gone from the store before
   // the answer arrives.
@@ -109,6 +118,7 @@
   is_own_ = true;
   stored_ = std::move(*pending_write_);
   pending_write_.reset();
+  possible_workers_ = {WorkersOf(stored_)};
 }
 
 void Roster::OnStoreFailed() {
--- a/quetzal/roster/roster.h
+++ b/quetzal/roster/roster.h
@@ -20,6 +20,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -71,6 +72,11 @@
   bool is_loaded() const { return loaded_; }
   const RosterEntries& stored() const { return stored_; }
 
+  // The workers of each roster that the store may hold: of the newest that is
+  // known to be stored, and of those whose writes were begun since.
+  const std::set<std::vector<WorkerId>>& possible_workers() const {
+    return possible_workers_;
+  }
   // True if the stored roster is certain to have an open entry of the worker
   // with this address.
   bool IsOpen(const WorkerId& id, const std::string& address) const;
@@ -92,6 +98,7 @@
   bool loaded_ = false;
   bool is_own_ = false;  // this term's newest write is known to be stored
   RosterEntries stored_;
+  std::set<std::vector<WorkerId>> possible_workers_;
   std::optional<RosterEntries> pending_write_;
   Time next_write_at_;
 };
--- a/quetzal/roster/roster_test.cc
+++ b/quetzal/roster/roster_test.cc
@@ -35,6 +35,7 @@
   CPPUNIT_TEST(AFailedWriteThatDropsAWorkerIsRepeated);
   CPPUNIT_TEST(WritesNothingBeforeLoad);
   CPPUNIT_TEST(CombinesChangesInOneWrite);
+  CPPUNIT_TEST(AWriteWithoutAnswerMayBeStored);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -193,6 +194,31 @@
     CPPUNIT_ASSERT(!roster.BeginWrite(more, kStart + Milliseconds(1)));
     CPPUNIT_ASSERT(roster.BeginWrite(more, kStart + kAfterWriteInterval));
   }
+
+  void AWriteWithoutAnswerMayBeStored() {
+    using Workers = std::vector<WorkerId>;
+    using PossibleWorkers = std::set<Workers>;
+    const WorkerId a("a");
+    const WorkerId b("b");
+    const WorkerId c("c");
+    Roster roster(kTerm);
+    CPPUNIT_ASSERT(roster.possible_workers().empty());
+    roster.Load({.entries = {{a, EntryAt("x")}, {b, ClosedEntryAt("y")}},
+                 .term = kTerm - 1});
+    CPPUNIT_ASSERT(roster.possible_workers() ==
+                   (PossibleWorkers{Workers{a, b}}));
+    CPPUNIT_ASSERT(
+        roster.BeginWrite({{b, EntryAt("y")}, {c, EntryAt("z")}}, kStart));
+    CPPUNIT_ASSERT(roster.possible_workers() ==
+                   (PossibleWorkers{Workers{a, b}, Workers{b, c}}));
+    roster.OnStoreFailed();
+    CPPUNIT_ASSERT(
+        roster.BeginWrite({{b, EntryAt("y")}}, kStart + kAfterWriteInterval));
+    CPPUNIT_ASSERT(roster.possible_workers() ==
+                   (PossibleWorkers{Workers{a, b}, Workers{b, c}, Workers{b}}));
+    roster.OnStored();
+    CPPUNIT_ASSERT(roster.possible_workers() == (PossibleWorkers{Workers{b}}));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RosterTest);
