An accepted job holds its queue's attempts

What callers saw: a job whose queue was removed from the configuration is shown as failed at its first failed attempt once another placer took over.

Cause: a placer that never read the queue's entry in a configuration has only the job itself, which held the queue's service but not max-attempts, so the default of one was in force.

Change: Queue::Accept makes the accepted job, for the entry and for the tests' FakeFleet alike; the job holds max_attempts beside the service, also in the stored request. A request of an earlier version lacks it and is read with one attempt, as before.

--- a/programs/job_entry/job_api.cc
+++ b/programs/job_entry/job_api.cc
@@ -182,13 +182,10 @@
     RefuseUnconfirmed(*call);
     return;
   }
-  AcceptedJob job;
-  job.id = call->id;
-  job.team = call->team;
-  job.queue = call->queue->name;
-  job.service = call->queue->service;
-  job.accepted = WallTime{g_get_real_time() / kMicrosecondsInMillisecond};
-  job.spec = std::move(spec.value());
+  const AcceptedJob job = call->queue->Accept(
+      call->id, call->team,
+      WallTime{g_get_real_time() / kMicrosecondsInMillisecond},
+      std::move(spec.value()));
   intake_->Submit(job, call->deadline, [this, call](IntakeOutcome outcome) {
     switch (outcome) {
       case IntakeOutcome::kAccepted:
--- a/programs/job_entry/job_api_test.cc
+++ b/programs/job_entry/job_api_test.cc
@@ -22,6 +22,7 @@
 constexpr int kNotFound = 404;
 constexpr int kGone = 410;
 constexpr int kUnavailable = 503;
+constexpr int kAttempts = 3;
 constexpr Milliseconds kMaxConfigurationAge{2'500};
 constexpr char kTaskJob[] =
     R"({"specification":"x","steps":[{"count":1,"cpu":1}]})";
@@ -38,11 +39,16 @@
   CPPUNIT_TEST(AKeyThatIsOnlySimilarIsUnknown);
   CPPUNIT_TEST(AnUnconfirmedConfigurationAcceptsNoJob);
   CPPUNIT_TEST(AnUnconfirmedConfigurationReportsStates);
+  CPPUNIT_TEST(AnAcceptedJobHoldsItsQueuesServiceAndAttempts);
   CPPUNIT_TEST_SUITE_END();
 
  public:
   void setUp() override {
-    Queue queue{.name = QueueId("q"), .host = "h", .prefix = "/p/"};
+    Queue queue{.name = QueueId("q"),
+                .host = "h",
+                .prefix = "/p/",
+                .service = ServiceId("s"),
+                .max_attempts = kAttempts};
     queue.is_public = true;
     Queue keyed{.name = QueueId("k"), .host = "h", .prefix = "/keyed/"};
     catalogs_.UpdateIfNewer(std::make_shared<const Catalog>(
@@ -110,6 +116,19 @@
     CPPUNIT_ASSERT_EQUAL(kOk, (*reply)->status);
   }
 
+  // The queue may be removed before the job ends.
+  void AnAcceptedJobHoldsItsQueuesServiceAndAttempts() {
+    const auto accepted = Call("POST", std::string("/p/") + kId, kTaskJob);
+    clock_.Advance(Milliseconds(50));
+    CPPUNIT_ASSERT_EQUAL(kOk, (*accepted)->status);
+    const StoreItem* const request = store_.Find(RequestKey(JobId(kId)));
+    CPPUNIT_ASSERT(request != nullptr);
+    const auto job = DecodeJob(JobId(kId), request->value);
+    CPPUNIT_ASSERT(job);
+    CPPUNIT_ASSERT(job.value().service == ServiceId("s"));
+    CPPUNIT_ASSERT_EQUAL(kAttempts, job.value().max_attempts);
+  }
+
   // The record changes between the cancel's read and its write. A response that
   // reports a cancelled job requires a stored cancel.
   void ACancelThatMeetsTheStartIsStored() {
--- a/quetzal/catalog/catalog.cc
+++ b/quetzal/catalog/catalog.cc
@@ -21,6 +21,17 @@
          latency_target;
 }
 
+AcceptedJob Queue::Accept(const JobId& id, const TeamId& team, WallTime now,
+                          JobSpec spec) const {
+  return {.id = id,
+          .team = team,
+          .queue = name,
+          .service = service,
+          .max_attempts = max_attempts,
+          .accepted = now,
+          .spec = std::move(spec)};
+}
+
 Catalog::Catalog(int64_t version, std::vector<Queue> queues,
                  std::vector<ServiceConfig> services, std::vector<Team> teams,
                  CatalogLimits limits)
--- a/quetzal/catalog/catalog.h
+++ b/quetzal/catalog/catalog.h
@@ -46,6 +46,9 @@
   // Time, from its first submission, in which a job with this critical path
   // should complete.
   Milliseconds CompletionObjective(Milliseconds critical_path) const;
+  // A job that is accepted on this queue now, with what it holds of the queue.
+  AcceptedJob Accept(const JobId& id, const TeamId& team, WallTime now,
+                     JobSpec spec) const;
 };
 
 struct ServiceConfig {
--- a/quetzal/cell/internal/jobs.cc
+++ b/quetzal/cell/internal/jobs.cc
@@ -162,6 +162,7 @@
   job->may_be_started_by_successor = !state->leadership_is_certain;
   job->queue_config.name = accepted.queue;
   job->queue_config.service = accepted.service;
+  job->queue_config.max_attempts = accepted.max_attempts;
   if (state->catalog) {
     const Queue* const queue = state->catalog->FindQueue(accepted.queue);
     if (queue != nullptr) job->queue_config = *queue;
--- a/quetzal/cell/testing/fake_fleet.h
+++ b/quetzal/cell/testing/fake_fleet.h
@@ -156,12 +156,8 @@
   }
 
   std::shared_ptr<const Catalog> MakeCatalog() const {
-    Queue queue{.name = QueueId("q"),
-                .service = ServiceId("s"),
-                .max_attempts = 2,
-                .slack_factor = 2,
-                .latency_target = Milliseconds(1'000),
-                .advice = advice_};
+    Queue queue = MakeQueue();
+    queue.advice = advice_;
     Team team{.name = TeamId("t"), .weight = 100, .limit = limit_};
     return std::make_shared<const Catalog>(1, std::vector{queue},
                                            std::vector<ServiceConfig>{},
@@ -172,15 +168,18 @@
     Configure();
   }
 
+  static Queue MakeQueue() {
+    return {.name = QueueId("q"),
+            .service = ServiceId("s"),
+            .max_attempts = 2,
+            .slack_factor = 2,
+            .latency_target = Milliseconds(1'000)};
+  }
+  // A job as an entry accepts it on the queue.
   static AcceptedJob MakeJob(const std::string& id,
                              std::vector<StepSpec> steps) {
-    AcceptedJob job;
-    job.id = JobId(id);
-    job.team = TeamId("t");
-    job.queue = QueueId("q");
-    job.service = ServiceId("s");
-    job.spec.steps = std::move(steps);
-    return job;
+    return MakeQueue().Accept(JobId(id), TeamId("t"), WallTime{0},
+                              {.steps = std::move(steps)});
   }
   static StepSpec MakeStep(int count, int64_t cpu = 1'000) {
     return {.count = count,
--- a/quetzal/job/job.h
+++ b/quetzal/job/job.h
@@ -63,12 +63,14 @@
 };
 
 // A job that was accepted and stored: the request, its owner, and the time of
-// its acceptance.
+// its acceptance. What it takes from its queue also holds once the queue is
+// removed.
 struct AcceptedJob {
   JobId id;
   TeamId team;
   QueueId queue;
-  ServiceId service;  // the queue's service when the job was accepted
+  ServiceId service;     // the queue's service when the job was accepted
+  int max_attempts = 1;  // of each task; the queue's at that time
   WallTime accepted{0};
   JobSpec spec;
 };
--- a/quetzal/job/job_codec.cc
+++ b/quetzal/job/job_codec.cc
@@ -107,6 +107,7 @@
                {"team", job.team.text()},
                {"queue", job.queue.text()},
                {"service", job.service.text()},
+               {"max_attempts", job.max_attempts},
                {"accepted_ms", static_cast<int64_t>(job.accepted)},
                {"specification", job.spec.specification}};
   for (const StepSpec& step : job.spec.steps) {
@@ -129,6 +130,8 @@
     job.team = TeamId(json.at("team").get<std::string>());
     job.queue = QueueId(json.at("queue").get<std::string>());
     job.service = ServiceId(json.at("service").get<std::string>());
+    // Earlier versions didn't store it.
+    job.max_attempts = json.value("max_attempts", job.max_attempts);
     job.accepted = WallTime{json.at("accepted_ms").get<int64_t>()};
     job.spec.specification = json.at("specification").get<std::string>();
     for (const Json& step : json.at("steps")) {
