--- a/quetzal/cell/internal/placement.cc
+++ b/quetzal/cell/internal/placement.cc
@@ -324,13 +324,7 @@
   Resources used;
   const auto found = state.team_usage.find(job.accepted.team);
   if (found != state.team_usage.end()) used = found->second;
-  if (!state.all_runs_known || state.orphans > 0) {
-    // Workers that weren't reached yet, and those with runs of unknown jobs,
-    // may run the team's tasks on their whole capacity.
-    for (const auto& [id, worker] : state.workers) {
-      if (MayHaveUnchargedRuns(worker)) used += worker.entry.capacity;
-    }
-  }
+  used += state.uncharged_capacity;
   const Resources free = team->limit - used;
   const Resources& demand = step.spec->demand;
   const auto part = [](int64_t limit, int64_t left, int64_t each) {
--- a/quetzal/cell/internal/workers.cc
+++ b/quetzal/cell/internal/workers.cc
@@ -540,7 +540,14 @@
 void UpdateUsableWorkers(State* state, Time now) {
   state->usable.clear();
   state->max_free.assign(state->slots.size(), Resources{});
+  state->uncharged_capacity = Resources{};
+  const bool may_be_uncharged = !state->all_runs_known || state->orphans > 0;
   for (auto& [id, worker] : state->workers) {
+    // Workers that weren't reached yet, and those with runs of unknown jobs,
+    // may run any team's tasks on their whole capacity.
+    if (may_be_uncharged && MayHaveUnchargedRuns(worker)) {
+      state->uncharged_capacity += worker.entry.capacity;
+    }
     worker.usable = CanTakeWork(worker, now);
     if (!worker.usable) continue;
     state->usable.push_back(&worker);
