Starts that were stopped without an answer are stopped again after a restart

A task could run twice if a worker stopped a start that had no answer, restarted, and executed the start late.

Cause: a stop holds for one incarnation. The next one knows nothing of it and executes the start, up to 12 s after it was sent, while the task's newer run is at work elsewhere.

Change: of each worker the last 64 unconfirmed starts are remembered that were stopped less than max_order_delay after they were sent. When a restart is noticed, they count as runs of the new incarnation that are being stopped, so they are charged and their tasks aren't started meanwhile. The new incarnation may still execute them before its first poll reaches it; that can't be ruled out without holding each such task back for 12 s.

--- a/quetzal/cell/cell.h
+++ b/quetzal/cell/cell.h
@@ -28,7 +28,9 @@
 //    `max_order_delay` after its lease would have expired. Polls extend leases
 //    late as well, so the same holds for all runs of a worker that restarted
 //    less than that ago. Once the platform's list has lost the worker, neither
-//    is waited for.
+//    is waited for. If the worker restarts within that time, starts that were
+//    stopped before are stopped again, 64 at most; the new incarnation may
+//    execute them before its first poll.
 //  - Ends of runs are acknowledged to workers only after they are stored.
 //  - Tasks of jobs that a former placer may have started wait until every open
 //    worker was reached or its leases have expired. Runs of closed workers
--- a/quetzal/cell/internal/state.h
+++ b/quetzal/cell/internal/state.h
@@ -79,6 +79,14 @@
   Time reported_at;
 };
 
+// A start without an answer whose run was stopped. The worker's next
+// incarnation, which knows of no stop, may execute it.
+struct StoppedStart {
+  TaskId task;
+  int64_t run = 0;
+  Time ordered_at;
+};
+
 struct Step;
 
 // Capacity on one worker that is reserved for a waiting gang.
@@ -129,6 +137,8 @@
   Time lease_extended_at;
   // The same of the orders that were sent to former incarnations.
   std::optional<Time> former_lease_extended_at;
+  // Oldest first.
+  std::deque<StoppedStart> stopped_starts;
   Resources used;
   // Runs of unknown jobs and size: with any the worker counts as full.
   int orphan_runs = 0;
--- a/quetzal/cell/internal/workers.cc
+++ b/quetzal/cell/internal/workers.cc
@@ -44,6 +44,8 @@
 // A worker that answers neither starts nor polls for longer may be gone, and
 // gets no more work meanwhile.
 constexpr Milliseconds kSlowStartAnswer{350};
+// Of each worker. Each of them costs a stop order to its next incarnation.
+constexpr size_t kMaxStoppedStarts = 64;
 
 // Removes a run and applies its end to the job.
 void EndRun(State* state, Worker* worker, const TaskId& task_id, int64_t number,
@@ -125,6 +127,44 @@
   worker->reached = false;
 }
 
+void RememberStoppedStart(const State& state, Worker* worker, const Run& run,
+                          Time now) {
+  std::erase_if(worker->stopped_starts, [&](const StoppedStart& start) {
+    return now - start.ordered_at > state.settings.max_order_delay;
+  });
+  if (now - run.ordered_at > state.settings.max_order_delay) return;
+  if (worker->stopped_starts.size() >= kMaxStoppedStarts) {
+    worker->stopped_starts.pop_front();
+  }
+  worker->stopped_starts.push_back({run.task, run.number, run.ordered_at});
+}
+
+// Has the starts that were stopped at the worker's former incarnation stopped
+// at the present one too.
+void StopStartsAgain(State* state, Worker* worker, Time now) {
+  for (const StoppedStart& start : std::exchange(worker->stopped_starts, {})) {
+    if (now - start.ordered_at > state->settings.max_order_delay ||
+        FindRun(worker, start.task, start.run) != nullptr) {
+      continue;
+    }
+    Run run{.task = start.task,
+            .number = start.run,
+            .job = state->FindJob(start.task.job),
+            .ordered_at = start.ordered_at};
+    if (run.job != nullptr) {
+      run.charge = run.job->steps[static_cast<size_t>(start.task.step)].charge;
+    }
+    ScheduleStop(worker, &run, now);
+    state->log->Line("start_stopped_again",
+                     {{"worker", worker->entry.id.text()},
+                      {"job", start.task.job.text()},
+                      {"step", start.task.step},
+                      {"task", start.task.index},
+                      {"run", start.run}});
+    AddRun(state, worker, std::move(run));
+  }
+}
+
 // Ends the runs that the former incarnation of a restarted worker has listed.
 // Other starts may yet be executed, or were, by the new incarnation (answers to
 // orders don't name it), so their runs are stopped there first.
@@ -143,6 +183,7 @@
     run.stop_worker_time.reset();
     ScheduleStop(worker, &run, now);
   }
+  StopStartsAgain(state, worker, now);
   worker->former_lease_extended_at = worker->lease_extended_at;
   ResetIncarnation(state, worker);
 }
@@ -340,6 +381,7 @@
     const bool was_stopped =
         run.stop_worker_time && *run.stop_worker_time < answer.clock;
     if (!was_there && !was_stopped) continue;
+    if (!IsConfirmed(run)) RememberStoppedStart(*state, worker, run, now);
     EndRun(state, worker, task_id, number,
            was_stopped ? TaskOutcome::kStopped : TaskOutcome::kLeaseExpired, "",
            now);
--- a/quetzal/cell/late_start_test.cc
+++ b/quetzal/cell/late_start_test.cc
@@ -64,6 +64,9 @@
   CPPUNIT_TEST(ALateExtensionIsWaitedFor);
   CPPUNIT_TEST(ALateExtensionOnAGoneWorkerDoesntDelayItsTask);
   CPPUNIT_TEST(ALateExtensionOfAnUnseenRunIsWaitedFor);
+  CPPUNIT_TEST(AStoppedStartIsStoppedAtTheNextIncarnationToo);
+  CPPUNIT_TEST(AnOldStoppedStartIsNotStoppedAgain);
+  CPPUNIT_TEST(StartsThatAreStoppedAgainAreLimited);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -210,6 +213,85 @@
     fleet.Run(Milliseconds(8'000));
     CPPUNIT_ASSERT(!fleet.ran_twice_);
   }
+
+  // The former incarnation's stop doesn't keep the next one from executing the
+  // start.
+  void AStoppedStartIsStoppedAtTheNextIncarnationToo() {
+    FakeFleet fleet(2);
+    fleet.Recover();
+    const StartAction start = OrderLateStart(&fleet, "a");
+    FakeWorker& worker = StopUnansweredStart(&fleet, start);
+    worker.entry.draining = false;
+    worker.Restart();
+    fleet.cell()->OnWorkerEntry(worker.entry, fleet.now());
+    fleet.Run(Milliseconds(100));
+    fleet.DeliverHeldStarts();
+    fleet.Run(Milliseconds(500));
+    CPPUNIT_ASSERT(!fleet.ran_twice_);
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, fleet.starts_.size());
+    // A further incarnation may execute it as well.
+    worker.Restart();
+    fleet.cell()->OnWorkerEntry(worker.entry, fleet.now());
+    fleet.Run(Milliseconds(100));
+    fleet.held_starts_ = {start};
+    fleet.DeliverHeldStarts();
+    CPPUNIT_ASSERT(!fleet.ran_twice_);
+    // The stops leave no charge behind.
+    fleet.cell()->OnJob(FakeFleet::MakeJob("b", {FakeFleet::MakeStep(7)}),
+                        Revision{2}, std::nullopt, fleet.now());
+    fleet.Run(Milliseconds(500));
+    CPPUNIT_ASSERT_EQUAL(size_t{8}, fleet.running());
+  }
+
+  void StartsThatAreStoppedAgainAreLimited() {
+    constexpr int kStarts = 100;
+    constexpr int kLimit = 64;
+    FakeFleet fleet(1);
+    fleet.task_size_ = {.cpu_milli = 1, .memory_mib = 1};
+    FakeWorker& worker = fleet.workers_.begin()->second;
+    worker.entry.capacity.memory_mib = 100 * kStarts;
+    fleet.cell()->OnWorkerEntry(worker.entry, fleet.now());
+    fleet.Recover();
+    fleet.hold_starts_ = true;
+    fleet.cell()->OnJob(
+        FakeFleet::MakeJob("a", {FakeFleet::MakeStep(kStarts, 1)}), Revision{1},
+        std::nullopt, fleet.now());
+    fleet.Run(Milliseconds(20));
+    CPPUNIT_ASSERT_EQUAL(size_t{kStarts}, fleet.held_starts_.size());
+    fleet.cell()->OnCancel(JobId("a"), fleet.now());
+    fleet.Run(Milliseconds(500));
+    CPPUNIT_ASSERT_EQUAL(kStarts, fleet.stops_);
+    worker.Restart();
+    fleet.Run(Milliseconds(500));
+    CPPUNIT_ASSERT_EQUAL(kStarts + kLimit, fleet.stops_);
+  }
+
+  void AnOldStoppedStartIsNotStoppedAgain() {
+    FakeFleet fleet(2);
+    fleet.Recover();
+    const StartAction start = OrderLateStart(&fleet, "a");
+    FakeWorker& worker = StopUnansweredStart(&fleet, start);
+    fleet.Run(Milliseconds(12'000));
+    const int stops = fleet.stops_;
+    worker.Restart();
+    fleet.Run(Milliseconds(500));
+    CPPUNIT_ASSERT_EQUAL(stops, fleet.stops_);
+  }
+
+ private:
+  // The worker confirms the stop, and the task starts at another one.
+  static FakeWorker& StopUnansweredStart(FakeFleet* fleet,
+                                         const StartAction& start) {
+    FakeWorker& worker = fleet->workers_.at(start.worker.id);
+    worker.entry.draining = true;
+    fleet->cell()->OnWorkerEntry(worker.entry, fleet->now());
+    ReportNoAnswer(fleet, start);
+    fleet->Run(Milliseconds(300));
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, fleet->starts_.size());
+    CPPUNIT_ASSERT(fleet->starts_[1].worker.id != start.worker.id);
+    CPPUNIT_ASSERT(!fleet->ran_twice_);
+    return worker;
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LateStartTest);
