An acknowledgement executed late loses fewer ends of a restarted worker

A task that had ended `done` could start again, if its worker restarted shortly before.

Cause: every poll acknowledged the newest stored end again. A poll without an answer may be executed up to 12 s later, also by the worker's next incarnation, whose ends are numbered from 1 again: it forgets its ends up to that number, though the placer hasn't seen them.

Evidence: AnAcknowledgementOfAFormerIncarnationLosesNoEnds failed before (3 starts, 2 expected), and passes now.

Change: once the incarnation has answered a poll with the acknowledgement, polls acknowledge nothing until there are newer ends. Polls that acknowledge an end for the first time and get no answer remain: the worker can't be told which incarnation they are meant for.

Polls with `last-seen` 0 that wait at the worker are sent today after each takeover, and the stand-in (worker_pool.cc) waits while no ends are left.

--- a/quetzal/cell/internal/state.h
+++ b/quetzal/cell/internal/state.h
@@ -120,6 +120,8 @@
   Time clock_received_at;  // when that answer arrived
   uint64_t run_lists = 0;  // number of run lists that it sent
   int64_t last_acknowledged = 0;
+  // In polls that this incarnation answered.
+  int64_t confirmed_acknowledgement = 0;
   int64_t last_applied_end = 0;
   std::deque<UnacknowledgedEnd> unacked;
   // Where it last answered this placer or, by the roster, a former one. The
--- a/quetzal/cell/internal/workers.cc
+++ b/quetzal/cell/internal/workers.cc
@@ -121,6 +121,7 @@
 
 void ResetIncarnation(State* state, Worker* worker) {
   worker->last_acknowledged = 0;
+  worker->confirmed_acknowledgement = 0;
   worker->last_applied_end = 0;
   DropUnacknowledged(state, worker);
   worker->clock = WorkerTime{0};
@@ -464,10 +465,14 @@
       !worker->unresponsive && worker->reached &&
       (worker->listed || now - worker->unlisted_since < kUnlistedGrace);
   // A worker that was silent may be another incarnation, whose ends are
-  // numbered from 1 again and must not count as acknowledged.
+  // numbered from 1 again and must not count as acknowledged. It may execute a
+  // poll late, so ends are acknowledged only until a poll is answered.
+  const bool acknowledges =
+      !worker->unresponsive &&
+      worker->last_acknowledged > worker->confirmed_acknowledgement;
   PollRequest request{
       .fence = state->fence,
-      .acknowledged_end = worker->unresponsive ? 0 : worker->last_acknowledged};
+      .acknowledged_end = acknowledges ? worker->last_acknowledged : 0};
   if (extends) {
     request.lease_until =
         WorkerTime{static_cast<int64_t>(EstimateClock(*worker, now)) +
@@ -669,6 +674,9 @@
       EndFormerIncarnation(state, worker, now);
     }
     worker->incarnation = answer.incarnation;
+  } else {
+    worker->confirmed_acknowledgement =
+        std::max(worker->confirmed_acknowledgement, request.acknowledged_end);
   }
   if (worker->unresponsive) {
     state->log->ImportantLine("worker_back",
