--- a/quetzal/http_client/http_client_pause_test.cc
+++ b/quetzal/http_client/http_client_pause_test.cc
@@ -37,6 +37,7 @@
  private:
   void Serve(int count) {
     std::vector<int> connections;
+    connections.reserve(static_cast<size_t>(count));
     std::array<char, 4'096> request;
     for (int i = 0; i < count; ++i) {
       connections.push_back(accept(listener_.descriptor(), nullptr, nullptr));
