A job counts as begun once a worker shows a start

A job was marked as running when its first start was ordered; an order without an answer has no effect for as long as a lease lasts. A new placer also marked it for a run that only the roster lists, which its worker may never have received.

Change: a job is marked, and written, when a start is answered, when its worker lists the run, or when an end done or failed is reported.

Evidence: queued_job_test fails before in AnOrderWithoutEffectLeavesTheJobQueued and in AnOrderToASilentWorkerLeavesTheJobQueuedAtATakeover (new); all four of its tests pass after. ABegunJobIsStoredOnce guards the number of writes.

--- a/quetzal/cell/internal/jobs.cc
+++ b/quetzal/cell/internal/jobs.cc
@@ -119,6 +119,15 @@
   state->dirty_jobs.push_back(job->accepted.id);
 }
 
+void MarkBegun(State* state, Job* job, Time now) {
+  if (job->state != JobState::kQueued) return;
+  job->state = JobState::kRunning;
+  state->metrics->Observe(
+      "quetzal_wait_ms", {{"queue", job->queue_config.name.text()}},
+      static_cast<double>((now - job->known_since).count()));
+  MarkProgressChanged(state, job);
+}
+
 bool HasWaitingTasks(const Step& step) {
   if (!step.ready) return false;
   if (step.spec->gang) {
@@ -240,6 +249,10 @@
     task.progress.checkpoint = checkpoint;
     step.gang_checkpoint = checkpoint;
   }
+  // The answer to its start may have been lost.
+  if (how == TaskOutcome::kDone || how == TaskOutcome::kFailed) {
+    MarkBegun(state, job, now);
+  }
   if (step.spec->long_running) {
     if (IsFinal(job->state)) return;
     ApplyLongRunningEnd(state, job, task_id, run, how, now);
--- a/quetzal/cell/internal/jobs.h
+++ b/quetzal/cell/internal/jobs.h
@@ -12,6 +12,9 @@
 void SetQueueConfig(Job* job, const Queue& config);
 // Marks the job's progress as changed, so that it is stored.
 void MarkProgressChanged(State* state, Job* job);
+// Called when a worker has shown that a task of the job began. An order alone
+// may have no effect for as long as a lease lasts.
+void MarkBegun(State* state, Job* job, Time now);
 void AddJob(State* state, const AcceptedJob& accepted, Revision created,
             const std::optional<JobProgress>& progress, Time now);
 void CancelJob(State* state, Job* job, Time now);
--- a/quetzal/cell/internal/orders.cc
+++ b/quetzal/cell/internal/orders.cc
@@ -113,6 +113,7 @@
           run->state = RunState::kRunning;
           run->progressed_at = now;
         }
+        if (run->job != nullptr) MarkBegun(state, run->job, now);
       }
       return;
     case OrderOutcome::kFenced:
--- a/quetzal/cell/internal/placement.cc
+++ b/quetzal/cell/internal/placement.cc
@@ -168,13 +168,6 @@
                              {"worker", worker->entry.id.text()},
                              {"waited_ms", (now - step.ready_since).count()}});
   state->actions.emplace_back(StartAction{worker->entry, std::move(order)});
-  if (job->state == JobState::kQueued) {
-    job->state = JobState::kRunning;
-    state->metrics->Observe(
-        "quetzal_wait_ms", {{"queue", job->queue_config.name.text()}},
-        static_cast<double>((now - job->known_since).count()));
-    MarkProgressChanged(state, job);
-  }
 }
 
 int64_t NextRunNumber(const State& state, int64_t last_run) {
--- a/quetzal/cell/internal/workers.cc
+++ b/quetzal/cell/internal/workers.cc
@@ -357,13 +357,14 @@
                                     : "no");
   AddRun(state, worker, std::move(run));
   if (known) LogIfBeyondLimits(state, *worker, *job, row);
-  if (wanted) {
-    if (job->state == JobState::kQueued) {
-      job->state = JobState::kRunning;
-      MarkProgressChanged(state, job);
-    }
-    UpdateReadiness(state, job, now);
-  }
+  if (wanted) UpdateReadiness(state, job, now);
+}
+
+// Called for a run that its worker has listed.
+void MarkJobBegun(State* state, Worker* worker, const RunningTask& row,
+                  Time now) {
+  const Run* const run = FindRun(worker, row.task, row.run);
+  if (run != nullptr && run->job != nullptr) MarkBegun(state, run->job, now);
 }
 
 // Ends runs that are missing from a run list although the worker made the list
@@ -436,12 +437,14 @@
       run->state = RunState::kRunning;
       run->start_worker_time = answer.clock;
     }
+    if (run->job != nullptr) MarkBegun(state, run->job, now);
   }
   // A run that ended must not keep another run of its task from being adopted.
   EndMissingRuns(state, worker, sent, answer, now);
   for (const RunningTask& row : answer.running) {
     if (FindRun(worker, row.task, row.run) == nullptr) {
       AdoptRun(state, worker, row, now);
+      MarkJobBegun(state, worker, row, now);
     }
   }
 }
@@ -575,6 +578,7 @@
       const RunningTask row{task_id, number, run->checkpoint};
       RemoveRun(state, &worker, task_id, number);
       AdoptRun(state, &worker, row, now);
+      MarkJobBegun(state, &worker, row, now);
     }
   }
 }
