Leases don't count as expired while another placer may lead

Cause: a placer whose lease of the leader key ended goes on while a majority of the workers confirms it, as it should when the store is away for all. If it can't reach some workers, it counted their leases as expired after 6.5 s and started their tasks elsewhere. But its successor reached these workers, adopted the runs and extended the leases.

Change: leases count as expired only while this placer has a valid lease of the leader key. If it has one again in the same term, there was no other term.

Evidence: LeasesThatASuccessorMayExtendDontExpire and FormerLeasesThatASuccessorMayExtendDontExpire failed before (2 starts, 1 expected).

--- a/quetzal/cell/cell.h
+++ b/quetzal/cell/cell.h
@@ -17,7 +17,9 @@
 //  - A run ends when its worker reports so, when the worker's next incarnation
 //    or another worker at its address answers, or when its lease has certainly
 //    expired. Until then it is charged to its worker and team, and its task
-//    isn't started elsewhere. Silence and entries of the list end no runs.
+//    isn't started elsewhere. Leases don't count as expired while another
+//    placer may lead, as that one may extend them. Silence and entries of the
+//    list end no runs.
 //  - Only workers that are open in the stored roster get work, so that the next
 //    placer accounts for them even if the platform's list no longer has them,
 //    and doesn't wait for others. Workers that never answered aren't in it.
--- a/quetzal/cell/internal/accounting.cc
+++ b/quetzal/cell/internal/accounting.cc
@@ -191,13 +191,16 @@
     state->former_outvoted_at = now;
   }
   const Milliseconds lease = MaxLeaseLifetime(*state);
-  const bool expired = HaveFormerLeasesExpired(*state, now);
+  const bool former_expired = HaveFormerLeasesExpired(*state, now);
+  // A successor may reach workers that this placer can't, and extend leases.
+  const bool may_expire = state->leadership_is_certain;
+  const bool expired = former_expired && may_expire;
   const bool is_ready = state->recovered && state->workers_listed;
   bool all_accounted = is_ready;
   bool all_runs_known = is_ready;
   for (auto& [id, worker] : state->workers) {
     if (worker.reached || worker.known_empty) {
-      EndExpiredRuns(state, &worker, now);
+      if (may_expire) EndExpiredRuns(state, &worker, now);
       continue;
     }
     if (expired && state->workers_listed) {
--- a/quetzal/cell/lease_expiry_test.cc
+++ b/quetzal/cell/lease_expiry_test.cc
@@ -25,6 +25,8 @@
   CPPUNIT_TEST(ALateListOfTheFormerIncarnationEndsNoRuns);
   CPPUNIT_TEST(AnotherRunOfATaskDoesntStartItAgain);
   CPPUNIT_TEST(AWorkerThatLeftTheListIsNotPolledWithoutPause);
+  CPPUNIT_TEST(LeasesThatASuccessorMayExtendDontExpire);
+  CPPUNIT_TEST(FormerLeasesThatASuccessorMayExtendDontExpire);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -314,6 +316,41 @@
     fleet.Run(Milliseconds(2'000));
     CPPUNIT_ASSERT(fleet.polls_ - polls <= 11);
   }
+  // The placer has no valid lease of the leader key, but a majority. Another
+  // one may lead that reaches the worker.
+  void LeasesThatASuccessorMayExtendDontExpire() {
+    FakeFleet fleet(3);
+    fleet.Recover();
+    const AcceptedJob job = FakeFleet::MakeJob("a", {FakeFleet::MakeStep(1)});
+    fleet.cell()->OnJob(job, Revision{1}, std::nullopt, fleet.now());
+    fleet.Run(Milliseconds(100));
+    fleet.WorkerOf(Task("a", 0, 0)).unresponsive = true;
+    fleet.cell()->OnLeadership(/*is_certain=*/false);
+    fleet.Run(Milliseconds(10'000));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, fleet.starts_.size());
+    // Its lease of the leader key was renewed, so no other placer was elected.
+    fleet.cell()->OnLeadership(/*is_certain=*/true);
+    fleet.Run(Milliseconds(100));
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, fleet.starts_.size());
+  }
+
+  void FormerLeasesThatASuccessorMayExtendDontExpire() {
+    FakeFleet fleet(3);
+    fleet.Recover();
+    const AcceptedJob job = FakeFleet::MakeJob("a", {FakeFleet::MakeStep(1)});
+    fleet.cell()->OnJob(job, Revision{1}, std::nullopt, fleet.now());
+    fleet.Run(Milliseconds(100));
+    fleet.WorkerOf(Task("a", 0, 0)).unresponsive = true;
+    fleet.StartTerm(Fence{9}, 32);
+    fleet.cell()->OnJob(job, Revision{1}, std::nullopt, fleet.now());
+    fleet.Recover();
+    fleet.cell()->OnLeadership(/*is_certain=*/false);
+    fleet.Run(Milliseconds(12'000));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, fleet.starts_.size());
+    fleet.cell()->OnLeadership(/*is_certain=*/true);
+    fleet.Run(Milliseconds(100));
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, fleet.starts_.size());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LeaseExpiryTest);
