HTTP client: time limits count by the wall clock, after a complete round

Change: limits are those of the monotonic clock again, and count once all sockets have been handled that were ready after them.

--- a/quetzal/http_client/http_client.cc
+++ b/quetzal/http_client/http_client.cc
@@ -51,7 +51,7 @@
 }
 
 struct Transfer;
-using Deadlines = std::multimap<gint64, Transfer*>;  // by attended time
+using Deadlines = std::multimap<gint64, Transfer*>;  // on the monotonic clock
 
 struct Transfer {
   CURL* easy = nullptr;
@@ -81,11 +81,17 @@
   return true;
 }
 
-// Called before each copy of the request, on new and reused connections.
+// Called before each copy of the request, on new and reused connections. A
+// request doesn't leave after its time limit, as its sender may no longer have
+// the right to send it.
 int OnBeforeRequest(void* data, char* /*peer*/, char* /*local*/,
                     int /*peer_port*/, int /*local_port*/) {
   auto* const transfer = static_cast<Transfer*>(data);
   if (PreventsRepetition(transfer)) return CURL_PREREQFUNC_ABORT;
+  // The deadline of its connection, if it wasn't sent before.
+  const bool is_too_late =
+      transfer->next_deadline->first <= g_get_monotonic_time();
+  if (!transfer->may_be_sent && is_too_late) return CURL_PREREQFUNC_ABORT;
   transfer->may_be_sent = true;
   return CURL_PREREQFUNC_OK;
 }
@@ -157,9 +163,8 @@
       : shards_(static_cast<size_t>(
             std::clamp(limits.max_idle_connections / kIdleConnectionsPerShard,
                        1, kMaxShards))),
-        source_(std::make_unique<ReadySource>(
-            sockets_.descriptor(),
-            [this](bool timer_expired) { OnReady(timer_expired); })) {
+        source_(std::make_unique<ReadySource>(sockets_.descriptor(),
+                                              [this] { OnReady(); })) {
     const int idle_connections =
         limits.max_idle_connections / static_cast<int>(shards_.size());
     for (size_t i = 0; i < shards_.size(); ++i) {
@@ -198,10 +203,11 @@
     transfer->easy = AcquireHandle();
     Prepare(request, transfer);
     transfers_.insert(transfer);
-    const gint64 now_us = source_->attended_us();
-    transfer->deadline_us = now_us + Microseconds(request.timeout);
-    AddDeadline(transfer, now_us + Microseconds(std::min(kConnectTimeout,
-                                                         request.timeout)));
+    transfer->deadline_us =
+        transfer->started_us + Microseconds(request.timeout);
+    AddDeadline(transfer,
+                transfer->started_us +
+                    Microseconds(std::min(kConnectTimeout, request.timeout)));
     if (transfer->stall_timeout_us > 0) {
       may_stall_.insert(transfer);
       ScheduleStallCheck();
@@ -312,6 +318,7 @@
 
   void UpdateTimer() {
     std::optional<gint64> first;
+    if (!deadlines_.empty()) first = deadlines_.begin()->first;
     for (const Shard& shard : shards_) {
       if (shard.timer_us && (!first || *shard.timer_us < *first)) {
         first = shard.timer_us;
@@ -327,20 +334,22 @@
       shard.timer_us.reset();
       RunSocketAction(&shard, CURL_SOCKET_TIMEOUT, 0);
     }
-    UpdateTimer();
   }
 
   // libcurl's own time limits aren't used: after a pause of this process it
-  // ends requests whose answers wait to be read.
-  void OnReady(bool timer_expired) {
+  // ends requests whose answers wait to be read. Here the limits count once all
+  // sockets that were ready after them have been handled.
+  void OnReady() {
     const TurnProfile::Section section("http client");
+    const gint64 began_us = g_get_monotonic_time();
     const bool is_complete = HandleReadySockets();
-    if (timer_expired) RunExpiredTimers();
+    RunExpiredTimers();
     FinishTransfers();
     incomplete_rounds_ = is_complete ? 0 : incomplete_rounds_ + 1;
     if (is_complete || incomplete_rounds_ > kMaxIncompleteRounds) {
-      FinishExpired();
+      FinishExpired(began_us);
     }
+    UpdateTimer();
   }
 
   // Returns whether no other sockets were ready.
@@ -360,21 +369,13 @@
     return round.is_complete;
   }
 
-  void AddDeadline(Transfer* transfer, gint64 attended_us) {
-    transfer->next_deadline = deadlines_.emplace(attended_us, transfer);
-    source_->SetDeadline(deadlines_.begin()->first);
-  }
-
-  void RemoveDeadline(Transfer* transfer) {
-    deadlines_.erase(transfer->next_deadline);
-    source_->SetDeadline(deadlines_.empty()
-                             ? std::nullopt
-                             : std::optional(deadlines_.begin()->first));
+  void AddDeadline(Transfer* transfer, gint64 deadline_us) {
+    transfer->next_deadline = deadlines_.emplace(deadline_us, transfer);
+    UpdateTimer();
   }
 
   // The first deadline of a request is that of its connection.
-  void FinishExpired() {
-    const gint64 now_us = source_->attended_us();
+  void FinishExpired(gint64 now_us) {
     std::vector<Transfer*> expired;
     for (const auto& [deadline_us, transfer] : deadlines_) {
       if (deadline_us > now_us) break;
@@ -382,7 +383,7 @@
     }
     for (Transfer* const transfer : expired) {
       if (transfer->may_be_sent && transfer->deadline_us > now_us) {
-        RemoveDeadline(transfer);
+        deadlines_.erase(transfer->next_deadline);
         AddDeadline(transfer, transfer->deadline_us);
       } else {
         Finish(transfer, CURLE_OPERATION_TIMEDOUT);
@@ -472,7 +473,7 @@
     curl_multi_remove_handle(shards_[transfer->shard].multi, transfer->easy);
     transfers_.erase(transfer);
     may_stall_.erase(transfer);
-    RemoveDeadline(transfer);
+    deadlines_.erase(transfer->next_deadline);
     transfer->callback(result);
     Free(transfer);
   }
--- a/quetzal/http_client/http_client.h
+++ b/quetzal/http_client/http_client.h
@@ -28,8 +28,9 @@
   std::string url;
   std::vector<std::string> headers;  // "Name: value"
   std::string body;                  // sent as JSON if not empty
-  // From `Send` to the end of the response. Of the time in which this process
-  // is busy or paused, and reads no responses, only a part counts.
+  // From `Send` to the end of the response. A response that has arrived is read
+  // even if this process was busy or paused until after its limit. A request
+  // that couldn't be sent within its limit, or within a second, isn't sent.
   Milliseconds timeout{1'000};
   // Ends the request earlier, within 100 ms more, if no bytes are sent or
   // arrive for this long. 0: never. Lets a large response take its time on a
