--- a/quetzal/http_client/http_client_pause_test.cc
+++ b/quetzal/http_client/http_client_pause_test.cc
@@ -7,6 +7,7 @@
 #include <atomic>
 #include <future>
 #include <memory>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -68,6 +69,8 @@
 class HttpClientPauseTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(HttpClientPauseTest);
   CPPUNIT_TEST(AnswersThatArriveDuringAPauseAreRead);
+  CPPUNIT_TEST(ARequestIsntSentAfterItsLimit);
+  CPPUNIT_TEST(BusyTurnsDontExtendALimit);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -98,6 +101,41 @@
     CPPUNIT_ASSERT_EQUAL(0, failed);
     CPPUNIT_ASSERT_EQUAL(kRequests, answered);
   }
+
+  // The connection is established during the pause.
+  void ARequestIsntSentAfterItsLimit() {
+    const Listener listener(/*backlog=*/10);
+    const auto client = HttpClient::Create({});
+    std::optional<HttpClientResult> result;
+    client->Send({.method = "POST",
+                  .url = listener.url(),
+                  .timeout = Milliseconds(1'000)},
+                 [&](const HttpClientResult& given) { result = given; });
+    g_main_context_iteration(nullptr, FALSE);
+    std::this_thread::sleep_for(Milliseconds(2'000));
+    const gint64 until = g_get_monotonic_time() + kMaxTestUs;
+    while (!result && g_get_monotonic_time() < until) {
+      g_main_context_iteration(nullptr, FALSE);
+    }
+    CPPUNIT_ASSERT(result.has_value());
+    CPPUNIT_ASSERT(result->kind == HttpClientResult::Kind::kNotSent);
+  }
+
+  void BusyTurnsDontExtendALimit() {
+    constexpr Milliseconds kTimeout{1'000};
+    constexpr Milliseconds kTurn{200};
+    const Listener listener(/*backlog=*/10);  // answers nothing
+    const auto client = HttpClient::Create({});
+    std::optional<HttpClientResult> result;
+    client->Send({.method = "POST", .url = listener.url(), .timeout = kTimeout},
+                 [&](const HttpClientResult& given) { result = given; });
+    for (int i = 0; i < 2 * kTimeout / kTurn && !result; ++i) {
+      g_main_context_iteration(nullptr, FALSE);
+      std::this_thread::sleep_for(kTurn);
+    }
+    CPPUNIT_ASSERT(result.has_value());
+    CPPUNIT_ASSERT(result->kind == HttpClientResult::Kind::kNoAnswer);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpClientPauseTest);
