Advice: replies that arrived during a pause aren't taken for lost

Cause: after a turn of the main loop that outlasts a query's limit, its timer runs before the replies that gRPC's threads have posted meanwhile.

Change: an expired query is given up a turn later, after the posted replies.

--- a/quetzal/advice_pool/advice_pool.cc
+++ b/quetzal/advice_pool/advice_pool.cc
@@ -117,12 +117,16 @@
   }
   found->second.pending[request.id()] = std::move(done);
   found->second.link->Send(request);
-  after_(timeout + kReplyMargin,
-         lifetime_.Guard([this, machine, id = request.id()] {
-           wire::AdviceReply no_reply;
-           no_reply.set_id(id);
-           OnReply(machine, no_reply);
-         }));
+  const auto give_up = lifetime_.Guard([this, machine, id = request.id()] {
+    wire::AdviceReply no_reply;
+    no_reply.set_id(id);
+    OnReply(machine, no_reply);
+  });
+  // Replies that arrived while this process was busy are handled after the
+  // timers that have expired meanwhile.
+  after_(timeout + kReplyMargin, lifetime_.Guard([this, give_up] {
+    after_(Milliseconds(0), give_up);
+  }));
 }
 
 void AdvicePool::OnReply(const std::string& machine,
--- a/quetzal/advice_pool/advice_pool_test.cc
+++ b/quetzal/advice_pool/advice_pool_test.cc
@@ -3,6 +3,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <glib.h>
 
+#include <thread>
+
 #include "quetzal/program/program.h"
 #include "quetzal/store/testing/memory_store.h"
 
@@ -25,8 +27,14 @@
     for (size_t i = 0; i < query.workers.size(); i += 2) {
       answer.permits.push_back({query.workers[i], "t"});
     }
-    RunAfterOneMillisecond([answer, done = std::move(done)] { done(answer); });
+    RunAfterOneMillisecond([this, answer, done = std::move(done)] {
+      done(answer);
+      if (pause_.count() > 0) std::this_thread::sleep_for(pause_);
+    });
   }
+
+  // Of the main loop, after each answer.
+  Milliseconds pause_{0};
 };
 
 bool RunUntil(const std::function<bool()>& condition) {
@@ -48,6 +56,7 @@
   CPPUNIT_TEST(SendsTheQueryToTheNamedHelper);
   CPPUNIT_TEST(CanBeDestroyedWithPendingQueries);
   CPPUNIT_TEST(QueryToAnUnknownHelperFailsAtOnce);
+  CPPUNIT_TEST(AReplyThatArrivesDuringAPauseIsHandled);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -91,6 +100,20 @@
     CPPUNIT_ASSERT(failed);
   }
 
+  void AReplyThatArrivesDuringAPauseIsHandled() {
+    advice_.pause_ = Milliseconds(800);
+    AdviceHelper helper(FreeAddress(2), "vm-1", &advice_, &store_, &RunAfter,
+                        &log_);
+    CPPUNIT_ASSERT(helper.Start());
+    const std::unique_ptr<AdvicePool> pool = StartPool();
+    CPPUNIT_ASSERT(RunUntil([this] { return helpers_.size() == 1; }));
+    std::optional<AdviceAnswer> answer;
+    pool->Ask(helpers_[0], Query(), Milliseconds(500),
+              [&](const AdviceAnswer& given) { answer = given; });
+    CPPUNIT_ASSERT(RunUntil([&] { return answer.has_value(); }));
+    CPPUNIT_ASSERT(answer->kind == AdviceAnswer::Kind::kAnswered);
+  }
+
  private:
   static AdviceQuery Query() {
     return {.job = JobId("a"),
