What a restarted worker may execute late is remembered beyond the list

Cause: a worker without runs was forgotten when it left the platform's list, with the starts that were stopped at it.

--- a/quetzal/cell/internal/workers.cc
+++ b/quetzal/cell/internal/workers.cc
@@ -140,6 +140,15 @@
   worker->stopped_starts.push_back({run.task, run.number, run.ordered_at});
 }
 
+// True while an order whose effect this placer has to undo may be executed.
+bool MayExecuteOldOrders(const State& state, const Worker& worker, Time now) {
+  const Milliseconds delay = state.settings.max_order_delay;
+  return (!worker.stopped_starts.empty() &&
+          now - worker.stopped_starts.back().ordered_at <= delay) ||
+         (worker.former_lease_extended_at &&
+          now - *worker.former_lease_extended_at <= delay);
+}
+
 // Has the starts that were stopped at the worker's former incarnation stopped
 // at the present one too.
 void StopStartsAgain(State* state, Worker* worker, Time now) {
@@ -730,7 +739,8 @@
   for (auto each = state->workers.begin(); each != state->workers.end();) {
     Worker& worker = each->second;
     if (!worker.listed && !IsUnaccounted(worker) && worker.runs.empty() &&
-        worker.unacked.empty() && !worker.poll_in_flight) {
+        worker.unacked.empty() && !worker.poll_in_flight &&
+        !MayExecuteOldOrders(*state, worker, now)) {
       state->slots[worker.slot] = nullptr;
       each = state->workers.erase(each);
       state->roster_changed = true;
--- a/quetzal/cell/late_start_test.cc
+++ b/quetzal/cell/late_start_test.cc
@@ -65,6 +65,7 @@
   CPPUNIT_TEST(ALateExtensionOnAGoneWorkerDoesntDelayItsTask);
   CPPUNIT_TEST(ALateExtensionOfAnUnseenRunIsWaitedFor);
   CPPUNIT_TEST(AStoppedStartIsStoppedAtTheNextIncarnationToo);
+  CPPUNIT_TEST(AStoppedStartIsRememberedWhileItsWorkerIsNotListed);
   CPPUNIT_TEST(AnOldStoppedStartIsNotStoppedAgain);
   CPPUNIT_TEST(StartsThatAreStoppedAgainAreLimited);
   CPPUNIT_TEST_SUITE_END();
@@ -216,6 +217,26 @@
 
   // The former incarnation's stop doesn't keep the next one from executing the
   // start.
+  void AStoppedStartIsRememberedWhileItsWorkerIsNotListed() {
+    FakeFleet fleet(2);
+    fleet.Recover();
+    const StartAction start = OrderLateStart(&fleet, "a");
+    FakeWorker& worker = StopUnansweredStart(&fleet, start);
+    worker.entry.draining = false;
+    worker.unresponsive = true;
+    fleet.Run(Milliseconds(500));
+    fleet.cell()->OnWorkerEntryRemoved(worker.entry.id, fleet.now());
+    fleet.Run(Milliseconds(1'000));
+    worker.unresponsive = false;
+    worker.Restart();
+    fleet.cell()->OnWorkerEntry(worker.entry, fleet.now());
+    fleet.Run(Milliseconds(100));
+    fleet.DeliverHeldStarts();
+    fleet.Run(Milliseconds(500));
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, fleet.starts_.size());
+    CPPUNIT_ASSERT(!fleet.ran_twice_);
+  }
+
   void AStoppedStartIsStoppedAtTheNextIncarnationToo() {
     FakeFleet fleet(2);
     fleet.Recover();
