Decisions: no limit on searches for workers to query

With decisions every 50 ms, 60 steps that fit nowhere delayed one that fits by 1,550 ms instead of 100; with long calls a small step still waited after 3,000 ms.

--- a/quetzal/cell/cell.cc
+++ b/quetzal/cell/cell.cc
@@ -20,10 +20,6 @@
 // leader key.
 constexpr Milliseconds kMaxMajorityAge{2'400};
 
-// Of workers to query about a step. Bounds the duration of a decision however
-// many steps wait; those that are left out are searched for in a later one.
-constexpr int kMaxSearchesPerDecision = 50;
-
 void QueueWrite(cell::State* state, cell::Job* job) {
   if (std::exchange(job->dirty, true)) return;
   state->dirty_jobs.push_back(job->accepted.id);
@@ -195,7 +191,6 @@
   const std::vector<cell::WaitingStep> order =
       cell::WaitingStepsInOrder(state, now);
   cell::PlanReservations(&state, order, now);
-  state.searches_left = kMaxSearchesPerDecision;
   for (const cell::WaitingStep& step : order) {
     cell::PlaceStep(&state, step, now);
     cell::RequestAdvice(&state, step, now);
--- a/quetzal/cell/internal/advice_queries.cc
+++ b/quetzal/cell/internal/advice_queries.cc
@@ -134,12 +134,9 @@
   if (now < step.next_query_at || state->helpers.empty()) return;
   const AdviceConfig& config = *job.queue_config.advice;
   // Checked before the expensive search, as most steps wait for a free helper.
-  if (state->searches_left <= 0) return;
   if (state->helpers.Choose(config.per_call_ms, now) == nullptr) return;
   if (IsTooEarlyToRenew(step, config, now)) return;
   if (CountWithinTeamLimit(*state, job, step) <= 0) return;
-  --state->searches_left;
-  state->metrics->Count("quetzal_advice_searches_total");
   const std::vector<QueryCandidate> candidates =
       SelectWorkersToQuery(*state, job, step, now);
   if (candidates.empty()) {
--- a/quetzal/cell/internal/state.h
+++ b/quetzal/cell/internal/state.h
@@ -272,8 +272,6 @@
   // What runs that aren't charged may take of any team's limit, in the current
   // decision.
   Resources uncharged_capacity;
-  // Searches for workers to query that the current decision may still make.
-  int searches_left = 0;
   std::unordered_map<JobId, std::unique_ptr<Job>> jobs;
   // Jobs whose cancellation arrived before their acceptance, as the store's
   // keys arrive in any order.
