--- a/quetzal/cell/split_list_test.cc
+++ b/quetzal/cell/split_list_test.cc
@@ -22,6 +22,8 @@
   CPPUNIT_TEST(WorkersThatLeftTheListCountWhileTheStoreHasThem);
   CPPUNIT_TEST(WorkersOfAWriteWithoutAnswerCount);
   CPPUNIT_TEST(AMajorityGoesOnWithoutALeaseForALimitedTime);
+  CPPUNIT_TEST(APlacerThatMayHaveASuccessorLetsNoLeasesExpire);
+  CPPUNIT_TEST(APlacerThatMayHaveASuccessorLetsNoFormerLeasesExpire);
   CPPUNIT_TEST(TasksGoOnAfterAShortHalt);
   CPPUNIT_TEST(TasksStartAgainAfterALongHalt);
   CPPUNIT_TEST_SUITE_END();
@@ -189,6 +191,43 @@
     CPPUNIT_ASSERT(may_send_orders(-kMoment));
   }
 
+  // The successor, which reaches the worker, may extend them.
+  void APlacerThatMayHaveASuccessorLetsNoLeasesExpire() {
+    FakeFleet fleet(3);
+    fleet.Recover();
+    fleet.cell()->OnJob(FakeFleet::MakeJob("a", {FakeFleet::MakeStep(1)}),
+                        Revision{1}, std::nullopt, fleet.now());
+    fleet.Run(Milliseconds(500));
+    fleet.WorkerOf(Task("a", 0, 0)).unresponsive = true;
+    fleet.cell()->OnLeadership(/*is_certain=*/false);
+    fleet.Run(kUntilLeasesExpired);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, fleet.starts_.size());
+    // The store renewed its lease after all, so no other placer was elected.
+    fleet.cell()->OnLeadership(/*is_certain=*/true);
+    fleet.Run(Milliseconds(500));
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, fleet.starts_.size());
+    CPPUNIT_ASSERT(!fleet.ran_twice_);
+  }
+
+  void APlacerThatMayHaveASuccessorLetsNoFormerLeasesExpire() {
+    FakeFleet fleet(3);
+    fleet.Recover();
+    const AcceptedJob job = FakeFleet::MakeJob("a", {FakeFleet::MakeStep(1)});
+    fleet.cell()->OnJob(job, Revision{1}, std::nullopt, fleet.now());
+    fleet.Run(Milliseconds(500));
+    fleet.WorkerOf(Task("a", 0, 0)).unresponsive = true;
+    fleet.StartTerm(Fence{9}, 32);
+    fleet.cell()->OnJob(job, Revision{1}, std::nullopt, fleet.now());
+    fleet.Recover();
+    fleet.cell()->OnLeadership(/*is_certain=*/false);
+    fleet.Run(kMaxTimeWithoutLease + kUntilLeasesExpired);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, fleet.starts_.size());
+    fleet.cell()->OnLeadership(/*is_certain=*/true);
+    fleet.Run(Milliseconds(500));
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, fleet.starts_.size());
+    CPPUNIT_ASSERT(!fleet.ran_twice_);
+  }
+
   void TasksGoOnAfterAShortHalt() { HaltFor(Milliseconds(4'000), 4); }
 
   // Their leases ended meanwhile.
--- a/quetzal/cell/testing/fake_fleet.h
+++ b/quetzal/cell/testing/fake_fleet.h
@@ -149,6 +149,8 @@
     cell_->OnRoster(roster, now_);
     cell_->OnHelpers({HelperId("vm-1")});
   }
+  // Exchanges the placer whose orders the workers get.
+  void SwapCell(std::unique_ptr<Cell>* other) { cell_.swap(*other); }
   void Configure() { cell_->OnCatalog(MakeCatalog(), now_); }
   void Recover() {
     cell_->OnJobsListed(now_);
@@ -254,7 +256,9 @@
   void AnswerPoll(const PollAction& action, Time sent) {
     FakeWorker& worker = workers_.at(action.worker.id);
     PollAnswer answer{.outcome = worker.failure()};
-    if (worker.CanBeReached()) {
+    if (worker.CanBeReached() && action.request.fence < worker.highest_fence) {
+      answer = {.outcome = OrderOutcome::kFenced};
+    } else if (worker.CanBeReached()) {
       worker.highest_fence =
           std::max(worker.highest_fence, action.request.fence);
       worker.ExtendLease(action.request.lease_until);
