--- a/quetzal/http_client/http_client.cc
+++ b/quetzal/http_client/http_client.cc
@@ -60,7 +60,7 @@
   HttpClient::Callback callback;
   HttpClientResult result;
   gint64 started_us = 0;
-  gint64 deadline_us = 0;       // in attended time
+  gint64 deadline_us = 0;       // on the monotonic clock
   gint64 stall_timeout_us = 0;  // 0: none
   gint64 progressed_us = 0;     // when `moved_bytes` was last seen to change
   curl_off_t moved_bytes = 0;   // in both directions, with the heads
--- a/quetzal/http_client/http_client_idle_connections_test.cc
+++ b/quetzal/http_client/http_client_idle_connections_test.cc
@@ -42,7 +42,7 @@
 constexpr int kConnections = kHosts * kConnectionsPerHost;
 constexpr gint64 kMaxTestUs = 20'000'000;
 
-// Listens at all loopback addresses and answers requests when told to.
+// Listens at all loopback addresses; answers requests in `AnswerAll` only.
 class MultiHostServer {
  public:
   MultiHostServer() : descriptor_(socket(AF_INET, SOCK_STREAM, 0)) {
