--- a/review/driver/case_cluster.cc
+++ b/review/driver/case_cluster.cc
@@ -89,12 +89,18 @@
 }
 
 CaseCluster::~CaseCluster() {
+  CutPower();
+  std::filesystem::remove_all(folder_);
+}
+
+void CaseCluster::CutPower() {
   for (const Process& process : processes_) {
-    if (process.pid == 0) continue;
-    kill(process.pid, SIGKILL);
-    waitpid(process.pid, nullptr, 0);
+    if (process.pid != 0) kill(process.pid, SIGKILL);
   }
-  std::filesystem::remove_all(folder_);
+  for (const Process& process : processes_) {
+    if (process.pid != 0) waitpid(process.pid, nullptr, 0);
+  }
+  processes_.clear();
 }
 
 bool CaseCluster::StartStore() { return store_.Listen(Address(store_port_)); }
--- a/review/driver/case_cluster.h
+++ b/review/driver/case_cluster.h
@@ -30,6 +30,8 @@
 
   bool StartStore();
   bool StartMachines();
+  // All processes of the machines end at once.
+  void CutPower();
   // Runs the main loop until the condition holds; false after the time.
   static bool WaitFor(Milliseconds time,
                       const std::function<bool()>& condition);
--- a/review/driver/main.cc
+++ b/review/driver/main.cc
@@ -134,6 +134,8 @@
     return breaks_ > 0 ? kBroken : kHeld;
   }
   int runs_begun() const { return runs_begun_; }
+  bool is_running() const { return !running_on_.empty(); }
+  CaseCluster* cluster() { return &cluster_; }
 
  private:
   static std::string Configuration() {
@@ -281,6 +283,54 @@
   return test->Finish();
 }
 
+// All machines lose power for a while, just after one worker was lost for good.
+// No job may then have nothing running for 3 s, `finish_s` after the last call
+// of a client.
+int RunPowerLoss(Case* test, bool has_trouble) {
+  constexpr Milliseconds kTaskDuration{3'000};
+  constexpr Milliseconds kBeforeCrash{500};
+  constexpr Milliseconds kBeforePowerLoss{1'000};
+  constexpr Milliseconds kWithoutPower{9'500};
+  constexpr Milliseconds kFinish{14'000};
+  constexpr Milliseconds kIdle{3'000};
+  constexpr Milliseconds kEndLimit{60'000};
+  test->SetDuration(kTaskDuration);
+  Json step = {{"count", 1},
+               {"cpu", 4'500},
+               {"task-memory-mb", 1'000},
+               {"estimated-duration-ms", kTaskDuration.count()},
+               {"affinity", "r1-0"}};
+  Json next_step = step;
+  next_step["after"] = {0};
+  if (!test->Submit(
+          Json{{"specification", "x"}, {"steps", {step, next_step}}}.dump())) {
+    return kCannotRun;
+  }
+  const Time traffic_ended_at = Now();
+  if (has_trouble) {
+    test->Wait(kBeforeCrash);
+    test->worker(3)->Crash();
+    test->Wait(kBeforePowerLoss);
+    test->Record("all machines lose power");
+    test->cluster()->CutPower();
+    test->Wait(kWithoutPower);
+    test->Record("all machines are back");
+    if (!test->cluster()->StartMachines()) return kCannotRun;
+    CaseCluster::WaitFor(traffic_ended_at + kFinish - Now(),
+                         [] { return false; });
+    test->Record("finish_s after the end of the traffic");
+    if (!CaseCluster::WaitFor(kIdle, [&] { return test->is_running(); }) &&
+        test->State() != "completed") {
+      test->ReportBreak("LOST: the job had nothing running for 3 s");
+    }
+  }
+  if (!CaseCluster::WaitFor(kEndLimit,
+                            [&] { return test->State() == "completed"; })) {
+    test->ReportBreak("LOST: the job isn't completed");
+  }
+  return test->Finish();
+}
+
 // A gang whose tasks request nothing, so that the fields are omitted.
 int RunSizelessGang(Case* test, bool has_trouble) {
   constexpr Milliseconds kTaskDuration{800};
@@ -321,6 +371,7 @@
   }
   test.Record("all workers are polled");
   if (name == "late-start") return RunLateStart(&test, has_trouble);
+  if (name == "power-loss") return RunPowerLoss(&test, has_trouble);
   if (name == "sizeless-gang") return RunSizelessGang(&test, has_trouble);
   return kCannotRun;
 }
