--- a/review/driver/main.cc
+++ b/review/driver/main.cc
@@ -283,13 +283,13 @@
   return test->Finish();
 }
 
-// All machines lose power for a while, just after one worker was lost for good.
-// No job may then have nothing running for 3 s, `finish_s` after the last call
-// of a client.
+// All machines lose power for a while, and one worker is lost for good
+// meanwhile. `finish_s` after the last call of a client, no job may have
+// nothing running for 3 s.
 int RunPowerLoss(Case* test, bool has_trouble) {
   constexpr Milliseconds kTaskDuration{3'000};
-  constexpr Milliseconds kBeforeCrash{500};
   constexpr Milliseconds kBeforePowerLoss{1'000};
+  constexpr Milliseconds kBeforeCrash{1'000};
   constexpr Milliseconds kWithoutPower{9'500};
   constexpr Milliseconds kFinish{14'000};
   constexpr Milliseconds kIdle{3'000};
@@ -308,12 +308,12 @@
   }
   const Time traffic_ended_at = Now();
   if (has_trouble) {
-    test->Wait(kBeforeCrash);
-    test->worker(3)->Crash();
     test->Wait(kBeforePowerLoss);
     test->Record("all machines lose power");
     test->cluster()->CutPower();
-    test->Wait(kWithoutPower);
+    test->Wait(kBeforeCrash);
+    test->worker(3)->Crash();
+    test->Wait(kWithoutPower - kBeforeCrash);
     test->Record("all machines are back");
     if (!test->cluster()->StartMachines()) return kCannotRun;
     CaseCluster::WaitFor(traffic_ended_at + kFinish - Now(),
