--- a/review/driver/main.cc
+++ b/review/driver/main.cc
@@ -36,8 +36,14 @@
 constexpr Milliseconds kEntryLifetime = 3 * kHeartbeatInterval;
 constexpr Milliseconds kTick{10};
 constexpr char kJob[] = "00000000000000a1";
+constexpr Milliseconds kShortDuration{200};  // of the tasks of other jobs
 constexpr char kConfigurationKey[] = "op/config";
 
+std::string IdOfOtherJob(int number) {
+  constexpr int kFirst = 10;
+  return "00000000000000" + std::to_string(kFirst + number);
+}
+
 class Case {
  public:
   Case(const std::string& programs, int machines, int workers,
@@ -52,7 +58,9 @@
                                     const std::string& worker) {
       OnRunEnded(task, worker);
     };
-    observer_.duration_of = [this](const std::string&) { return duration_; };
+    observer_.duration_of = [this](const std::string& task) {
+      return task.starts_with(kJob) ? duration_ : kShortDuration;
+    };
     observer_.gang_of = [this](const std::string&) { return gang_; };
     observer_.withholds_start = [](const std::string&, const std::string&) {
       return false;
@@ -103,10 +111,10 @@
   void Wait(Milliseconds time) {
     CaseCluster::WaitFor(time, [] { return false; });
   }
-  // Submits the job; true if it was accepted.
-  bool Submit(const std::string& body) {
+  // Submits a job; true if it was accepted.
+  bool Submit(const std::string& body, const std::string& id = kJob) {
     const HttpClientResult answer =
-        cluster_.Call(0, "POST", std::string("/quotes/") + kJob, body);
+        cluster_.Call(0, "POST", "/quotes/" + id, body);
     Record("POST " + body + " -> " + std::to_string(answer.status));
     return answer.ok();
   }
@@ -233,8 +241,21 @@
   constexpr Milliseconds kDown{5'900};
   constexpr Milliseconds kLateExecution{9'000};  // after the order
   constexpr Milliseconds kEndLimit{60'000};
+  // With the one that is withheld, less than 0.055 of the starts.
+  constexpr int kOtherJobs = 20;
   CaseWorker* const victim = test->worker(0);
   test->SetDuration(kTaskDuration);
+  for (int i = 0; i < kOtherJobs; ++i) {
+    const Json step = {{"count", 1},
+                       {"cpu", 1'000},
+                       {"task-memory-mb", 100},
+                       {"estimated-duration-ms", kShortDuration.count()},
+                       {"affinity", "r1-" + std::to_string(1 + i % 7)}};
+    if (!test->Submit(Json{{"specification", "y"}, {"steps", {step}}}.dump(),
+                      IdOfOtherJob(i))) {
+      return kCannotRun;
+    }
+  }
   bool is_withheld = false;
   Time ordered_at{};
   test->observer()->withholds_start = [&](const std::string&,
@@ -362,7 +383,7 @@
 int Run(const std::string& name, const std::string& programs,
         const std::string& record, bool has_trouble) {
   constexpr int kMachines = 2;
-  constexpr int kWorkers = 4;
+  constexpr int kWorkers = 8;
   Case test(programs, kMachines, kWorkers, record);
   test.Record("case " + name + (has_trouble ? "" : ", without the disruption"));
   if (!test.Start()) {
