--- a/review/driver/case_cluster.cc
+++ b/review/driver/case_cluster.cc
@@ -4,6 +4,7 @@
 #include <fcntl.h>
 #include <glib.h>
 #include <netinet/in.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -22,12 +23,16 @@
 namespace {
 
 // Offsets in a machine's block of ports.
-constexpr int kPortsPerMachine = 6;
+constexpr int kPortsPerMachine = 8;
 constexpr int kCallersPort = 0;
 constexpr int kReadinessPort = 1;
 constexpr int kInternalPort = 2;
+constexpr int kPlacerMetricsPort = kInternalPort + 2;
+constexpr int kStoreLinkPort = 6;
+constexpr Milliseconds kForwardTimeout{40'000};  // a watch may wait for 30 s
 constexpr gulong kLoopPauseUs = 1'000;
 constexpr Milliseconds kCallTimeout{4'000};
+constexpr Milliseconds kRestartDelay{3'500};
 
 std::string Address(int port) { return "127.0.0.1:" + std::to_string(port); }
 
@@ -72,7 +77,7 @@
     const nlohmann::json settings = {
         {"machine", name},
         {"ip", "127.0.0.1"},
-        {"store_address", Address(store_port_)},
+        {"store_address", Address(first + kStoreLinkPort)},
         {"advice_address", ""},
         {"callers_address", Address(first + kCallersPort)},
         {"readiness_address", Address(first + kReadinessPort)},
@@ -83,7 +88,8 @@
         {"configuration_apply_ms", 3'000},
         {"most_lease_ms", 6'000},
         {"keep_finished_s", "120"}};
-    machines_.push_back({first, folder_ + "/" + name + ".json"});
+    machines_.push_back(
+        {.first_port = first, .settings = folder_ + "/" + name + ".json"});
     std::ofstream(machines_.back().settings) << settings.dump(2);
   }
 }
@@ -103,7 +109,82 @@
   processes_.clear();
 }
 
-bool CaseCluster::StartStore() { return store_.Listen(Address(store_port_)); }
+bool CaseCluster::StartStore() {
+  if (!store_.Listen(Address(store_port_))) return false;
+  for (size_t i = 0; i < machines_.size(); ++i) {
+    if (!ListenForStoreCalls(i)) return false;
+  }
+  return true;
+}
+
+bool CaseCluster::ListenForStoreCalls(size_t machine) {
+  machines_[machine].store_link = ListenForHttp(
+      Address(machines_[machine].first_port + kStoreLinkPort), {},
+      {.on_request =
+           [this, machine](HttpCallId call, const HttpRequest& request) {
+             ForwardToStore(machine, call, request);
+           },
+       .on_disconnect = [](HttpCallId) {}});
+  return machines_[machine].store_link != nullptr;
+}
+
+void CaseCluster::ForwardToStore(size_t machine, HttpCallId call,
+                                 const HttpRequest& request) {
+  if (machines_[machine].is_cut_from_store) return;
+  std::string url = "http://" + Address(store_port_) + request.path;
+  char separator = '?';
+  for (const auto& [name, value] : request.query) {
+    gchar* const escaped = g_uri_escape_string(value.c_str(), "/", FALSE);
+    url += separator + name + "=" + escaped;
+    g_free(escaped);
+    separator = '&';
+  }
+  client_->Send({.method = request.method,
+                 .url = url,
+                 .body = request.body,
+                 .timeout = kForwardTimeout},
+                [this, machine, call](const HttpClientResult& answer) {
+                  const Machine& caller = machines_[machine];
+                  if (caller.is_cut_from_store ||
+                      answer.kind != HttpClientResult::Kind::kAnswered) {
+                    return;
+                  }
+                  caller.store_link->Reply(
+                      call, {.status = answer.status, .body = answer.body});
+                });
+}
+
+void CaseCluster::SetStoreCut(int machine, bool is_cut) {
+  machines_[static_cast<size_t>(machine)].is_cut_from_store = is_cut;
+}
+
+int CaseCluster::Leader(int except) {
+  for (size_t i = 0; i < machines_.size(); ++i) {
+    if (static_cast<int>(i) == except) continue;
+    const HttpClientResult answer =
+        Send({.url = "http://" +
+                     Address(machines_[i].first_port + kPlacerMetricsPort) +
+                     "/metrics"});
+    if (answer.body.find("quetzal_leads 1") != std::string::npos) {
+      return static_cast<int>(i);
+    }
+  }
+  return -1;
+}
+
+void CaseCluster::KillPlacer(int machine) {
+  const std::string name = "placer-" + std::to_string(machine);
+  for (Process& process : processes_) {
+    if (process.name != name || process.pid == 0) continue;
+    kill(process.pid, SIGKILL);
+    waitpid(process.pid, nullptr, 0);
+    process.pid = 0;
+  }
+  RunAfter(kRestartDelay, [this, machine, name] {
+    Launch("cell_placer/quetzal-cell-placer", name,
+           machines_[static_cast<size_t>(machine)].settings);
+  });
+}
 
 bool CaseCluster::Launch(const std::string& program, const std::string& name,
                          const std::string& settings) {
@@ -112,6 +193,8 @@
   const pid_t pid = fork();
   if (pid < 0) return false;
   if (pid == 0) {
+    // Also if the case is ended from outside.
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
     const int out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
     dup2(out, STDOUT_FILENO);
     dup2(out, STDERR_FILENO);
--- a/review/driver/case_cluster.h
+++ b/review/driver/case_cluster.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "quetzal/http/http.h"
 #include "quetzal/http_client/http_client.h"
 #include "standins/users_platform/store_front.h"
 
@@ -30,6 +31,12 @@
 
   bool StartStore();
   bool StartMachines();
+  // A machine whose placer leads, other than `except`; -1 if there is none.
+  int Leader(int except = -1);
+  // Ends the machine's placer, and starts it again after a while.
+  void KillPlacer(int machine);
+  // While it is cut, the machine's calls to the store get no answer.
+  void SetStoreCut(int machine, bool is_cut);
   // All processes of the machines end at once.
   void CutPower();
   // Runs the main loop until the condition holds; false after the time.
@@ -48,6 +55,8 @@
   struct Machine {
     int first_port = 0;
     std::string settings;
+    std::unique_ptr<HttpServer> store_link;
+    bool is_cut_from_store = false;
   };
   struct Process {
     pid_t pid = 0;
@@ -55,6 +64,9 @@
   };
 
   HttpClientResult Send(const HttpClientRequest& request);
+  bool ListenForStoreCalls(size_t machine);
+  void ForwardToStore(size_t machine, HttpCallId call,
+                      const HttpRequest& request);
   bool Launch(const std::string& program, const std::string& name,
               const std::string& settings);
 
--- a/review/driver/case_worker.cc
+++ b/review/driver/case_worker.cc
@@ -79,6 +79,14 @@
          body.dump());
 }
 
+void CaseWorker::SetCut(std::function<bool(uint64_t fence)> is_cut_from) {
+  is_cut_from_ = std::move(is_cut_from);
+}
+
+bool CaseWorker::IsCutFrom(uint64_t fence) const {
+  return is_cut_from_ && is_cut_from_(fence);
+}
+
 void CaseWorker::BeginWork(const std::string& task) {
   const auto found = runs_.find(task);
   if (found == runs_.end() || found->second.is_working) return;
@@ -103,8 +111,8 @@
   ends_.push_back(Json::array({next_end_++, task, number, how, ""}));
   Record("ends " + task + " run " + std::to_string(number) + ": " + how);
   observer_->on_run_ended(task, settings_.id);
-  for (const HttpCallId call : std::exchange(waiting_polls_, {})) {
-    AnswerPoll(call);
+  for (const WaitingPoll& poll : std::exchange(waiting_polls_, {})) {
+    AnswerPoll(poll);
   }
 }
 
@@ -136,6 +144,7 @@
     server_->Reply(call, {.status = kBadRequest, .body = "{}"});
     return;
   }
+  if (IsCutFrom(order.value("fencing-token", uint64_t{0}))) return;
   if (request.path == "/hold") {
     Poll(call, order);
     return;
@@ -219,24 +228,27 @@
   while (!ends_.empty() && ends_.front().at(0).get<int64_t>() <= acknowledged) {
     ends_.pop_front();
   }
+  const WaitingPoll poll{call, order.value("fencing-token", uint64_t{0})};
   const int64_t wait_ms =
       std::min(kMaxWaitMs, order.value("wait-ms", int64_t{0}));
   if (!ends_.empty() || wait_ms == 0) {
-    AnswerPoll(call);
+    AnswerPoll(poll);
     return;
   }
-  waiting_polls_.push_back(call);
-  RunAfter(Milliseconds(wait_ms), [this, call, life = life_] {
+  waiting_polls_.push_back(poll);
+  RunAfter(Milliseconds(wait_ms), [this, poll, life = life_] {
     if (life != life_) return;
-    const auto found =
-        std::find(waiting_polls_.begin(), waiting_polls_.end(), call);
+    const auto found = std::find_if(
+        waiting_polls_.begin(), waiting_polls_.end(),
+        [&](const WaitingPoll& each) { return each.call == poll.call; });
     if (found == waiting_polls_.end()) return;
     waiting_polls_.erase(found);
-    AnswerPoll(call);
+    AnswerPoll(poll);
   });
 }
 
-void CaseWorker::AnswerPoll(HttpCallId call) {
+void CaseWorker::AnswerPoll(const WaitingPoll& poll) {
+  if (!is_up() || IsCutFrom(poll.fence)) return;
   Json running = Json::array();
   for (const auto& [task, run] : runs_) {
     running.push_back(
@@ -246,7 +258,7 @@
                      {"born", born_ms_},
                      {"running", running},
                      {"finished", ends_}};
-  server_->Reply(call, {.body = body.dump()});
+  server_->Reply(poll.call, {.body = body.dump()});
 }
 
 void CaseWorker::ExtendLease(int64_t until_ms) {
--- a/review/driver/case_worker.h
+++ b/review/driver/case_worker.h
@@ -54,13 +54,18 @@
   bool is_up() const { return server_ != nullptr; }
   // Executes an order that the network withheld, on the present life.
   void ExecuteLate(const nlohmann::json& order);
+  // While it is cut off from the callers with such a fencing token, their calls
+  // get no answer and aren't executed.
+  void SetCut(std::function<bool(uint64_t fence)> is_cut_from);
   // Begins the work of a gang's member once the others are present.
   void BeginWork(const std::string& task);
   void EndRun(const std::string& task, const std::string& how);
 
   std::string Entry() const;
   const std::string& id() const { return settings_.id; }
-  bool has_run(const std::string& task) const { return runs_.contains(task); }
+  bool is_busy() const { return !runs_.empty(); }
+  // Of all orders that this life has executed.
+  uint64_t highest_fence() const { return highest_fence_; }
   // Of this life.
   int polls() const { return polls_; }
   Time last_poll_at() const { return last_poll_at_; }
@@ -78,7 +83,12 @@
   nlohmann::json Start(const nlohmann::json& order, int* status);
   nlohmann::json Stop(const nlohmann::json& order, int* status);
   void Poll(HttpCallId call, const nlohmann::json& order);
-  void AnswerPoll(HttpCallId call);
+  struct WaitingPoll {
+    HttpCallId call{};
+    uint64_t fence = 0;
+  };
+  void AnswerPoll(const WaitingPoll& poll);
+  bool IsCutFrom(uint64_t fence) const;
   bool IsFenced(const nlohmann::json& order);
   void ExtendLease(int64_t until_ms);
   void CheckLease();
@@ -92,6 +102,7 @@
   int life_ = 0;
   int64_t born_ms_ = 0;
   Time began_at_{};
+  std::function<bool(uint64_t fence)> is_cut_from_;
   uint64_t highest_fence_ = 0;
   uint64_t next_serial_ = 1;
   int64_t next_end_ = 1;
@@ -101,7 +112,7 @@
   std::map<std::string, Run> runs_;
   std::map<std::string, int64_t> highest_ended_run_;
   std::deque<nlohmann::json> ends_;
-  std::vector<HttpCallId> waiting_polls_;
+  std::vector<WaitingPoll> waiting_polls_;
   nlohmann::json withheld_order_;
 };
 
--- a/review/driver/main.cc
+++ b/review/driver/main.cc
@@ -8,6 +8,7 @@
 // run.
 #include <glog/logging.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
@@ -47,8 +48,11 @@
 class Case {
  public:
   Case(const std::string& programs, int machines, int workers,
-       const std::string& record)
-      : record_(record), cluster_(programs, machines), began_at_(Now()) {
+       int added_workers, const std::string& record)
+      : record_(record),
+        cluster_(programs, machines),
+        began_at_(Now()),
+        initial_workers_(static_cast<size_t>(workers)) {
     observer_.record = [this](const std::string& line) { Record(line); };
     observer_.on_run_begins = [this](const std::string& task,
                                      const std::string& worker) {
@@ -65,6 +69,7 @@
     observer_.withholds_start = [](const std::string&, const std::string&) {
       return false;
     };
+    workers += added_workers;
     const int first_port = FreePorts(workers);
     for (int i = 0; i < workers; ++i) {
       const std::string number = std::to_string(i);
@@ -81,8 +86,8 @@
   // polled.
   bool Start() {
     if (!cluster_.StartStore()) return false;
-    for (const auto& worker : workers_) {
-      if (!worker->Begin()) return false;
+    for (size_t i = 0; i < initial_workers_; ++i) {
+      if (!workers_[i]->Begin()) return false;
     }
     cluster_.store()->Put(kConfigurationKey, Configuration());
     RunEvery(kTick, [this] { Tick(); });
@@ -94,8 +99,8 @@
       }
     }
     return CaseCluster::WaitFor(kStartLimit, [this] {
-      for (const auto& worker : workers_) {
-        if (worker->polls() < 3) return false;
+      for (size_t i = 0; i < initial_workers_; ++i) {
+        if (workers_[i]->polls() < 3) return false;
       }
       return true;
     });
@@ -131,6 +136,7 @@
   void SetGang(std::vector<std::string> gang) { gang_ = std::move(gang); }
   WorkerObserver* observer() { return &observer_; }
   CaseWorker* worker(size_t index) { return workers_[index].get(); }
+  size_t workers() const { return workers_.size(); }
   // The time of the worker's next heartbeat.
   void SetNextHeartbeat(CaseWorker* worker, Time at) {
     heartbeat_at_[worker] = at;
@@ -218,6 +224,7 @@
   std::vector<std::unique_ptr<CaseWorker>> workers_;
   CaseCluster cluster_;
   Time began_at_;
+  size_t initial_workers_;  // the others may be added
   std::map<CaseWorker*, Time> heartbeat_at_;
   std::map<CaseWorker*, Time> written_at_;
   std::map<CaseWorker*, bool> is_listed_;
@@ -352,6 +359,139 @@
   return test->Finish();
 }
 
+Json SingleTaskJob(Milliseconds duration) {
+  const Json step = {{"count", 1},
+                     {"cpu", 4'500},
+                     {"task-memory-mb", 1'000},
+                     {"estimated-duration-ms", duration.count()},
+                     {"affinity", "r1-0"}};
+  return {{"specification", "x"}, {"steps", {step}}};
+}
+
+void WaitUntil(Time at) {
+  CaseCluster::WaitFor(at - Now(), [] { return false; });
+}
+
+// A start of a placer that is killed gets no answer. Its worker crashes, starts
+// again under its id, and executes it while the new placer can't reach it.
+int RunLateTakeover(Case* test, bool has_trouble) {
+  constexpr Milliseconds kTaskDuration{20'000};
+  constexpr Milliseconds kFromOrderToCrash{200};
+  constexpr Milliseconds kDown{5'900};
+  constexpr Milliseconds kCut{5'500};
+  constexpr Milliseconds kLateExecution{7'000};  // after the order
+  constexpr Milliseconds kEndLimit{60'000};
+  CaseWorker* const victim = test->worker(0);
+  test->SetDuration(kTaskDuration);
+  Time ordered_at{};
+  test->observer()->withholds_start = [&](const std::string& task,
+                                          const std::string& worker) {
+    if (!has_trouble || ordered_at != Time{} || worker != victim->id() ||
+        !task.starts_with(kJob)) {
+      return false;
+    }
+    ordered_at = Now();
+    return true;
+  };
+  const int leader = test->cluster()->Leader();
+  if (leader < 0 || !test->Submit(SingleTaskJob(kTaskDuration).dump())) {
+    return kCannotRun;
+  }
+  if (has_trouble) {
+    if (!CaseCluster::WaitFor(kStartLimit,
+                              [&] { return ordered_at != Time{}; })) {
+      return kCannotRun;
+    }
+    WaitUntil(ordered_at + kFromOrderToCrash);
+    const Time crash_at = Now();
+    victim->Crash();
+    test->Record("the placer of machine " + std::to_string(leader) +
+                 " is killed");
+    test->cluster()->KillPlacer(leader);
+    WaitUntil(crash_at + kDown);
+    if (!victim->Begin()) return kCannotRun;
+    test->Record("worker " + victim->id() + " is cut off from all machines");
+    victim->SetCut([](uint64_t) { return true; });
+    test->SetNextHeartbeat(victim, Now());
+    WaitUntil(ordered_at + kLateExecution);
+    victim->ExecuteLate(victim->withheld_order());
+    WaitUntil(crash_at + kDown + kCut);
+    test->Record("the cut ends");
+    victim->SetCut(nullptr);
+  }
+  if (!CaseCluster::WaitFor(kEndLimit,
+                            [&] { return test->State() == "completed"; })) {
+    test->ReportBreak("LOST: the job isn't completed");
+  }
+  return test->Finish();
+}
+
+// A region is cut off with the leading placer and five of eight workers. In the
+// other one two workers are added, and the next placer is killed.
+int RunSplit(Case* test, bool has_trouble) {
+  constexpr Milliseconds kTaskDuration{18'000};
+  constexpr size_t kWorkersOfRegion = 5;
+  constexpr size_t kFirstAdded = 8;
+  constexpr Milliseconds kUntilAdded{300};
+  constexpr Milliseconds kUntilKilled{1'200};
+  constexpr Milliseconds kSplit{15'000};
+  constexpr Milliseconds kEndLimit{60'000};
+  test->SetDuration(kTaskDuration);
+  const int leader = test->cluster()->Leader();
+  if (leader < 0 || !test->Submit(SingleTaskJob(kTaskDuration).dump())) {
+    return kCannotRun;
+  }
+  if (!CaseCluster::WaitFor(kStartLimit,
+                            [&] { return test->worker(0)->is_busy(); })) {
+    return kCannotRun;
+  }
+  test->Wait(Milliseconds(2'000));
+  if (has_trouble) {
+    const uint64_t fence = test->worker(0)->highest_fence();
+    const Time split_at = Now();
+    test->Record("the region of machine " + std::to_string(leader) +
+                 " is cut off, with workers i-0 to i-4");
+    test->cluster()->SetStoreCut(leader, true);
+    for (size_t i = 0; i < kFirstAdded; ++i) {
+      const bool is_in_region = i < kWorkersOfRegion;
+      test->worker(i)->SetCut([fence, is_in_region](uint64_t caller) {
+        return is_in_region ? caller > fence : caller <= fence;
+      });
+      if (is_in_region) test->SetNextHeartbeat(test->worker(i), Now() + kSplit);
+    }
+    int next = -1;
+    if (!CaseCluster::WaitFor(kStartLimit, [&] {
+          next = test->cluster()->Leader(leader);
+          return next >= 0;
+        })) {
+      return kCannotRun;
+    }
+    test->Record("the placer of machine " + std::to_string(next) + " leads");
+    test->Wait(kUntilAdded);
+    for (size_t i = kFirstAdded; i < test->workers(); ++i) {
+      if (!test->worker(i)->Begin()) return kCannotRun;
+      test->worker(i)->SetCut(
+          [fence](uint64_t caller) { return caller <= fence; });
+      test->SetNextHeartbeat(test->worker(i), Now());
+    }
+    test->Wait(kUntilKilled);
+    test->Record("the placer of machine " + std::to_string(next) +
+                 " is killed");
+    test->cluster()->KillPlacer(next);
+    WaitUntil(split_at + kSplit);
+    test->Record("the split ends");
+    test->cluster()->SetStoreCut(leader, false);
+    for (size_t i = 0; i < test->workers(); ++i) {
+      test->worker(i)->SetCut(nullptr);
+    }
+  }
+  if (!CaseCluster::WaitFor(kEndLimit,
+                            [&] { return test->State() == "completed"; })) {
+    test->ReportBreak("LOST: the job isn't completed");
+  }
+  return test->Finish();
+}
+
 // A gang whose tasks request nothing, so that the fields are omitted.
 int RunSizelessGang(Case* test, bool has_trouble) {
   constexpr Milliseconds kTaskDuration{800};
@@ -382,9 +522,10 @@
 
 int Run(const std::string& name, const std::string& programs,
         const std::string& record, bool has_trouble) {
-  constexpr int kMachines = 2;
+  constexpr int kMachines = 3;
   constexpr int kWorkers = 8;
-  Case test(programs, kMachines, kWorkers, record);
+  constexpr int kAddedWorkers = 2;
+  Case test(programs, kMachines, kWorkers, kAddedWorkers, record);
   test.Record("case " + name + (has_trouble ? "" : ", without the disruption"));
   if (!test.Start()) {
     test.Record("can't run: the product or a stand-in doesn't start");
@@ -392,6 +533,8 @@
   }
   test.Record("all workers are polled");
   if (name == "late-start") return RunLateStart(&test, has_trouble);
+  if (name == "late-takeover") return RunLateTakeover(&test, has_trouble);
+  if (name == "split") return RunSplit(&test, has_trouble);
   if (name == "power-loss") return RunPowerLoss(&test, has_trouble);
   if (name == "sizeless-gang") return RunSizelessGang(&test, has_trouble);
   return kCannotRun;
