--- a/review/driver/main.cc
+++ b/review/driver/main.cc
@@ -237,6 +237,19 @@
   int breaks_ = 0;
 };
 
+Json SingleTaskJob(Milliseconds duration) {
+  const Json step = {{"count", 1},
+                     {"cpu", 4'500},
+                     {"task-memory-mb", 1'000},
+                     {"estimated-duration-ms", duration.count()},
+                     {"affinity", "r1-0"}};
+  return {{"specification", "x"}, {"steps", {step}}};
+}
+
+void WaitUntil(Time at) {
+  CaseCluster::WaitFor(at - Now(), [] { return false; });
+}
+
 // A start gets no answer and is executed late; meanwhile its worker crashes, is
 // taken for gone and starts again under its id.
 int RunLateStart(Case* test, bool has_trouble) {
@@ -282,26 +295,16 @@
   if (has_trouble) {
     test->SetNextHeartbeat(victim, crash_at - kLastHeartbeatBeforeCrash);
   }
-  const auto wait_until = [&](Time at) {
-    CaseCluster::WaitFor(at - Now(), [] { return false; });
-  };
-  wait_until(polled_at + kSubmitDelay);
-  const Json step = {{"count", 1},
-                     {"cpu", 4'500},
-                     {"task-memory-mb", 1'000},
-                     {"estimated-duration-ms", kTaskDuration.count()},
-                     {"affinity", "r1-0"}};
-  if (!test->Submit(Json{{"specification", "x"}, {"steps", {step}}}.dump())) {
-    return kCannotRun;
-  }
+  WaitUntil(polled_at + kSubmitDelay);
+  if (!test->Submit(SingleTaskJob(kTaskDuration).dump())) return kCannotRun;
   if (has_trouble) {
-    wait_until(crash_at);
+    WaitUntil(crash_at);
     if (!is_withheld) return kCannotRun;
     victim->Crash();
-    wait_until(crash_at + kDown);
+    WaitUntil(crash_at + kDown);
     if (!victim->Begin()) return kCannotRun;
     test->SetNextHeartbeat(victim, Now());
-    wait_until(ordered_at + kLateExecution);
+    WaitUntil(ordered_at + kLateExecution);
     victim->ExecuteLate(victim->withheld_order());
   }
   if (!CaseCluster::WaitFor(kEndLimit,
@@ -344,8 +347,7 @@
     test->Wait(kWithoutPower - kBeforeCrash);
     test->Record("all machines are back");
     if (!test->cluster()->StartMachines()) return kCannotRun;
-    CaseCluster::WaitFor(traffic_ended_at + kFinish - Now(),
-                         [] { return false; });
+    WaitUntil(traffic_ended_at + kFinish);
     test->Record("finish_s after the end of the traffic");
     if (!CaseCluster::WaitFor(kIdle, [&] { return test->is_running(); }) &&
         test->State() != "completed") {
@@ -359,19 +361,6 @@
   return test->Finish();
 }
 
-Json SingleTaskJob(Milliseconds duration) {
-  const Json step = {{"count", 1},
-                     {"cpu", 4'500},
-                     {"task-memory-mb", 1'000},
-                     {"estimated-duration-ms", duration.count()},
-                     {"affinity", "r1-0"}};
-  return {{"specification", "x"}, {"steps", {step}}};
-}
-
-void WaitUntil(Time at) {
-  CaseCluster::WaitFor(at - Now(), [] { return false; });
-}
-
 // A start of a placer that is killed gets no answer. Its worker crashes, starts
 // again under its id, and executes it while the new placer can't reach it.
 int RunLateTakeover(Case* test, bool has_trouble) {
