Takeover: a term timer and the fence show when a former placer stopped

The same wait follows each takeover beside a lost worker, and each further takeover began it anew.

Cause: a new placer knew nothing of the time before its term. It counted 2.5 s and the longest lease from the moment in which half of the workers obeyed it, or 16 s and the lease from its own beginning.

The term timer (quetzal/term_timer) is a key whose lease is renewed with the leader key's and runs out only once all leases that the placer extended have ended. It goes on if no placer runs, and a placer sends orders only while its renewals of the timer are valid. A second key with a long lease shows that the store didn't drop all leases. - Without one, confirmed by a majority. Such a placer now uses a fence above its leader key's (the removal of the leader key has a revision, so the successor's is higher still) and has to be confirmed under it within 0.5 s after its lease ended; until then it sends only polls that extend nothing. A new placer polls each worker of the roster under the former leader key's fence first: a worker that accepts it hasn't confirmed the former placer. Restarted workers, which forget fences, are told by the incarnations in the roster. If the timer has run out and half of the former placer's workers show that it didn't go on, its leases count as expired at once. Otherwise the wait is what it was. Workers that just haven't answered yet aren't given up, as they may have ends to report. The time that former placers' leases have left is stored repeatedly, so that a takeover doesn't begin the wait for an earlier placer anew.

Changed tests: AMajorityGoesOnWithoutALeaseForALimitedTime asked for orders without a lease in the moment in which the lease ended. Now the workers have to be asked first, so the test lets them answer, and checks the scope before and after that.

--- a/programs/cell_placer/main.cc
+++ b/programs/cell_placer/main.cc
@@ -12,6 +12,7 @@
 #include "quetzal/http/http.h"
 #include "quetzal/leader_election/leader_election.h"
 #include "quetzal/program/program.h"
+#include "quetzal/term_timer/term_timer.h"
 #include "quetzal/turn_profile/turn_profile.h"
 
 namespace quetzal {
@@ -104,6 +105,11 @@
                 },
             .on_lost = [this](const std::string&) { EndTerm(); }},
         &RunAfter, &NowWithSuspensions, &log_);
+    term_timer_ = std::make_unique<TermTimer>(
+        store_.get(),
+        TermTimerSettings{.duration = TermTimerDuration(settings_.cell),
+                          .validity = kLeadershipValidity},
+        &RunAfter, &NowWithSuspensions, &log_);
     election_->Start();
     return true;
   }
@@ -127,26 +133,37 @@
         .advice = &advice_,
         .log = &log_,
         .metrics = &metrics_,
-        .may_send_orders =
-            [this](const Cell& cell) { return MaySendOrders(cell); },
+        .may_send_orders = [this](Cell* cell) { return MaySendOrders(cell); },
         .leadership_is_certain =
-            [this] { return election_->HasValidLease(NowWithSuspensions()); },
+            [this] {
+              return election_->is_leader() &&
+                     TimeWithoutLease() < Milliseconds(0);
+            },
         .on_leadership_lost =
             [this](const std::string& reason) { election_->StepDown(reason); }};
     advice_.Start();
-    term_ = std::make_unique<Term>(dependencies, settings_.cell, fence,
-                                   term * kRunsPerTerm);
+    term_ = std::make_unique<Term>(dependencies, settings_.cell, fence, term);
     term_->Start();
+    term_timer_->Begin(term);
   }
 
   // Deferred, as the term may be on the call stack and is destroyed here.
   void EndTerm() {
     RunAfter(Milliseconds(0), [this] {
-      if (!election_->is_leader()) term_.reset();
+      if (election_->is_leader()) return;
+      term_.reset();
+      term_timer_->End();
     });
   }
 
-  bool MaySendOrders(const Cell& cell) {
+  // Negative while both the leader key's lease and the term timer are renewed.
+  Milliseconds TimeWithoutLease() const {
+    const Time now = NowWithSuspensions();
+    return std::max(election_->TimeWithoutLease(now),
+                    term_timer_->TimeWithoutRenewal(now));
+  }
+
+  bool MaySendOrders(Cell* cell) {
     if (!election_->is_leader()) return false;
     const Milliseconds suspended = SuspendedTime();
     if (suspended - suspended_ > kMaxSuspension) {
@@ -156,9 +173,9 @@
       return false;
     }
     suspended_ = suspended;
-    const Milliseconds without_lease =
-        election_->TimeWithoutLease(NowWithSuspensions());
-    const bool may_send = cell.MaySendOrders(without_lease, Now());
+    const Milliseconds without_lease = TimeWithoutLease();
+    const bool may_send =
+        cell->UpdateOrderScope(without_lease, Now()) != OrderScope::kNone;
     if (std::exchange(may_send_, may_send) && !may_send) {
       log_.ImportantLine("orders_halted",
                          {{"without_lease_ms", without_lease.count()}});
@@ -175,6 +192,7 @@
   AdvicePool advice_;  // keeps its connections from term to term
   std::unique_ptr<HttpServer> metrics_server_;
   std::unique_ptr<LeaderElection> election_;
+  std::unique_ptr<TermTimer> term_timer_;
   std::unique_ptr<Term> term_;
   Milliseconds suspended_{0};
   bool may_send_ = false;  // by the last check of lease and majority
--- a/programs/cell_placer/term.cc
+++ b/programs/cell_placer/term.cc
@@ -7,6 +7,7 @@
 
 #include "platform/adapter.h"
 #include "quetzal/program/program.h"
+#include "quetzal/term_timer/term_timer.h"
 #include "quetzal/turn_profile/turn_profile.h"
 
 namespace quetzal {
@@ -27,6 +28,8 @@
 constexpr Milliseconds kRelistAfterSilence{300};
 constexpr Milliseconds kMaxJobAge{60'000};
 constexpr Milliseconds kRetryDelay{100};
+// Between two reads of the last term's timer while it runs.
+constexpr Milliseconds kTermTimerReadInterval{100};
 // When a job was accepted, possibly in an earlier term, on this process's
 // clock. Wall clocks of machines differ and jump, so its age is clamped.
 Time AcceptanceTime(const AcceptedJob& job) {
@@ -40,11 +43,12 @@
 }  // namespace
 
 Term::Term(TermDependencies dependencies, CellSettings settings, Fence fence,
-           int64_t run_floor)
+           TermNumber number)
     : dependencies_(std::move(dependencies)),
-      cell_(settings, fence, run_floor, Now(), dependencies_.log,
+      cell_(settings, fence, number * kRunsPerTerm, Now(), dependencies_.log,
             dependencies_.metrics),
       fence_(fence),
+      number_(number),
       catalog_watcher_({.store = dependencies_.store,
                         .key = platform::kConfigurationKey,
                         .decode = &platform::DecodeConfiguration,
@@ -74,6 +78,7 @@
   WatchWorkers();
   WatchCell();
   ReadRoster();
+  ReadFormerTermTimer();
   Defer(kMaxDecisionInterval, [this] { DecidePeriodically(); });
   progress_writer_.Start();
 }
@@ -163,6 +168,20 @@
       }));
 }
 
+void Term::ReadFormerTermTimer() {
+  if (cell_.have_former_leases_expired()) return;
+  ReadTermTimer(
+      dependencies_.store, number_ - 1,
+      lifetime_.Guard<TermTimerState>([this](const TermTimerState& state) {
+        if (state == TermTimerState::kRunning) {
+          Defer(kTermTimerReadInterval, [this] { ReadFormerTermTimer(); });
+        } else if (state == TermTimerState::kEnded) {
+          cell_.OnFormerTermTimerEnded(Now());
+          ScheduleDecision();
+        }
+      }));
+}
+
 void Term::WriteRoster() {
   const std::optional<std::string> text = cell_.TakeRosterWrite(Now());
   if (!text) return;
@@ -291,7 +310,7 @@
   if (std::exchange(decision_pending_, true)) return;
   Defer(kDecisionDelay, [this] {
     decision_pending_ = false;
-    if (!dependencies_.may_send_orders(cell_)) return;
+    if (!dependencies_.may_send_orders(&cell_)) return;
     Decide();
   });
 }
--- a/programs/cell_placer/term.h
+++ b/programs/cell_placer/term.h
@@ -1,7 +1,7 @@
 // One placer's term of leadership: carries out the decisions of a cell on the
 // store, the workers and the advice service.
 //
-//   Term term(dependencies, settings, fence, run_floor);
+//   Term term(dependencies, settings, fence, number);
 //   term.Start();
 //
 // Exists from the placer's election to the loss of its leadership. Answers that
@@ -34,7 +34,7 @@
   EventLog* log = nullptr;
   Metrics* metrics = nullptr;
   // False while another placer may be the leader: no orders are sent then.
-  std::function<bool(const Cell& cell)> may_send_orders;
+  std::function<bool(Cell* cell)> may_send_orders;
   // True while the store can't have elected another placer.
   std::function<bool()> leadership_is_certain;
   // The store or a worker showed that another placer is the leader.
@@ -44,7 +44,7 @@
 class Term {
  public:
   Term(TermDependencies dependencies, CellSettings settings, Fence fence,
-       int64_t run_floor);
+       TermNumber number);
   ~Term();
   Term(const Term&) = delete;
   Term& operator=(const Term&) = delete;
@@ -59,6 +59,7 @@
   void WatchWorkers();
   void WatchCell();
   void ReadRoster();
+  void ReadFormerTermTimer();
   void WriteRoster();
   void OnRosterWritten(const TransactionAnswer& answer);
   void OnCellItem(const StoreItem& item);
@@ -82,6 +83,7 @@
   TermDependencies dependencies_;
   Cell cell_;
   Fence fence_;
+  TermNumber number_;
   Lifetime lifetime_;
   std::unique_ptr<StoreWatcher> worker_watcher_;
   std::unique_ptr<StoreWatcher> record_watcher_;
--- a/quetzal/cell/cell.cc
+++ b/quetzal/cell/cell.cc
@@ -16,9 +16,14 @@
 
 namespace {
 
-// Maximum age of the answers that confirm a placer without a valid lease of the
-// leader key.
-constexpr Milliseconds kMaxMajorityAge{2'400};
+// Limit for a suspension of this machine that its clock doesn't show.
+constexpr Milliseconds kSuspensionMargin{300};
+
+// How long before a term timer runs out its placer sent its last renewal.
+Milliseconds TimeShownByTermTimer(const CellSettings& settings) {
+  return cell::Stretch(kLeadershipValidity) + MaxLeaseLifetime(settings) +
+         kSuspensionMargin;
+}
 
 void QueueWrite(cell::State* state, cell::Job* job) {
   if (std::exchange(job->dirty, true)) return;
@@ -41,6 +46,14 @@
 
 }  // namespace
 
+Milliseconds MaxLeaseLifetime(const CellSettings& settings) {
+  return cell::Stretch(settings.max_lease) + cell::kLeaseExpiryMargin;
+}
+
+Milliseconds TermTimerDuration(const CellSettings& settings) {
+  return cell::Stretch(TimeShownByTermTimer(settings));
+}
+
 struct Cell::Parts {
   cell::State state;
 };
@@ -50,9 +63,10 @@
     : parts_(std::make_unique<Parts>()) {
   cell::State& state = parts_->state;
   state.settings = settings;
+  state.leader_fence = fence;
   state.fence = fence;
   state.run_floor = run_floor;
-  state.roster = Roster(run_floor / kRunsPerTerm);
+  state.roster = Roster(run_floor / kRunsPerTerm, fence);
   state.term_started_at = now;
   state.log = log;
   state.metrics = metrics;
@@ -127,7 +141,22 @@
   parts_->state.leadership_is_certain = is_certain;
 }
 
-void Cell::OnFenceRaised(Fence fence) { parts_->state.fence = fence; }
+void Cell::OnFenceRaised(Fence fence) {
+  cell::State& state = parts_->state;
+  state.leader_fence = fence;
+  state.fence = fence;
+  state.may_go_on_without_lease = false;
+  state.roster.SetFence(fence);
+  state.roster_changed = true;
+}
+
+void Cell::OnFormerTermTimerEnded(Time now) {
+  cell::State& state = parts_->state;
+  state.former_renewal_before = now - TimeShownByTermTimer(state.settings);
+  state.log->ImportantLine(
+      "former_term_timer_ended",
+      {{"after_ms", (now - state.term_started_at).count()}});
+}
 
 void Cell::OnPollAnswer(const WorkerId& id, const PollRequest& request,
                         Time sent, const PollAnswer& answer, Time now) {
@@ -185,7 +214,7 @@
 void Cell::Decide(Time now) {
   cell::State& state = parts_->state;
   cell::MaintainWorkers(&state, now);
-  if (!state.recovered) return;
+  if (!state.recovered || state.order_scope != OrderScope::kAll) return;
   cell::SendPaceOrders(&state, now);
   cell::UpdateUsableWorkers(&state, now);
   const std::vector<cell::WaitingStep> order =
@@ -256,10 +285,12 @@
   return cell::HasMajority(parts_->state, age, now);
 }
 
-bool Cell::MaySendOrders(Milliseconds without_lease, Time now) const {
-  return without_lease < Milliseconds(0) ||
-         (without_lease < kMaxTimeWithoutLease &&
-          HasMajority(kMaxMajorityAge, now));
+OrderScope Cell::UpdateOrderScope(Milliseconds without_lease, Time now) {
+  return cell::UpdateOrderScope(&parts_->state, without_lease, now);
+}
+
+bool Cell::have_former_leases_expired() const {
+  return parts_->state.all_workers_accounted;
 }
 
 size_t Cell::waiting_tasks() const {
--- a/quetzal/cell/cell.h
+++ b/quetzal/cell/cell.h
@@ -37,13 +37,17 @@
 //  - Tasks of jobs that a former placer may have started wait until every open
 //    worker was reached or its leases have expired. Runs of closed workers
 //    count as running for as long.
+//  - A placer whose lease of the leader key ended goes on for
+//    `kMaxTimeWithoutLease` at most, while more than half of the workers of its
+//    stored roster, in the platform's list or not, confirm it under a higher
+//    fence than the leader key's. They must have begun to within
+//    `kMaxPreparation`.
 //  - Leases that a former placer may extend count as expired some time after
-//    half of the workers of its own roster, in the platform's list or not, were
-//    reached, or after it can't have gone on any more without a valid lease of
-//    the leader key. It goes on without one while more than half of them
-//    confirm it, for `kMaxTimeWithoutLease` at most. Former placers whose
-//    leases may last are stored with the roster, each with its own workers, so
-//    that what one placer has found out holds for the next.
+//    half of the workers of its own roster were reached, or after it can't have
+//    gone on any more. If its term timer ran out and half of them don't know
+//    its higher fence, it didn't go on, and they count as expired at once.
+//    Former placers whose leases may last are stored with the roster, each with
+//    its own workers, so that what one placer has found out holds for the next.
 //  - Jobs that arrive while another placer may lead aren't started meanwhile.
 #ifndef QUETZAL_CELL_CELL_H_
 #define QUETZAL_CELL_CELL_H_
@@ -76,6 +80,20 @@
 // reach half of the former placer's workers waits for it.
 inline constexpr Milliseconds kMaxTimeWithoutLease{16'000};
 
+// For how long a renewal of the leadership is valid, from when it was sent.
+inline constexpr Milliseconds kLeadershipValidity{1'150};
+// How long after its lease of the leader key ended a placer may wait for the
+// majority that lets it go on.
+inline constexpr Milliseconds kMaxPreparation{500};
+
+// What a placer may send.
+enum class OrderScope {
+  kNone,
+  // Polls that extend no leases: they ask the workers to confirm this placer.
+  kPollsOnly,
+  kAll,
+};
+
 struct CellSettings {
   // Longest lease that a worker grants; the platform's limit.
   Milliseconds max_lease{6'000};
@@ -89,6 +107,13 @@
   Milliseconds finished_job_retention{120'000};
 };
 
+// How long a lease can last, on the placer's clock, after the order that
+// extended it was sent.
+Milliseconds MaxLeaseLifetime(const CellSettings& settings);
+// TTL of a timer that runs out only once all leases have ended that its placer
+// extended while its renewals of the timer were valid.
+Milliseconds TermTimerDuration(const CellSettings& settings);
+
 struct PollAction {
   WorkerEntry worker;
   PollRequest request;
@@ -172,6 +197,8 @@
   // This placer was elected again under a higher fence, with no other placer's
   // term in between.
   void OnFenceRaised(Fence fence);
+  // The term timer of the placer of the last term has run out.
+  void OnFormerTermTimerEnded(Time now);
 
   void OnPollAnswer(const WorkerId& id, const PollRequest& request, Time sent,
                     const PollAnswer& answer, Time now);
@@ -209,10 +236,13 @@
   // that this placer counts must have answered too: the listed ones or, until a
   // former placer's leases have expired, those of its roster.
   bool HasMajority(Milliseconds age, Time now) const;
-  // Whether this placer may send orders `without_lease` after its last lease of
+  // Decides what this placer may send `without_lease` after its last lease of
   // the leader key ended; negative while that is valid. The time has to include
-  // suspensions of the machine.
-  bool MaySendOrders(Milliseconds without_lease, Time now) const;
+  // suspensions of the machine. To be called before each `Decide`, which sends
+  // nothing else.
+  OrderScope UpdateOrderScope(Milliseconds without_lease, Time now);
+  // False while leases that a former placer extended may last.
+  bool have_former_leases_expired() const;
   // Number of tasks that wait to be started.
   size_t waiting_tasks() const;
 
--- a/quetzal/cell/internal/accounting.cc
+++ b/quetzal/cell/internal/accounting.cc
@@ -1,6 +1,7 @@
 #include "quetzal/cell/internal/accounting.h"
 
 #include <algorithm>
+#include <functional>
 #include <set>
 #include <utility>
 
@@ -13,7 +14,7 @@
 // Until all leases have ended that a placer extended which lost its lease of
 // the leader key just now.
 Milliseconds MaxTimeUntilLeasesEnd(const State& state) {
-  return Stretch(kMaxTimeWithoutLease) + MaxLeaseLifetime(state);
+  return Stretch(kMaxTimeWithoutLease) + MaxLeaseLifetime(state.settings);
 }
 
 std::vector<WorkerId> WorkersOf(const RosterEntries& entries) {
@@ -54,6 +55,9 @@
     for (auto& [id, worker] : state->workers) worker.in_former_roster = true;
     return;
   }
+  if (former.term == state->roster.term() - 1) {
+    state->former_fence = former.fence;
+  }
   for (const auto& [id, entry] : state->roster.stored()) {
     const bool is_new = state->FindWorker(id) == nullptr;
     Worker& worker = *state->FindOrAddWorker(id);
@@ -64,6 +68,8 @@
     }
     worker.in_former_roster = true;
     worker.former_runs = entry.runs;
+    worker.former_incarnation = entry.incarnation;
+    worker.probe_due = state->former_fence.has_value();
     worker.answered_at = entry.address;
     worker.in_roster = state->roster.IsOpen(id, entry.address);
   }
@@ -71,6 +77,9 @@
 
 namespace {
 
+// The next placer can't tell how long ago the former placers were written, so
+// the time that their leases have left is written repeatedly.
+constexpr Milliseconds kFormerPlacersWriteInterval{1'500};
 // Bounds the size of the stored roster; more silent workers remain open.
 constexpr size_t kMaxListedRuns = 4'000;
 
@@ -143,11 +152,14 @@
 }  // namespace
 
 std::optional<std::string> TakeRosterWrite(State* state, Time now) {
-  if (!state->recovered || !state->roster_changed ||
-      !state->roster.CanWrite(now)) {
+  const bool is_due =
+      state->roster_changed || (!state->all_workers_accounted &&
+                                now >= state->next_former_placers_write_at);
+  if (!state->recovered || !is_due || !state->roster.CanWrite(now)) {
     return std::nullopt;
   }
   state->roster_changed = false;
+  state->next_former_placers_write_at = now + kFormerPlacersWriteInterval;
   RosterEntries wanted;
   size_t listed_runs = 0;
   for (const auto& [id, worker] : state->workers) {
@@ -156,6 +168,8 @@
     entry.address =
         worker.answered_at.empty() ? worker.entry.address : worker.answered_at;
     entry.capacity = worker.entry.capacity;
+    entry.incarnation =
+        worker.reached ? worker.incarnation : worker.former_incarnation;
     auto runs = ListedRuns(*state, worker);
     if (!runs || listed_runs + runs->size() > kMaxListedRuns) continue;
     listed_runs += runs->size();
@@ -227,19 +241,44 @@
   return confirmed * 2 > former;
 }
 
+// True if the placer of the last term sent no orders without a lease of the
+// leader key: when it had to have begun to, half of its workers didn't know the
+// fence that it would have had.
+bool EndedWithItsLease(const State& state, const FormerPlacerState& placer) {
+  if (!state.former_fence || !state.former_renewal_before ||
+      placer.term != state.roster.term() - 1) {
+    return false;
+  }
+  const Time begun_by = *state.former_renewal_before +
+                        Stretch(kLeadershipValidity + kMaxPreparation);
+  const auto count = static_cast<size_t>(std::count_if(
+      placer.workers.begin(), placer.workers.end(), [&](const WorkerId& id) {
+        const auto found = state.workers.find(id);
+        return found != state.workers.end() && found->second.probed_at &&
+               *found->second.probed_at > begun_by;
+      }));
+  return count > 0 && count * 2 >= placer.workers.size();
+}
+
 // Until they end, a former placer may extend leases of any worker of its
 // roster, listed or not. It sends its last orders before its confirmations of
 // the time at which it was outvoted end; or at its limit without a valid lease,
-// which began before this term.
+// which began before this term; or while its last renewal was valid.
 void UpdateFormerLeases(State* state, Time now) {
-  const Milliseconds lease = MaxLeaseLifetime(*state);
+  const Milliseconds lease = MaxLeaseLifetime(state->settings);
   for (FormerPlacerState& placer : state->former_placers) {
+    const bool had_expired = now > placer.leases_end_at;
     const Time before = placer.leases_end_at;
     if (!placer.is_outvoted && IsOutvoted(*state, placer, now)) {
       placer.is_outvoted = true;
       placer.leases_end_at =
           std::min(before, now + kConfirmationLifetime + lease);
     }
+    if (!had_expired && EndedWithItsLease(*state, placer)) {
+      placer.leases_end_at = std::min(
+          placer.leases_end_at,
+          *state->former_renewal_before + Stretch(kLeadershipValidity) + lease);
+    }
     // The next placer is to know.
     if (placer.leases_end_at != before) state->roster_changed = true;
   }
@@ -269,7 +308,9 @@
       if (may_expire) EndExpiredRuns(state, &worker, now);
       continue;
     }
-    if (expired && state->workers_listed) {
+    // One that just hasn't answered yet may have ends to report.
+    const bool is_silent = worker.unanswered_polls > 0;
+    if (expired && is_silent && state->workers_listed) {
       EndAllRuns(state, &worker, "lease lapsed", now);
       state->log->ImportantLine(
           "worker_gone",
@@ -285,14 +326,14 @@
         "all_runs_known",
         {{"after_ms", (now - state->term_started_at).count()}});
   }
-  if (state->all_workers_accounted || (!all_accounted && !expired)) return;
+  if (state->all_workers_accounted || !all_accounted) return;
   if (!state->recovered) return;
   state->all_workers_accounted = true;
   state->all_runs_known = true;
   state->log->ImportantLine(
       "all_workers_accounted",
       {{"after_ms", (now - state->term_started_at).count()},
-       {"how", all_accounted ? "reached" : "lapsed"}});
+       {"how", expired ? "lapsed" : "reached"}});
 }
 
 namespace {
@@ -307,12 +348,11 @@
 }
 
 bool HasMajorityOf(const State& state, const std::vector<WorkerId>& ids,
-                   Milliseconds age, Time now) {
+                   const std::function<bool(const Worker&)>& is_confirmed) {
   const auto confirmed =
       std::count_if(ids.begin(), ids.end(), [&](const WorkerId& id) {
         const auto found = state.workers.find(id);
-        return found != state.workers.end() &&
-               IsConfirmedBy(found->second, age, now);
+        return found != state.workers.end() && is_confirmed(found->second);
       });
   return static_cast<size_t>(confirmed) * 2 > ids.size();
 }
@@ -322,7 +362,10 @@
 bool HasMajority(const State& state, Milliseconds age, Time now) {
   // A successor reads the stored roster and counts its workers.
   for (const std::vector<WorkerId>& ids : state.roster.possible_workers()) {
-    if (!HasMajorityOf(state, ids, age, now)) return false;
+    const auto is_confirmed = [&](const Worker& worker) {
+      return IsConfirmedBy(worker, age, now);
+    };
+    if (!HasMajorityOf(state, ids, is_confirmed)) return false;
   }
   size_t counted = 0;
   size_t confirmed = 0;
@@ -334,4 +377,55 @@
   return confirmed * 2 > counted;
 }
 
+namespace {
+
+// Maximum age of the answers that confirm a placer without a valid lease of the
+// leader key.
+constexpr Milliseconds kMaxMajorityAge{2'400};
+// A renewal that takes longer may have failed. Polls that wait at the workers
+// end, and those that replace them are answered, between this and the end of
+// `kMaxPreparation`.
+constexpr Milliseconds kPrepareBeforeLeaseEnds{550};
+
+// A successor that finds a worker of the stored roster under the leader key's
+// fence infers that this placer isn't confirmed there. A restarted worker
+// forgets fences, so only the incarnations that the successor knows count.
+bool HasMajorityWithoutLease(const State& state, Time now) {
+  if (!HasMajority(state, kMaxMajorityAge, now)) return false;
+  const auto is_confirmed = [&](const Worker& worker) {
+    return IsConfirmedBy(worker, kMaxMajorityAge, now) &&
+           worker.confirmed_fence == state.fence &&
+           state.roster.HasIncarnation(worker.entry.id, worker.incarnation);
+  };
+  const auto& rosters = state.roster.possible_workers();
+  return std::all_of(rosters.begin(), rosters.end(), [&](const auto& ids) {
+    return HasMajorityOf(state, ids, is_confirmed);
+  });
+}
+
+OrderScope ScopeWithoutLease(State* state, Milliseconds without_lease,
+                             Time now) {
+  if (without_lease >= kMaxTimeWithoutLease) return OrderScope::kNone;
+  const bool has_majority = HasMajorityWithoutLease(*state, now);
+  if (!state->may_go_on_without_lease) {
+    if (without_lease >= kMaxPreparation) return OrderScope::kNone;
+    state->may_go_on_without_lease = has_majority;
+    if (!has_majority) return OrderScope::kPollsOnly;
+  }
+  return has_majority ? OrderScope::kAll : OrderScope::kNone;
+}
+
+}  // namespace
+
+OrderScope UpdateOrderScope(State* state, Milliseconds without_lease,
+                            Time now) {
+  if (without_lease >= -kPrepareBeforeLeaseEnds) {
+    state->fence = FenceWithoutLease(state->leader_fence);
+  }
+  state->order_scope = without_lease < Milliseconds(0)
+                           ? OrderScope::kAll
+                           : ScopeWithoutLease(state, without_lease, now);
+  return state->order_scope;
+}
+
 }  // namespace quetzal::cell
--- a/quetzal/cell/internal/state.cc
+++ b/quetzal/cell/internal/state.cc
@@ -41,6 +41,10 @@
 
 }  // namespace
 
+Fence FenceWithoutLease(Fence leader_fence) {
+  return Fence{static_cast<uint64_t>(leader_fence) + 1};
+}
+
 bool IsConfirmed(const Run& run) {
   return run.last_run_list > 0 || run.start_confirmed;
 }
@@ -84,10 +88,6 @@
       static_cast<int64_t>(static_cast<double>(time.count()) * kMaxClockRatio));
 }
 
-Milliseconds MaxLeaseLifetime(const State& state) {
-  return Stretch(state.settings.max_lease) + kLeaseExpiryMargin;
-}
-
 void AddRun(State* state, Worker* worker, Run run) {
   worker->used += run.charge;
   if (run.job != nullptr) {
--- a/quetzal/cell/internal/state.h
+++ b/quetzal/cell/internal/state.h
@@ -124,6 +124,12 @@
   bool in_former_roster = false;  // a former placer may have used it
   // By the former roster, the only runs of former placers that it may execute.
   std::optional<std::vector<RosterRun>> former_runs;
+  Incarnation former_incarnation{0};  // by the former roster; 0: unknown
+  // It is to be polled under the former placer's fence first.
+  bool probe_due = false;
+  // When the poll was sent that showed that the incarnation of the former
+  // roster knew no fence of a former placer without a lease.
+  std::optional<Time> probed_at;
   bool reached = false;      // answered a poll in this term and incarnation
   bool known_empty = false;  // it is gone, or its leases expired
   Incarnation incarnation{0};
@@ -145,7 +151,8 @@
   // Unresponsive for so long that its entry in the roster is closed.
   bool silent = false;
   Time next_poll_at;
-  Time confirmed_at;  // when its newest answered poll was sent
+  Time confirmed_at;         // when its newest answered poll was sent
+  Fence confirmed_fence{0};  // of that poll
   // When the newest order that may extend leases was sent.
   Time lease_extended_at;
   // The same of the orders that were sent to former incarnations.
@@ -247,7 +254,12 @@
 
 struct State {
   CellSettings settings;
-  Fence fence{0};
+  Fence leader_fence{0};  // the leader key's revision
+  Fence fence{0};         // of orders
+  OrderScope order_scope = OrderScope::kAll;
+  // Under the present leader fence a majority has confirmed, in time, that this
+  // placer goes on without a lease of the leader key.
+  bool may_go_on_without_lease = false;
   int64_t run_floor = 0;
   Time term_started_at;
   EventLog* log = nullptr;
@@ -258,17 +270,22 @@
   bool leadership_is_certain = true;
   bool workers_listed = false;
   Time workers_listed_at;
-  Roster roster{TermNumber{0}};
+  Roster roster{TermNumber{0}, Fence{0}};
   // False if the former placer's roster can't be read: then every listed worker
   // counts as one of it.
   bool is_former_roster_known = true;
   bool roster_changed = false;  // since the last write was taken
+  Time next_former_placers_write_at;
   // Every worker was reached or its leases expired.
   bool all_workers_accounted = false;
   bool has_former_runs = false;  // of closed workers
   // All runs that a former placer may have started are known or have ended.
   bool all_runs_known = false;
   std::vector<FormerPlacerState> former_placers;
+  // Of the last placer, if it wrote the former roster.
+  std::optional<Fence> former_fence;
+  // The last placer's newest renewal of its leadership was sent before.
+  std::optional<Time> former_renewal_before;
   std::shared_ptr<const Catalog> catalog;
   std::unordered_map<WorkerId, Worker> workers;
   std::vector<Worker*> slots;  // by slot; null once the worker is forgotten
@@ -306,6 +323,11 @@
   Worker* FindOrAddWorker(const WorkerId& id);
 };
 
+// Of a placer's orders once its lease of the leader key may have ended. The
+// removal of the leader key has a revision of its own, so the successor's fence
+// is higher.
+Fence FenceWithoutLease(Fence leader_fence);
+
 // False if the run's start may be executed yet, or may have been executed by an
 // incarnation that no poll has reached.
 bool IsConfirmed(const Run& run);
@@ -324,9 +346,6 @@
 Resources ChargeOf(const StepSpec& spec);
 // The longest that `time` on another machine's clock can be on this one's.
 Milliseconds Stretch(Milliseconds time);
-// How long a lease can last, on the placer's clock, after the order that
-// extended it was sent.
-Milliseconds MaxLeaseLifetime(const State& state);
 
 // Schedules a stop of the run, not before `at`.
 void ScheduleStop(Worker* worker, Run* run, Time at);
--- a/quetzal/cell/internal/workers.cc
+++ b/quetzal/cell/internal/workers.cc
@@ -88,7 +88,7 @@
           std::max(extended_at, *worker.former_lease_extended_at + delay);
     }
   }
-  return extended_at + MaxLeaseLifetime(state);
+  return extended_at + MaxLeaseLifetime(state.settings);
 }
 
 // How long a lease of the worker's runs may still last.
@@ -474,7 +474,8 @@
 
 void SendPoll(State* state, Worker* worker, Time now) {
   const bool extends =
-      !worker->unresponsive && worker->reached &&
+      state->order_scope == OrderScope::kAll && !worker->unresponsive &&
+      worker->reached &&
       (worker->listed || now - worker->unlisted_since < kUnlistedGrace);
   // A worker that was silent may be another incarnation, whose ends are
   // numbered from 1 again and must not count as acknowledged. It may execute a
@@ -482,16 +483,21 @@
   const bool acknowledges =
       !worker->unresponsive &&
       worker->last_acknowledged > worker->confirmed_acknowledgement;
+  const bool is_probe = worker->probe_due && !worker->reached;
   PollRequest request{
-      .fence = state->fence,
+      .fence = is_probe ? *state->former_fence : state->fence,
       .acknowledged_end = acknowledges ? worker->last_acknowledged : 0};
   if (extends) {
     request.lease_until =
         WorkerTime{static_cast<int64_t>(EstimateClock(*worker, now)) +
                    state->settings.max_lease.count()};
     worker->lease_extended_at = now;
-    // With unacknowledged ends the worker would answer at once.
-    if (worker->unacked.empty()) {
+    // With unacknowledged ends the worker would answer at once. The answer that
+    // confirms a higher fence is needed soon.
+    const bool may_wait =
+        worker->unacked.empty() && (state->fence == state->leader_fence ||
+                                    worker->confirmed_fence == state->fence);
+    if (may_wait) {
       const bool needs_pacing =
           worker->best_effort_runs > 0 && worker->serving_runs > 0;
       request.wait = needs_pacing ? std::min(kPollWaitWhilePacing,
@@ -504,6 +510,20 @@
   state->actions.emplace_back(PollAction{worker->entry, request});
 }
 
+// Whether the worker knows a higher fence tells whether the former placer went
+// on without a lease of the leader key. The worker doesn't obey this placer
+// yet, so its lists aren't used.
+void ApplyProbeAnswer(Worker* worker, Time sent, const PollAnswer& answer,
+                      Time now) {
+  worker->probe_due = false;
+  worker->next_poll_at = now;
+  if (answer.outcome == OrderOutcome::kDone &&
+      answer.incarnation != Incarnation{0} &&
+      answer.incarnation == worker->former_incarnation) {
+    worker->probed_at = sent;
+  }
+}
+
 // True if the worker has answered neither a start nor a poll for a while. An
 // answer to a start alone may be lost.
 bool MayBeGone(const Worker& worker, Time now) {
@@ -535,7 +555,8 @@
 }
 
 void EndExpiredRuns(State* state, Worker* worker, Time now) {
-  if (now - worker->lease_extended_at <= MaxLeaseLifetime(*state)) return;
+  if (now - worker->lease_extended_at <= MaxLeaseLifetime(state->settings))
+    return;
   std::vector<std::pair<TaskId, int64_t>> expired;
   for (const auto& [task_id, run] : worker->runs) {
     if (now > LeaseEnd(*state, *worker, run, now)) {
@@ -650,6 +671,12 @@
                      Time sent, const PollAnswer& answer, Time now) {
   worker->poll_in_flight = false;
   worker->next_poll_at = now + kPollRetryDelay;
+  const bool is_probe = worker->probe_due && request.fence != state->fence;
+  if (is_probe && (answer.outcome == OrderOutcome::kDone ||
+                   answer.outcome == OrderOutcome::kFenced)) {
+    ApplyProbeAnswer(worker, sent, answer, now);
+    return;
+  }
   if (answer.outcome == OrderOutcome::kFenced) {
     if (request.fence == state->fence) {
       Resign(state, "a worker has a higher fence");
@@ -711,6 +738,7 @@
     state->roster_changed = true;
   }
   worker->confirmed_at = sent;
+  worker->confirmed_fence = request.fence;
   worker->clock = answer.clock;
   worker->clock_received_at = now;
   // A poll that extends no leases doesn't wait at the worker.
@@ -759,7 +787,9 @@
     if (!worker.poll_in_flight && now >= worker.next_poll_at) {
       SendPoll(state, &worker, now);
     }
-    SendDueStops(state, &worker, now);
+    if (state->order_scope == OrderScope::kAll) {
+      SendDueStops(state, &worker, now);
+    }
   }
 }
 
--- a/quetzal/cell/testing/fake_fleet.h
+++ b/quetzal/cell/testing/fake_fleet.h
@@ -148,6 +148,7 @@
     if (is_roster_readable_) {
       roster = {.entries = roster_,
                 .term = roster_term_,
+                .fence = roster_fence_,
                 .former_placers = former_placers_};
     }
     cell_->OnRoster(roster, now_);
@@ -227,6 +228,7 @@
   void StoreRoster(const StoredRoster& roster) {
     roster_ = roster.entries;
     roster_term_ = roster.term;
+    roster_fence_ = roster.fence;
     former_placers_ = roster.former_placers;
   }
 
@@ -427,6 +429,7 @@
   std::map<WorkerId, FakeWorker> workers_;
   RosterEntries roster_;
   std::optional<TermNumber> roster_term_;
+  std::optional<Fence> roster_fence_;
   std::vector<FormerPlacer> former_placers_;
   bool roster_writes_succeed_ = true;
   bool is_roster_readable_ = true;
--- a/quetzal/cell/two_placers_test.cc
+++ b/quetzal/cell/two_placers_test.cc
@@ -110,7 +110,7 @@
   void RunFormerUntil(Time until, Time lease_end) {
     ChangeReach(100);
     while (fleet_.now() < until) {
-      fleet_.orders_halted_ = !MayFormerSend(*fleet_.cell(), lease_end);
+      fleet_.orders_halted_ = !MayFormerSend(fleet_.cell(), lease_end);
       for (auto& [id, worker] : fleet_.workers_) {
         worker.unresponsive = !reach_[id].by_former;
       }
@@ -120,16 +120,18 @@
     fleet_.orders_halted_ = false;
   }
 
-  bool MayFormerSend(const Cell& former, Time lease_end) const {
-    return former.MaySendOrders(fleet_.now() - lease_end, fleet_.now());
+  bool MayFormerSend(Cell* former, Time lease_end) const {
+    return former->UpdateOrderScope(fleet_.now() - lease_end, fleet_.now()) !=
+           OrderScope::kNone;
   }
 
   void TakeOver() {
     if (!former_) fleet_.SwapCell(&former_);
     fleet_.store_up_ = true;
     ++term_;
+    // The removal of the leader key has a revision too.
     fleet_.StartTerm(Fence{static_cast<uint64_t>(testing::kFence) +
-                           static_cast<uint64_t>(term_)},
+                           2 * static_cast<uint64_t>(term_)},
                      testing::kRunFloor + kRunsPerTerm * term_);
     if (Chance(50)) AddWorkers();
     ChangeReach(50);
@@ -160,7 +162,7 @@
   }
 
   void RunFormer(Time lease_end) {
-    if (!MayFormerSend(*former_, lease_end)) return;
+    if (!MayFormerSend(former_.get(), lease_end)) return;
     for (auto& [id, worker] : fleet_.workers_) {
       worker.unresponsive = !reach_[id].by_former;
     }
--- a/quetzal/roster/roster.cc
+++ b/quetzal/roster/roster.cc
@@ -43,13 +43,9 @@
   return workers;
 }
 
-// Each write would differ by the time that is left.
-bool AreSamePlacers(const std::vector<FormerPlacer>& a,
-                    const std::vector<FormerPlacer>& b) {
-  return std::equal(a.begin(), a.end(), b.begin(), b.end(),
-                    [](const FormerPlacer& x, const FormerPlacer& y) {
-                      return x.term == y.term && x.workers == y.workers;
-                    });
+// True if no run needs to be accounted for differently.
+bool IsSameAssignment(const RosterEntry& a, const RosterEntry& b) {
+  return a.address == b.address && a.capacity == b.capacity && a.runs == b.runs;
 }
 
 Json EncodeFormerPlacers(const std::vector<FormerPlacer>& placers) {
@@ -88,9 +84,15 @@
   }
   Json json = {{"workers", std::move(rows)}};
   if (roster.term) json["term"] = *roster.term;
+  if (roster.fence) json["fence"] = static_cast<uint64_t>(*roster.fence);
   if (!roster.former_placers.empty()) {
     json["former_placers"] = EncodeFormerPlacers(roster.former_placers);
   }
+  // Apart from the rows, whose columns earlier versions know.
+  for (const auto& [id, entry] : roster.entries) {
+    if (entry.incarnation == Incarnation{0}) continue;
+    json["incarnations"][id.text()] = static_cast<int64_t>(entry.incarnation);
+  }
   return json.dump();
 }
 
@@ -100,9 +102,13 @@
     const Json json = Json::parse(text);
     // Absent in rosters of earlier versions, as are runs.
     if (json.contains("term")) roster.term = json["term"].get<TermNumber>();
+    if (json.contains("fence")) {
+      roster.fence = Fence{json["fence"].get<uint64_t>()};
+    }
     if (json.contains("former_placers")) {
       roster.former_placers = DecodeFormerPlacers(json["former_placers"]);
     }
+    const Json incarnations = json.value("incarnations", Json::object());
     for (const Json& row : json.at("workers")) {
       RosterEntry& entry =
           roster.entries[WorkerId(row.at(0).get<std::string>())];
@@ -110,6 +116,8 @@
       entry.capacity = {.cpu_milli = row.at(2).get<int64_t>(),
                         .memory_mib = row.at(3).get<int64_t>(),
                         .accelerators = row.at(4).get<int64_t>()};
+      entry.incarnation = Incarnation{
+          incarnations.value(row.at(0).get<std::string>(), int64_t{0})};
       if (row.size() <= kRunsColumn) continue;
       if (!row.at(kRunsColumn).is_array()) return std::nullopt;
       entry.runs = DecodeRuns(row.at(kRunsColumn));
@@ -134,6 +142,16 @@
          !found->second.runs;
 }
 
+bool Roster::HasIncarnation(const WorkerId& id, Incarnation incarnation) const {
+  const auto found = stored_.find(id);
+  return found != stored_.end() && found->second.incarnation == incarnation;
+}
+
+void Roster::SetFence(Fence fence) {
+  fence_ = fence;
+  is_own_ = false;
+}
+
 bool Roster::CanWrite(Time now) const {
   return loaded_ && !pending_write_ && now >= next_write_at_;
 }
@@ -141,26 +159,34 @@
 std::optional<std::string> Roster::BeginWrite(
     const RosterEntries& wanted, Time now,
     const std::vector<FormerPlacer>& former_placers) {
-  const bool is_stored = is_own_ && wanted == stored_ &&
-                         AreSamePlacers(former_placers, written_placers_);
+  const bool is_stored =
+      is_own_ && wanted == stored_ && former_placers == written_placers_;
   if (!CanWrite(now) || is_stored) return std::nullopt;
   pending_write_ = wanted;
   written_placers_ = former_placers;
+  written_fence_ = fence_;
   possible_workers_.insert(WorkersOf(wanted));
   next_write_at_ = now + kMinWriteInterval;
   // Entries that this write drops or changes may be gone from the store before
   // the answer arrives.
   std::erase_if(stored_, [&](const auto& entry) {
     const auto found = wanted.find(entry.first);
-    return found == wanted.end() || found->second != entry.second;
+    return found == wanted.end() ||
+           !IsSameAssignment(found->second, entry.second);
   });
-  return EncodeRoster(
-      {.entries = wanted, .term = term_, .former_placers = former_placers});
+  for (auto& [id, entry] : stored_) {
+    const Incarnation incarnation = wanted.at(id).incarnation;
+    if (entry.incarnation != incarnation) entry.incarnation = Incarnation{0};
+  }
+  return EncodeRoster({.entries = wanted,
+                       .term = term_,
+                       .fence = fence_,
+                       .former_placers = former_placers});
 }
 
 void Roster::OnStored() {
   if (!pending_write_) return;
-  is_own_ = true;
+  is_own_ = written_fence_ == fence_;
   stored_ = std::move(*pending_write_);
   pending_write_.reset();
   possible_workers_ = {WorkersOf(stored_)};
--- a/quetzal/roster/roster.h
+++ b/quetzal/roster/roster.h
@@ -48,6 +48,8 @@
   Resources capacity;
   // Of a closed entry: all runs that the worker may execute.
   std::optional<std::vector<RosterRun>> runs;
+  // That answered the placer; 0: unknown.
+  Incarnation incarnation{0};
 
   friend bool operator==(const RosterEntry&, const RosterEntry&) = default;
 };
@@ -71,6 +73,8 @@
   RosterEntries entries;
   // Of the placer that wrote it; nothing if an earlier version did.
   std::optional<TermNumber> term;
+  // Its leader key's revision; nothing if an earlier version wrote the roster.
+  std::optional<Fence> fence;
   // Those whose leases may not have ended.
   std::vector<FormerPlacer> former_placers;
 };
@@ -81,7 +85,7 @@
 
 class Roster {
  public:
-  explicit Roster(TermNumber term) : term_(term) {}
+  Roster(TermNumber term, Fence fence) : term_(term), fence_(fence) {}
 
   // Sets what the store holds at the beginning of the term. Closed entries that
   // the preceding term didn't write are opened: a version that doesn't know
@@ -98,13 +102,20 @@
   // True if the stored roster is certain to have an open entry of the worker
   // with this address.
   bool IsOpen(const WorkerId& id, const std::string& address) const;
+  // True if the stored roster is certain to have an entry of this incarnation.
+  bool HasIncarnation(const WorkerId& id, Incarnation incarnation) const;
+  TermNumber term() const { return term_; }
+
+  // The leader key was written again in this term: the roster is to be stored
+  // with its new revision.
+  void SetFence(Fence fence);
 
   // False before the roster was loaded, while a write is in flight, and for a
   // short time after a write began.
   bool CanWrite(Time now) const;
   // Returns the text to store, if `wanted` differs from the stored roster, the
-  // former placers are others, or this term's newest write isn't known to be
-  // stored, and a write may begin now.
+  // former placers or the times that they have left are others, or this term's
+  // newest write isn't known to be stored, and a write may begin now.
   std::optional<std::string> BeginWrite(
       const RosterEntries& wanted, Time now,
       const std::vector<FormerPlacer>& former_placers = {});
@@ -115,12 +126,14 @@
 
  private:
   TermNumber term_;
+  Fence fence_;
   bool loaded_ = false;
   bool is_own_ = false;  // this term's newest write is known to be stored
   RosterEntries stored_;
   std::set<std::vector<WorkerId>> possible_workers_;
   std::optional<RosterEntries> pending_write_;
   std::vector<FormerPlacer> written_placers_;  // by the newest write
+  Fence written_fence_{0};
   Time next_write_at_;
 };
 
--- a/quetzal/roster/roster_test.cc
+++ b/quetzal/roster/roster_test.cc
@@ -8,6 +8,7 @@
 constexpr Time kStart{Milliseconds(1'000)};
 constexpr Milliseconds kAfterWriteInterval{10'000};
 constexpr TermNumber kTerm = 5;
+constexpr Fence kFence{71};
 
 RosterEntry EntryAt(const std::string& address) {
   return {.address = address, .capacity = {.cpu_milli = 4'000}};
@@ -62,20 +63,21 @@
     const std::vector<FormerPlacer> placers = {
         {.term = 3,
          .workers = {WorkerId("a"), WorkerId("b")},
-         .leases_end_in = Milliseconds(9'000)},
-        {.term = 2}};
-    Roster roster(kTerm);
+         .leases_end_in = Milliseconds(20'000)},
+        {.term = 2, .leases_end_in = Milliseconds(20'000)}};
+    Roster roster(kTerm, kFence);
     roster.Load({});
     const auto text = roster.BeginWrite({}, kStart, placers);
     CPPUNIT_ASSERT(text.has_value());
     CPPUNIT_ASSERT(DecodeRoster(*text)->former_placers == placers);
     roster.OnStored();
-    // The time that is left alone is no reason to write.
+    CPPUNIT_ASSERT(
+        !roster.BeginWrite({}, kStart + kAfterWriteInterval, placers));
     std::vector<FormerPlacer> later = placers;
-    later[0].leases_end_in = Milliseconds(5'000);
-    CPPUNIT_ASSERT(!roster.BeginWrite({}, kStart + kAfterWriteInterval, later));
-    later.pop_back();
+    later[0].leases_end_in -= kAfterWriteInterval;
     CPPUNIT_ASSERT(roster.BeginWrite({}, kStart + kAfterWriteInterval, later));
+    roster.OnStored();
+    CPPUNIT_ASSERT(roster.BeginWrite({}, kStart + 2 * kAfterWriteInterval));
   }
 
   void RejectsMalformedTexts() {
@@ -106,18 +108,18 @@
     const RosterEntries closed = {{WorkerId("a"), ClosedEntryAt("x")}};
     for (const std::optional<TermNumber> term :
          {std::optional<TermNumber>(kTerm - 2), std::optional<TermNumber>()}) {
-      Roster roster(kTerm);
+      Roster roster(kTerm, kFence);
       roster.Load({.entries = closed, .term = term});
       CPPUNIT_ASSERT(!roster.stored().at(WorkerId("a")).runs);
     }
-    Roster roster(kTerm);
+    Roster roster(kTerm, kFence);
     roster.Load({.entries = closed, .term = kTerm - 1});
     CPPUNIT_ASSERT(roster.stored() == closed);
   }
 
   void ANewTermWritesTheRosterOnceMore() {
     const RosterEntries entries = {{WorkerId("a"), EntryAt("x")}};
-    Roster roster(kTerm);
+    Roster roster(kTerm, kFence);
     roster.Load({.entries = entries, .term = kTerm - 1});
     CPPUNIT_ASSERT(roster.BeginWrite(entries, kStart));
     CPPUNIT_ASSERT(roster.IsOpen(WorkerId("a"), "x"));
@@ -126,7 +128,7 @@
   }
 
   void AClosedWorkerIsNotOpenOnceItsWriteBegins() {
-    Roster roster(kTerm);
+    Roster roster(kTerm, kFence);
     roster.Load({.entries = {{WorkerId("a"), EntryAt("x")}}});
     CPPUNIT_ASSERT(
         roster.BeginWrite({{WorkerId("a"), ClosedEntryAt("x")}}, kStart));
@@ -136,7 +138,7 @@
   }
 
   void AReopenedWorkerIsOpenOnlyOnceStored() {
-    Roster roster(kTerm);
+    Roster roster(kTerm, kFence);
     roster.Load(
         {.entries = {{WorkerId("a"), ClosedEntryAt("x")}}, .term = kTerm - 1});
     CPPUNIT_ASSERT(!roster.IsOpen(WorkerId("a"), "x"));
@@ -151,7 +153,7 @@
   }
 
   void ContainsOnlyStoredWorkers() {
-    Roster roster(kTerm);
+    Roster roster(kTerm, kFence);
     roster.Load({});
     const RosterEntries wanted = {{WorkerId("a"), EntryAt("x")}};
     CPPUNIT_ASSERT(roster.BeginWrite(wanted, kStart));
@@ -163,7 +165,7 @@
   }
 
   void ADroppedWorkerIsNotContainedOnceItsWriteBegins() {
-    Roster roster(kTerm);
+    Roster roster(kTerm, kFence);
     roster.Load({.entries = {{WorkerId("a"), EntryAt("x")},
                              {WorkerId("b"), EntryAt("y")}},
                  .term = kTerm - 1});
@@ -173,7 +175,7 @@
   }
 
   void AFailedWriteKeepsOnlyWorkersOfBothRosters() {
-    Roster roster(kTerm);
+    Roster roster(kTerm, kFence);
     roster.Load({.entries = {{WorkerId("a"), EntryAt("x")},
                              {WorkerId("b"), EntryAt("y")}}});
     const RosterEntries wanted = {{WorkerId("b"), EntryAt("y")},
@@ -187,7 +189,7 @@
   }
 
   void AFailedWriteThatDropsAWorkerIsRepeated() {
-    Roster roster(kTerm);
+    Roster roster(kTerm, kFence);
     roster.Load({});
     CPPUNIT_ASSERT(roster.BeginWrite(
         {{WorkerId("a"), EntryAt("x")}, {WorkerId("b"), EntryAt("y")}},
@@ -203,12 +205,12 @@
   }
 
   void WritesNothingBeforeLoad() {
-    Roster roster(kTerm);
+    Roster roster(kTerm, kFence);
     CPPUNIT_ASSERT(!roster.BeginWrite({{WorkerId("a"), EntryAt("x")}}, kStart));
   }
 
   void CombinesChangesInOneWrite() {
-    Roster roster(kTerm);
+    Roster roster(kTerm, kFence);
     roster.Load({});
     CPPUNIT_ASSERT(roster.BeginWrite({{WorkerId("a"), EntryAt("x")}}, kStart));
     const RosterEntries more = {{WorkerId("a"), EntryAt("x")},
@@ -225,7 +227,7 @@
     const WorkerId a("a");
     const WorkerId b("b");
     const WorkerId c("c");
-    Roster roster(kTerm);
+    Roster roster(kTerm, kFence);
     CPPUNIT_ASSERT(roster.possible_workers().empty());
     roster.Load({.entries = {{a, EntryAt("x")}, {b, ClosedEntryAt("y")}},
                  .term = kTerm - 1});
