Placement: a gang whose tasks request nothing starts on any workers

Cause: a task without amounts fits in any number on a worker, which is counted as the largest int. PlaceGang added these numbers in an int, so that the sum of two workers overflowed and was below the gang's size.

Change: the sum has 64 bits, as PlanGang's has. The other counts of fits are minima or are added as doubles (SelectWorkersToQuery).

Evidence: AGangWithoutAmountsStartsOnAnyNumberOfWorkers tries 1 to 8 workers; before the change none of the two members ran on two workers.

--- a/quetzal/cell/cell_test.cc
+++ b/quetzal/cell/cell_test.cc
@@ -28,6 +28,7 @@
   CPPUNIT_TEST(AStalledRunStartsElsewhere);
   CPPUNIT_TEST(AWorkerThatLeavesAStartUnansweredGetsNoMore);
   CPPUNIT_TEST(ALostAnswerToAStartKeepsTheWorkerInUse);
+  CPPUNIT_TEST(AGangWithoutAmountsStartsOnAnyNumberOfWorkers);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -104,6 +105,21 @@
     CPPUNIT_ASSERT_EQUAL(size_t{2}, fleet.starts_.size());
   }
 
+  // The sum of what fits on each worker is beyond an int.
+  void AGangWithoutAmountsStartsOnAnyNumberOfWorkers() {
+    for (int workers = 1; workers <= 8; ++workers) {
+      FakeFleet fleet(workers);
+      fleet.Recover();
+      StepSpec gang = FakeFleet::MakeStep(2);
+      gang.demand = {};
+      gang.gang = true;
+      fleet.cell()->OnJob(FakeFleet::MakeJob("a", {gang}), Revision{1},
+                          std::nullopt, fleet.now());
+      fleet.Run(Milliseconds(500));
+      CPPUNIT_ASSERT_EQUAL(size_t{2}, fleet.running());
+    }
+  }
+
   void AGangStartsWholeOrNotAtAll() {
     FakeFleet fleet(2);
     fleet.Recover();
--- a/quetzal/cell/internal/placement.cc
+++ b/quetzal/cell/internal/placement.cc
@@ -205,7 +205,7 @@
 
 // Logs why a gang still waits, so that its wait can be explained later.
 void LogWaitingGang(State* state, Job* job, int index, const char* why,
-                    int fits, Time now) {
+                    int64_t fits, Time now) {
   Step& step = job->steps[static_cast<size_t>(index)];
   if (now - step.ready_since < kGangWaitLogDelay ||
       now < step.next_wait_log_at) {
@@ -240,7 +240,8 @@
     return;
   }
   std::vector<Candidate> candidates = CandidatesFor(state, *job, index, now);
-  int fits = 0;
+  // Tasks that request nothing fit in any number on each worker.
+  int64_t fits = 0;
   for (const Candidate& each : candidates) fits += each.fits;
   if (fits < members) {
     LogWaitingGang(state, job, index, "capacity with valid permits", fits, now);
