Takeover: workers confirm a placer before its lease ends, beside their polls

Cause: a placer had until 0.5 s after the end of its lease to be confirmed under its higher fence, as polls that wait at the workers answer within a second.

Change: 0.55 s before the lease ends the placer sends each worker whose poll waits a second one, which only confirms the fence, and it has to be confirmed when the lease ends. A successor is elected later than that, so what the workers tell it always counts. The time between, in which only polls were sent, is gone, and with it OrderScope; MaySendOrders has its former form again.

--- a/programs/cell_placer/main.cc
+++ b/programs/cell_placer/main.cc
@@ -174,8 +174,7 @@
     }
     suspended_ = suspended;
     const Milliseconds without_lease = TimeWithoutLease();
-    const bool may_send =
-        cell->UpdateOrderScope(without_lease, Now()) != OrderScope::kNone;
+    const bool may_send = cell->MaySendOrders(without_lease, Now());
     if (std::exchange(may_send_, may_send) && !may_send) {
       log_.ImportantLine("orders_halted",
                          {{"without_lease_ms", without_lease.count()}});
--- a/quetzal/cell/cell.cc
+++ b/quetzal/cell/cell.cc
@@ -214,7 +214,7 @@
 void Cell::Decide(Time now) {
   cell::State& state = parts_->state;
   cell::MaintainWorkers(&state, now);
-  if (!state.recovered || state.order_scope != OrderScope::kAll) return;
+  if (!state.recovered) return;
   cell::SendPaceOrders(&state, now);
   cell::UpdateUsableWorkers(&state, now);
   const std::vector<cell::WaitingStep> order =
@@ -285,8 +285,8 @@
   return cell::HasMajority(parts_->state, age, now);
 }
 
-OrderScope Cell::UpdateOrderScope(Milliseconds without_lease, Time now) {
-  return cell::UpdateOrderScope(&parts_->state, without_lease, now);
+bool Cell::MaySendOrders(Milliseconds without_lease, Time now) {
+  return cell::MaySendOrders(&parts_->state, without_lease, now);
 }
 
 bool Cell::have_former_leases_expired() const {
--- a/quetzal/cell/cell.h
+++ b/quetzal/cell/cell.h
@@ -40,8 +40,7 @@
 //  - A placer whose lease of the leader key ended goes on for
 //    `kMaxTimeWithoutLease` at most, while more than half of the workers of its
 //    stored roster, in the platform's list or not, confirm it under a higher
-//    fence than the leader key's. They must have begun to within
-//    `kMaxPreparation`.
+//    fence than the leader key's. They have to do so before the lease ends.
 //  - Leases that a former placer may extend count as expired some time after
 //    half of the workers of its own roster were reached, or after it can't have
 //    gone on any more. If its term timer ran out and half of them don't know
@@ -82,18 +81,6 @@
 
 // For how long a renewal of the leadership is valid, from when it was sent.
 inline constexpr Milliseconds kLeadershipValidity{1'150};
-// How long after its lease of the leader key ended a placer may wait for the
-// majority that lets it go on.
-inline constexpr Milliseconds kMaxPreparation{500};
-
-// What a placer may send.
-enum class OrderScope {
-  kNone,
-  // Polls that extend no leases: they ask the workers to confirm this placer.
-  kPollsOnly,
-  kAll,
-};
-
 struct CellSettings {
   // Longest lease that a worker grants; the platform's limit.
   Milliseconds max_lease{6'000};
@@ -236,11 +223,12 @@
   // that this placer counts must have answered too: the listed ones or, until a
   // former placer's leases have expired, those of its roster.
   bool HasMajority(Milliseconds age, Time now) const;
-  // Decides what this placer may send `without_lease` after its last lease of
+  // Whether this placer may send orders `without_lease` after its last lease of
   // the leader key ended; negative while that is valid. The time has to include
-  // suspensions of the machine. To be called before each `Decide`, which sends
-  // nothing else.
-  OrderScope UpdateOrderScope(Milliseconds without_lease, Time now);
+  // suspensions of the machine. To be called before each `Decide`: shortly
+  // before the lease ends, that begins to ask the workers to confirm this
+  // placer.
+  bool MaySendOrders(Milliseconds without_lease, Time now);
   // False while leases that a former placer extended may last.
   bool have_former_leases_expired() const;
   // Number of tasks that wait to be started.
--- a/quetzal/cell/internal/accounting.cc
+++ b/quetzal/cell/internal/accounting.cc
@@ -242,20 +242,20 @@
 }
 
 // True if the placer of the last term sent no orders without a lease of the
-// leader key: when it had to have begun to, half of its workers didn't know the
-// fence that it would have had.
+// leader key: when that ended, half of its workers hadn't confirmed the fence
+// that it would have had.
 bool EndedWithItsLease(const State& state, const FormerPlacerState& placer) {
   if (!state.former_fence || !state.former_renewal_before ||
       placer.term != state.roster.term() - 1) {
     return false;
   }
-  const Time begun_by = *state.former_renewal_before +
-                        Stretch(kLeadershipValidity + kMaxPreparation);
+  const Time lease_end =
+      *state.former_renewal_before + Stretch(kLeadershipValidity);
   const auto count = static_cast<size_t>(std::count_if(
       placer.workers.begin(), placer.workers.end(), [&](const WorkerId& id) {
         const auto found = state.workers.find(id);
         return found != state.workers.end() && found->second.probed_at &&
-               *found->second.probed_at > begun_by;
+               *found->second.probed_at > lease_end;
       }));
   return count > 0 && count * 2 >= placer.workers.size();
 }
@@ -382,9 +382,8 @@
 // Maximum age of the answers that confirm a placer without a valid lease of the
 // leader key.
 constexpr Milliseconds kMaxMajorityAge{2'400};
-// A renewal that takes longer may have failed. Polls that wait at the workers
-// end, and those that replace them are answered, between this and the end of
-// `kMaxPreparation`.
+// A renewal that takes longer may have failed. Time enough for all workers to
+// answer a poll before the lease ends.
 constexpr Milliseconds kPrepareBeforeLeaseEnds{550};
 
 // A successor that finds a worker of the stored roster under the leader key's
@@ -403,29 +402,20 @@
   });
 }
 
-OrderScope ScopeWithoutLease(State* state, Milliseconds without_lease,
-                             Time now) {
-  if (without_lease >= kMaxTimeWithoutLease) return OrderScope::kNone;
-  const bool has_majority = HasMajorityWithoutLease(*state, now);
-  if (!state->may_go_on_without_lease) {
-    if (without_lease >= kMaxPreparation) return OrderScope::kNone;
-    state->may_go_on_without_lease = has_majority;
-    if (!has_majority) return OrderScope::kPollsOnly;
-  }
-  return has_majority ? OrderScope::kAll : OrderScope::kNone;
-}
-
 }  // namespace
 
-OrderScope UpdateOrderScope(State* state, Milliseconds without_lease,
-                            Time now) {
-  if (without_lease >= -kPrepareBeforeLeaseEnds) {
-    state->fence = FenceWithoutLease(state->leader_fence);
+bool MaySendOrders(State* state, Milliseconds without_lease, Time now) {
+  const bool has_lease = without_lease < Milliseconds(0);
+  if (without_lease < -kPrepareBeforeLeaseEnds) return true;
+  state->fence = FenceWithoutLease(state->leader_fence);
+  const bool has_majority = HasMajorityWithoutLease(*state, now);
+  if (has_lease) {
+    state->may_go_on_without_lease =
+        state->may_go_on_without_lease || has_majority;
+    return true;
   }
-  state->order_scope = without_lease < Milliseconds(0)
-                           ? OrderScope::kAll
-                           : ScopeWithoutLease(state, without_lease, now);
-  return state->order_scope;
+  return state->may_go_on_without_lease && has_majority &&
+         without_lease < kMaxTimeWithoutLease;
 }
 
 }  // namespace quetzal::cell
--- a/quetzal/cell/internal/accounting.h
+++ b/quetzal/cell/internal/accounting.h
@@ -30,8 +30,8 @@
 bool HaveFormerLeasesExpired(const State& state, Time now);
 // As Cell::HasMajority.
 bool HasMajority(const State& state, Milliseconds age, Time now);
-// As Cell::UpdateOrderScope.
-OrderScope UpdateOrderScope(State* state, Milliseconds without_lease, Time now);
+// As Cell::MaySendOrders.
+bool MaySendOrders(State* state, Milliseconds without_lease, Time now);
 
 }  // namespace quetzal::cell
 
--- a/quetzal/cell/internal/state.h
+++ b/quetzal/cell/internal/state.h
@@ -153,6 +153,8 @@
   Time next_poll_at;
   Time confirmed_at;         // when its newest answered poll was sent
   Fence confirmed_fence{0};  // of that poll
+  // The newest fence under which a poll was sent beside a waiting one.
+  Fence confirmation_fence{0};
   // When the newest order that may extend leases was sent.
   Time lease_extended_at;
   // The same of the orders that were sent to former incarnations.
@@ -256,9 +258,8 @@
   CellSettings settings;
   Fence leader_fence{0};  // the leader key's revision
   Fence fence{0};         // of orders
-  OrderScope order_scope = OrderScope::kAll;
-  // Under the present leader fence a majority has confirmed, in time, that this
-  // placer goes on without a lease of the leader key.
+  // Under the present leader fence a majority has confirmed that this placer
+  // goes on without a lease of the leader key.
   bool may_go_on_without_lease = false;
   int64_t run_floor = 0;
   Time term_started_at;
--- a/quetzal/cell/internal/workers.cc
+++ b/quetzal/cell/internal/workers.cc
@@ -474,8 +474,7 @@
 
 void SendPoll(State* state, Worker* worker, Time now) {
   const bool extends =
-      state->order_scope == OrderScope::kAll && !worker->unresponsive &&
-      worker->reached &&
+      !worker->unresponsive && worker->reached &&
       (worker->listed || now - worker->unlisted_since < kUnlistedGrace);
   // A worker that was silent may be another incarnation, whose ends are
   // numbered from 1 again and must not count as acknowledged. It may execute a
@@ -492,12 +491,8 @@
         WorkerTime{static_cast<int64_t>(EstimateClock(*worker, now)) +
                    state->settings.max_lease.count()};
     worker->lease_extended_at = now;
-    // With unacknowledged ends the worker would answer at once. The answer that
-    // confirms a higher fence is needed soon.
-    const bool may_wait =
-        worker->unacked.empty() && (state->fence == state->leader_fence ||
-                                    worker->confirmed_fence == state->fence);
-    if (may_wait) {
+    // With unacknowledged ends the worker would answer at once.
+    if (worker->unacked.empty()) {
       const bool needs_pacing =
           worker->best_effort_runs > 0 && worker->serving_runs > 0;
       request.wait = needs_pacing ? std::min(kPollWaitWhilePacing,
@@ -510,6 +505,32 @@
   state->actions.emplace_back(PollAction{worker->entry, request});
 }
 
+// A poll that waits at the worker would confirm a raised fence too late.
+void SendConfirmation(State* state, Worker* worker) {
+  if (state->fence == state->leader_fence || !worker->poll_in_flight ||
+      !worker->reached || worker->confirmed_fence == state->fence ||
+      worker->confirmation_fence == state->fence) {
+    return;
+  }
+  worker->confirmation_fence = state->fence;
+  state->actions.emplace_back(PollAction{
+      worker->entry, {.fence = state->fence, .is_confirmation = true}});
+}
+
+void ApplyConfirmation(State* state, Worker* worker, const PollRequest& request,
+                       Time sent, const PollAnswer& answer) {
+  if (answer.outcome == OrderOutcome::kFenced &&
+      request.fence == state->fence) {
+    Resign(state, "a worker has a higher fence");
+  }
+  if (answer.outcome != OrderOutcome::kDone || !worker->reached ||
+      answer.incarnation != worker->incarnation) {
+    return;
+  }
+  worker->confirmed_at = std::max(worker->confirmed_at, sent);
+  worker->confirmed_fence = std::max(worker->confirmed_fence, request.fence);
+}
+
 // Whether the worker knows a higher fence tells whether the former placer went
 // on without a lease of the leader key. The worker doesn't obey this placer
 // yet, so its lists aren't used.
@@ -669,6 +690,10 @@
 
 void ApplyPollAnswer(State* state, Worker* worker, const PollRequest& request,
                      Time sent, const PollAnswer& answer, Time now) {
+  if (request.is_confirmation) {
+    ApplyConfirmation(state, worker, request, sent, answer);
+    return;
+  }
   worker->poll_in_flight = false;
   worker->next_poll_at = now + kPollRetryDelay;
   const bool is_probe = worker->probe_due && request.fence != state->fence;
@@ -737,8 +762,9 @@
         state->roster.IsOpen(worker->entry.id, worker->answered_at);
     state->roster_changed = true;
   }
-  worker->confirmed_at = sent;
-  worker->confirmed_fence = request.fence;
+  // The answer to a poll that was sent later may have arrived before.
+  worker->confirmed_at = std::max(worker->confirmed_at, sent);
+  worker->confirmed_fence = std::max(worker->confirmed_fence, request.fence);
   worker->clock = answer.clock;
   worker->clock_received_at = now;
   // A poll that extends no leases doesn't wait at the worker.
@@ -787,9 +813,8 @@
     if (!worker.poll_in_flight && now >= worker.next_poll_at) {
       SendPoll(state, &worker, now);
     }
-    if (state->order_scope == OrderScope::kAll) {
-      SendDueStops(state, &worker, now);
-    }
+    SendConfirmation(state, &worker);
+    SendDueStops(state, &worker, now);
   }
 }
 
--- a/quetzal/worker/worker.h
+++ b/quetzal/worker/worker.h
@@ -85,6 +85,9 @@
   WorkerTime lease_until{0};     // 0: leases stay as they are
   int64_t acknowledged_end = 0;  // the worker may forget ends up to it
   Milliseconds wait{0};          // longest wait for a run to end
+  // Sent beside another poll, only to learn whether the worker accepts the
+  // fence. Not transmitted.
+  bool is_confirmation = false;
 };
 
 // Result of an order, as far as its sender knows.
