Takeover: a raised fence is renewed once the lease is healthy again

What callers would see: after one slow stretch of the store the leader keeps its raised fence for the rest of its term.

Cause: the fence says that the placer may go on without a lease, and nothing took that back but an expiry of the leader key.

Change: after 2 s of renewals without delays the leader writes its key again in the same term; its revision is the new fence. The answer may be lost: the watch of the leader key then tells of it.

--- a/programs/cell_placer/main.cc
+++ b/programs/cell_placer/main.cc
@@ -28,6 +28,10 @@
 // A fifth of the leader key's lease, in which neither its renewal is sent nor
 // any timeout fires.
 constexpr Milliseconds kSlowTurn{250};
+// A raised fence is renewed once this much of the lease was left all the time
+// for a while.
+constexpr Milliseconds kHealthyLeaseLeft{600};
+constexpr Milliseconds kFenceRenewalDelay{2'000};
 // Share of the file descriptors for idle connections to workers: starts come
 // in bursts, each on its own connection, and a new connection to a distant
 // worker costs a round trip. The rest is for connections that aren't known to
@@ -175,6 +179,7 @@
     suspended_ = suspended;
     const Milliseconds without_lease = TimeWithoutLease();
     const bool may_send = cell->MaySendOrders(without_lease, Now());
+    RenewFenceIfRaised(*cell, without_lease);
     if (std::exchange(may_send_, may_send) && !may_send) {
       log_.ImportantLine("orders_halted",
                          {{"without_lease_ms", without_lease.count()}});
@@ -182,6 +187,18 @@
     return may_send;
   }
 
+  // Once the lease is renewed without delays again.
+  void RenewFenceIfRaised(const Cell& cell, Milliseconds without_lease) {
+    const bool is_due =
+        cell.is_fence_raised() && without_lease < -kHealthyLeaseLeft;
+    if (!is_due) {
+      fence_renewal_due_at_ = Now() + kFenceRenewalDelay;
+    } else if (Now() >= fence_renewal_due_at_) {
+      fence_renewal_due_at_ = Now() + kFenceRenewalDelay;
+      election_->RenewFence();
+    }
+  }
+
   CellProgramSettings settings_;
   EventLog log_;
   Metrics metrics_;
@@ -194,6 +211,7 @@
   std::unique_ptr<TermTimer> term_timer_;
   std::unique_ptr<Term> term_;
   Milliseconds suspended_{0};
+  Time fence_renewal_due_at_;
   bool may_send_ = false;  // by the last check of lease and majority
   bool stopping_ = false;
 };
--- a/quetzal/cell/cell.cc
+++ b/quetzal/cell/cell.cc
@@ -289,6 +289,10 @@
   return cell::MaySendOrders(&parts_->state, without_lease, now);
 }
 
+bool Cell::is_fence_raised() const {
+  return parts_->state.fence != parts_->state.leader_fence;
+}
+
 bool Cell::have_former_leases_expired() const {
   return parts_->state.all_workers_accounted;
 }
--- a/quetzal/cell/cell.h
+++ b/quetzal/cell/cell.h
@@ -229,6 +229,9 @@
   // before the lease ends, that begins to ask the workers to confirm this
   // placer.
   bool MaySendOrders(Milliseconds without_lease, Time now);
+  // True if the workers may know a higher fence than the leader key's. A later
+  // placer then can't tell whether this one goes on without a lease.
+  bool is_fence_raised() const;
   // False while leases that a former placer extended may last.
   bool have_former_leases_expired() const;
   // Number of tasks that wait to be started.
--- a/quetzal/leader_election/leader_election.cc
+++ b/quetzal/leader_election/leader_election.cc
@@ -96,7 +96,13 @@
 void LeaderElection::OnLeaderKey(const StoreItem& item) {
   is_vacant_ = false;
   leader_revision_ = item.revision;
-  if (item.value == leader_value_) return;
+  if (item.value == leader_value_) {
+    // The answer to the write may have been lost.
+    if (item.lease == lease_) {
+      AdoptFence(Fence{static_cast<uint64_t>(item.revision)});
+    }
+    return;
+  }
   if (role_ == Role::kLeader) StepDown("another placer holds the leader key");
   const auto delay = ParseElectionDelay(item.value);
   if (!delay || *delay - settings_.election_delay < kMinAdvantage) return;
@@ -311,6 +317,27 @@
       }));
 }
 
+void LeaderElection::RenewFence() {
+  if (role_ != Role::kLeader) return;
+  store_->Apply(
+      {.conditions = {{LeaderKey(), Revision{static_cast<uint64_t>(fence_)}},
+                      {TermKey(), term_revision_}},
+       .puts = {{LeaderKey(), leader_value_, lease_},
+                {TermKey(), std::to_string(term_), kNoLease}}},
+      lifetime_.Guard<TransactionAnswer>(
+          [this, lease = lease_](const TransactionAnswer& answer) {
+            if (answer.outcome != StoreOutcome::kDone || lease != lease_)
+              return;
+            AdoptFence(Fence{static_cast<uint64_t>(answer.revision)});
+          }));
+}
+
+void LeaderElection::AdoptFence(Fence fence) {
+  if (role_ != Role::kLeader || fence <= fence_) return;
+  term_revision_ = Revision{static_cast<uint64_t>(fence)};
+  BeginTerm(fence, term_);
+}
+
 bool LeaderElection::HasValidLease(Time now) const {
   return is_leader() && TimeWithoutLease(now) < Milliseconds(0);
 }
--- a/quetzal/leader_election/leader_election.h
+++ b/quetzal/leader_election/leader_election.h
@@ -45,8 +45,9 @@
 
 struct LeaderElectionHandlers {
   std::function<void(Fence fence, int64_t term)> on_elected;
-  // The leader key expired while no other placer could acquire it, and was
-  // acquired again, with a higher fence, in the same term.
+  // The leader key was written again, with a higher fence, in the same term:
+  // after it expired while no other placer could acquire it, or by
+  // `RenewFence`.
   std::function<void(Fence fence)> on_fence_raised;
   std::function<void(const std::string& reason)> on_lost;
 };
@@ -68,6 +69,8 @@
   // Ends the term, for instance after a worker reported that another placer
   // leads, or a transaction found the leader key changed.
   void StepDown(const std::string& reason);
+  // Writes the leader key again, for a higher fence in the same term.
+  void RenewFence();
   // Removes the leader key, then calls `done`. No further campaign is started.
   void Resign(std::function<void()> done);
 
@@ -106,6 +109,7 @@
   void Renew(uint64_t round);
   void OnRenewal(const LeaseAnswer& answer, Time sent);
   void ReacquireLeaderKey();
+  void AdoptFence(Fence fence);
   void ScheduleAfter(Milliseconds delay, std::function<void()> step);
 
   Store* store_;
--- a/quetzal/leader_election/leader_election_test.cc
+++ b/quetzal/leader_election/leader_election_test.cc
@@ -51,9 +51,57 @@
   CPPUNIT_TEST(EqualMachinesKeepTheirLeader);
   CPPUNIT_TEST(AClaimAffectsNoLaterLeader);
   CPPUNIT_TEST(AnUnreadableClaimAffectsNobody);
+  CPPUNIT_TEST(AFenceIsRenewedInTheSameTerm);
+  CPPUNIT_TEST(ARenewedFenceIsAdoptedWithoutAnAnswer);
+  CPPUNIT_TEST(AFormerLeaderRenewsNoFence);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  void AFenceIsRenewedInTheSameTerm() {
+    Candidate a("a", &clock_, &store_, &log_);
+    a.election.Start();
+    clock_.Advance(Milliseconds(1'000));
+    const Fence before = a.election.fence();
+    a.election.RenewFence();
+    clock_.Advance(Milliseconds(1'000));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, a.raised_fences.size());
+    CPPUNIT_ASSERT(a.raised_fences[0] > before);
+    CPPUNIT_ASSERT(a.election.fence() == a.raised_fences[0]);
+    CPPUNIT_ASSERT_EQUAL(0, a.lost_terms);
+    // The leader key has to be renewable, and given back, under the new one.
+    bool is_resigned = false;
+    a.election.Resign([&] { is_resigned = true; });
+    clock_.Advance(Milliseconds(100));
+    CPPUNIT_ASSERT(is_resigned);
+    CPPUNIT_ASSERT(store_.Find(LeaderKey()) == nullptr);
+  }
+
+  void ARenewedFenceIsAdoptedWithoutAnAnswer() {
+    Candidate a("a", &clock_, &store_, &log_);
+    a.election.Start();
+    clock_.Advance(Milliseconds(1'000));
+    store_.DropNextAnswer(/*is_applied=*/true);
+    a.election.RenewFence();
+    clock_.Advance(Milliseconds(2'000));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, a.raised_fences.size());
+    CPPUNIT_ASSERT(store_.Find(LeaderKey())->revision ==
+                   Revision{static_cast<uint64_t>(a.election.fence())});
+    CPPUNIT_ASSERT_EQUAL(0, a.lost_terms);
+  }
+
+  void AFormerLeaderRenewsNoFence() {
+    Candidate a("a", &clock_, &store_, &log_);
+    a.election.Start();
+    clock_.Advance(Milliseconds(1'000));
+    a.election.RenewFence();
+    a.election.StepDown("test");
+    a.election.RenewFence();
+    clock_.Advance(Milliseconds(100));
+    CPPUNIT_ASSERT(a.raised_fences.empty());
+    CPPUNIT_ASSERT(!a.election.is_leader());
+    CPPUNIT_ASSERT(store_.Find(LeaderKey()) == nullptr);
+  }
+
   void ElectsExactlyOneLeader() {
     Candidate a("a", &clock_, &store_, &log_);
     Candidate b("b", &clock_, &store_, &log_);
