--- a/quetzal/cell/internal/workers.cc
+++ b/quetzal/cell/internal/workers.cc
@@ -576,8 +576,9 @@
 }
 
 void EndExpiredRuns(State* state, Worker* worker, Time now) {
-  if (now - worker->lease_extended_at <= MaxLeaseLifetime(state->settings))
+  if (now - worker->lease_extended_at <= MaxLeaseLifetime(state->settings)) {
     return;
+  }
   std::vector<std::pair<TaskId, int64_t>> expired;
   for (const auto& [task_id, run] : worker->runs) {
     if (now > LeaseEnd(*state, *worker, run, now)) {
--- a/quetzal/leader_election/leader_election.cc
+++ b/quetzal/leader_election/leader_election.cc
@@ -326,8 +326,9 @@
                 {TermKey(), std::to_string(term_), kNoLease}}},
       lifetime_.Guard<TransactionAnswer>(
           [this, lease = lease_](const TransactionAnswer& answer) {
-            if (answer.outcome != StoreOutcome::kDone || lease != lease_)
+            if (answer.outcome != StoreOutcome::kDone || lease != lease_) {
               return;
+            }
             AdoptFence(Fence{static_cast<uint64_t>(answer.revision)});
           }));
 }
