Takeover: only workers that left the list are taken for gone early

What callers would see: a task runs twice after a power loss. A start of the former placer gets no answer, and its worker restarts under its id, out of the new placer's reach.

Cause: the term timer and the fences tell when the former placer stopped, but not which of its orders are still on the way to a restarted worker.

A silent worker in the list is waited for as before this issue.

Evidence: AListedWorkerIsWaitedFor fails without the change (started at once). JobsDontWaitForALostWorkerAfterAPowerLoss now allows 3 s instead of 1 s, for the time in which a missing worker may be back; the rule leaves more than 6 s.

--- a/quetzal/cell/internal/accounting.cc
+++ b/quetzal/cell/internal/accounting.cc
@@ -267,17 +267,15 @@
 void UpdateFormerLeases(State* state, Time now) {
   const Milliseconds lease = MaxLeaseLifetime(state->settings);
   for (FormerPlacerState& placer : state->former_placers) {
-    const bool had_expired = now > placer.leases_end_at;
     const Time before = placer.leases_end_at;
     if (!placer.is_outvoted && IsOutvoted(*state, placer, now)) {
       placer.is_outvoted = true;
       placer.leases_end_at =
           std::min(before, now + kConfirmationLifetime + lease);
     }
-    if (!had_expired && EndedWithItsLease(*state, placer)) {
-      placer.leases_end_at = std::min(
-          placer.leases_end_at,
-          *state->former_renewal_before + Stretch(kLeadershipValidity) + lease);
+    if (!placer.leases_end_with_term_at && EndedWithItsLease(*state, placer)) {
+      placer.leases_end_with_term_at =
+          *state->former_renewal_before + Stretch(kLeadershipValidity) + lease;
     }
     // The next placer is to know.
     if (placer.leases_end_at != before) state->roster_changed = true;
@@ -286,20 +284,22 @@
 
 }  // namespace
 
-bool HaveFormerLeasesExpired(const State& state, Time now) {
-  return state.all_workers_accounted ||
-         std::all_of(state.former_placers.begin(), state.former_placers.end(),
-                     [now](const FormerPlacerState& placer) {
-                       return now > placer.leases_end_at;
+bool HaveFormerLeasesExpired(const State& state, const Worker& worker,
+                             Time now) {
+  const bool is_gone = IsGone(worker, now);
+  return std::all_of(state.former_placers.begin(), state.former_placers.end(),
+                     [&](const FormerPlacerState& placer) {
+                       return now > placer.leases_end_at ||
+                              (is_gone && placer.leases_end_with_term_at &&
+                               now > *placer.leases_end_with_term_at);
                      });
 }
 
 void ExpireLeases(State* state, Time now) {
   UpdateFormerLeases(state, now);
-  const bool former_expired = HaveFormerLeasesExpired(*state, now);
   // A successor may reach workers that this placer can't, and extend leases.
   const bool may_expire = state->leadership_is_certain;
-  const bool expired = former_expired && may_expire;
+  bool has_expired = false;
   const bool is_ready = state->recovered && state->workers_listed;
   bool all_accounted = is_ready;
   bool all_runs_known = is_ready;
@@ -310,7 +310,9 @@
     }
     // One that just hasn't answered yet may have ends to report.
     const bool is_silent = worker.unanswered_polls > 0;
-    if (expired && is_silent && state->workers_listed) {
+    if (may_expire && is_silent && state->workers_listed &&
+        HaveFormerLeasesExpired(*state, worker, now)) {
+      has_expired = true;
       EndAllRuns(state, &worker, "lease lapsed", now);
       state->log->ImportantLine(
           "worker_gone",
@@ -333,7 +335,7 @@
   state->log->ImportantLine(
       "all_workers_accounted",
       {{"after_ms", (now - state->term_started_at).count()},
-       {"how", expired ? "lapsed" : "reached"}});
+       {"how", has_expired ? "lapsed" : "reached"}});
 }
 
 namespace {
--- a/quetzal/cell/internal/accounting.h
+++ b/quetzal/cell/internal/accounting.h
@@ -26,8 +26,9 @@
 // Ends runs whose leases have certainly expired, and detects when every worker
 // is accounted for.
 void ExpireLeases(State* state, Time now);
-// True if all leases that former placers extended have ended.
-bool HaveFormerLeasesExpired(const State& state, Time now);
+// True if all leases that former placers extended at the worker have ended.
+bool HaveFormerLeasesExpired(const State& state, const Worker& worker,
+                             Time now);
 // As Cell::HasMajority.
 bool HasMajority(const State& state, Milliseconds age, Time now);
 // As Cell::MaySendOrders.
--- a/quetzal/cell/internal/state.h
+++ b/quetzal/cell/internal/state.h
@@ -39,6 +39,9 @@
   bool is_outvoted = false;  // half of them obeyed this placer at a time
   // When all leases that it may have extended have certainly ended.
   Time leases_end_at;
+  // The same if no order of its is executed late by a worker's next
+  // incarnation; set if it stopped when its lease of the leader key ended.
+  std::optional<Time> leases_end_with_term_at;
 };
 
 enum class RunState {
--- a/quetzal/cell/internal/workers.cc
+++ b/quetzal/cell/internal/workers.cc
@@ -68,11 +68,6 @@
   return run_numbers;
 }
 
-// True if the platform's list has lost the worker for good.
-bool IsGone(const Worker& worker, Time now) {
-  return !worker.listed && now - worker.unlisted_since >= kUnlistedGrace;
-}
-
 // When the lease of the run has certainly expired, on the placer's clock. An
 // order without an answer may be executed late, by the worker's next
 // incarnation: its clock began anew, so the lease then lasts in full.
@@ -563,6 +558,10 @@
 
 }  // namespace
 
+bool IsGone(const Worker& worker, Time now) {
+  return !worker.listed && now - worker.unlisted_since >= kUnlistedGrace;
+}
+
 void EndAllRuns(State* state, Worker* worker, const char* why, Time now) {
   LogLostRuns(state, *worker, why, now);
   for (const auto& [task_id, number] : RunNumbersByTask(*worker)) {
--- a/quetzal/cell/internal/workers.h
+++ b/quetzal/cell/internal/workers.h
@@ -11,6 +11,8 @@
 void RemoveEntry(State* state, const WorkerId& id, Time now);
 void ApplyPollAnswer(State* state, Worker* worker, const PollRequest& request,
                      Time sent, const PollAnswer& answer, Time now);
+// True if the platform's list has lost the worker for good.
+bool IsGone(const Worker& worker, Time now);
 // Ends all runs of a worker on which nothing runs any more.
 void EndAllRuns(State* state, Worker* worker, const char* why, Time now);
 // Ends the runs of the worker whose leases have certainly expired.
--- a/quetzal/cell/power_loss_test.cc
+++ b/quetzal/cell/power_loss_test.cc
@@ -13,10 +13,13 @@
 // From a takeover until the leases of an outvoted placer have ended.
 constexpr Milliseconds kUntilOutvotedLeasesEnd{9'200};
 constexpr Milliseconds kAMoment{1'000};
+// A worker that is missing from the list may be back for some time.
+constexpr Milliseconds kUntilGone{3'000};
 
 class PowerLossTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(PowerLossTest);
   CPPUNIT_TEST(JobsDontWaitForALostWorkerAfterAPowerLoss);
+  CPPUNIT_TEST(AListedWorkerIsWaitedFor);
   CPPUNIT_TEST(WithoutTheTimerALostWorkerIsWaitedFor);
   CPPUNIT_TEST(AFormerPlacerThatWentOnIsWaitedFor);
   CPPUNIT_TEST(RestartedWorkersDontShowThatTheFormerPlacerStopped);
@@ -41,11 +44,21 @@
     TakeOver();
     fleet_.cell()->OnFormerTermTimerEnded(fleet_.now());
     Recover();
-    fleet_.Run(kAMoment);
+    fleet_.Run(kUntilGone);
     CPPUNIT_ASSERT(fleet_.IsRunning(Task("a", 1, 0)));
     CPPUNIT_ASSERT_EQUAL(size_t{2}, fleet_.starts_.size());
   }
 
+  // Its next incarnation, which has seen no fence, may execute a late start.
+  void AListedWorkerIsWaitedFor() {
+    LosePower();
+    fleet_.unlisted_.clear();
+    TakeOver();
+    fleet_.cell()->OnFormerTermTimerEnded(fleet_.now());
+    Recover();
+    ExpectStartAfter(kUntilOutvotedLeasesEnd);
+  }
+
   void WithoutTheTimerALostWorkerIsWaitedFor() {
     LosePower();
     TakeOver();
@@ -130,7 +143,7 @@
     fleet_.AnswerHeldPolls();
     fleet_.Run(Milliseconds(200));
     fleet_.AnswerPoll(slow.first, slow.second);
-    fleet_.Run(kAMoment);
+    fleet_.Run(kUntilGone);
     CPPUNIT_ASSERT(fleet_.IsRunning(Task("a", 1, 0)));
     CPPUNIT_ASSERT_EQUAL(size_t{2}, fleet_.starts_.size());
   }
--- a/quetzal/cell/term_timer_split_test.cc
+++ b/quetzal/cell/term_timer_split_test.cc
@@ -63,7 +63,10 @@
       renewed_at_ = fleet_.now() - kTick * Uniform(0, 25);
       RunFormerFor(kLeaderKeyTtl + kTick * Uniform(0, 1'000));
     }
-    for (auto& [id, worker] : fleet_.workers_) worker.unresponsive = false;
+    for (auto& [id, worker] : fleet_.workers_) {
+      worker.unresponsive = false;
+      fleet_.cell()->OnWorkerEntry(worker.entry, fleet_.now());
+    }
     fleet_.Run(Milliseconds(10'000));
     return !fleet_.ran_twice_ && fleet_.running() == size_t{kJobs} * 3;
   }
@@ -94,7 +97,7 @@
     for (auto& [id, worker] : fleet_.workers_) {
       if (worker.run_count() > 0 || Uniform(0, 2'000) > 0) continue;
       worker.Restart();
-      if (fleet_.cell() != nullptr) {
+      if (!fleet_.unlisted_.contains(id)) {
         fleet_.cell()->OnWorkerEntry(worker.entry, fleet_.now());
       }
     }
@@ -133,11 +136,16 @@
     fleet_.orders_halted_ = false;
     fleet_.store_up_ = true;
     ++term_;
+    // Some workers that the successor can't reach don't reach the store either.
+    ChangeReach(40);
+    fleet_.unlisted_.clear();
+    for (const auto& [id, reach] : reach_) {
+      if (!reach.by_successor && Chance(70)) fleet_.unlisted_.insert(id);
+    }
     // The removal of the leader key has a revision too.
     fleet_.StartTerm(Fence{static_cast<uint64_t>(testing::kFence) +
                            2 * static_cast<uint64_t>(term_)},
                      testing::kRunFloor + kRunsPerTerm * term_);
-    ChangeReach(40);
     for (const AcceptedJob& job : jobs_) AddJob(job);
     fleet_.cell()->OnJobsListed(fleet_.now());
     has_timer_ended_ = false;
