--- a/quetzal/cell/internal/accounting.cc
+++ b/quetzal/cell/internal/accounting.cc
@@ -24,7 +24,7 @@
   return ids;
 }
 
-// The placer of the stored roster and those that it told of.
+// The placer of the stored roster and the former placers that the roster names.
 std::vector<FormerPlacerState> FormerPlacersOf(const State& state,
                                                const StoredRoster& roster) {
   const Milliseconds most = MaxTimeUntilLeasesEnd(state);
