--- /dev/null
+++ b/review/standins-2/cases.cc
@@ -0,0 +1,249 @@
+#include "cases.h"
+
+#include <cstdint>
+#include <cstdio>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "deployment.h"
+#include "quetzal/program/program.h"
+
+namespace quetzal::review {
+namespace {
+
+constexpr int kUnauthorized = 401;
+constexpr int kNotFound = 404;
+constexpr int kGone = 410;
+
+// `finish_s` of the sites.
+constexpr Milliseconds kFinish{14'000};
+// For this long a job may have nothing running though its turn has come.
+constexpr Milliseconds kIdleLimit{3'000};
+// Longer, so that an idle time that is measured surely exceeds the limit.
+constexpr Milliseconds kIdleWatch{4'000};
+// `cancel_ms`, `stop-timeout-ms` and `contact-timeout-ms` of the sites.
+constexpr Milliseconds kCancel{3'000};
+constexpr Milliseconds kStop{900};
+constexpr Milliseconds kContact{4'000};
+// `config-apply-ms` and `max-extension-ms`.
+constexpr Milliseconds kApply{3'000};
+constexpr Milliseconds kExtension{6'000};
+
+std::string IdOf(int number) {
+  char text[17];
+  std::snprintf(text, sizeof(text), "%016x", number);
+  return text;
+}
+
+// A job of one task that runs for that long.
+std::string JobBody(Milliseconds run_time, const std::string& more = "") {
+  const std::string ms = std::to_string(run_time.count());
+  return R"({"specification":")" + ms +
+         R"(","steps":[{"count":1,"cpu":1000,"task-memory-mb":10,)" +
+         R"("estimated-duration-ms":)" + ms + more + "}]}";
+}
+
+std::string TaskOf(const std::string& job) { return job + ".0.0.0"; }
+
+std::string PathOf(std::string route, const std::string& job) {
+  route.insert(0, "/").append("/").append(job);
+  return route;
+}
+
+std::string CountOf(size_t count, const char* what) {
+  return std::to_string(count) + " " + what;
+}
+
+// Clients submit jobs on a route that the operator removes meanwhile. What was
+// accepted before has to run.
+Verdict RunRemovedRoute(bool trouble, Record* record) {
+  constexpr int kMachines = 2;
+  constexpr int kRoutes = 6;
+  constexpr Milliseconds kRouteTime{1'000};
+  constexpr Milliseconds kSubmitInterval{8};
+  constexpr Milliseconds kRunTime{100};
+  Deployment deployment({.machines = kMachines, .workers = 8}, record);
+  Configuration configuration{.routes = {"quotes"}, .keys = {"key-1"}};
+  for (int i = 0; i < kRoutes; ++i) {
+    configuration.routes.push_back("digest-" + std::to_string(i));
+  }
+  deployment.Publish(configuration);
+  if (!deployment.Start()) return Verdict::kCannotRun;
+  std::vector<std::string> accepted;
+  int next = 1;
+  for (int i = 0; i < kRoutes; ++i) {
+    const std::string route = configuration.routes.back();
+    const Time removed_at = Now() + kRouteTime;
+    const Time end = removed_at + kRouteTime / 2;
+    bool is_removed = false;
+    auto is_refused = std::make_shared<bool>(false);
+    while (Now() < end && !*is_refused) {
+      if (!is_removed && Now() >= removed_at) {
+        is_removed = true;
+        configuration.routes.pop_back();
+        if (trouble) deployment.Publish(configuration);
+      }
+      const std::string id = IdOf(next++);
+      deployment.Send(next % kMachines,
+                      {.method = "POST",
+                       .path = PathOf(route, id),
+                       .body = JobBody(kRunTime)},
+                      [&accepted, id, is_refused](const HttpClientResult& r) {
+                        if (r.ok()) accepted.push_back(id);
+                        if (r.status == kNotFound) *is_refused = true;
+                      });
+      deployment.RunFor(kSubmitInterval);
+    }
+  }
+  deployment.RunFor(kFinish);
+  std::map<std::string, Time> idle_since;
+  const Time began = Now();
+  for (const std::string& id : accepted) {
+    if (!deployment.IsDone(TaskOf(id))) idle_since[id] = began;
+  }
+  bool has_room = true;
+  deployment.WaitUntil(kIdleWatch, [&] {
+    has_room = has_room && deployment.RunningTasks() * 2 < deployment.Room();
+    for (auto& [id, since] : idle_since) {
+      if (deployment.RunningTasksOf(id) > 0) since = Now();
+    }
+    return false;
+  });
+  size_t lost = 0;
+  for (const auto& [id, since] : idle_since) {
+    if (deployment.IsDone(TaskOf(id)) || Now() - since < kIdleLimit) continue;
+    ++lost;
+    record->Line("job " + id + " was accepted, and nothing of it ran for " +
+                 std::to_string((Now() - since).count()) + " ms; " +
+                 CountOf(static_cast<size_t>(deployment.RefusedStarts(id)),
+                         "starts of it were refused"));
+  }
+  record->Line(CountOf(accepted.size(), "jobs accepted, ") +
+               CountOf(lost,
+                       "of them idle; less than half of the workers' "
+                       "room in use: ") +
+               (has_room ? "yes" : "no"));
+  if (accepted.empty()) return Verdict::kCannotRun;
+  return lost > 0 && has_room ? Verdict::kBroken : Verdict::kHeld;
+}
+
+// The store refuses one machine, and the operator withdraws a key and a route
+// meanwhile. A client goes on using them at that machine.
+Verdict RunWithdrawnKey(bool trouble, Record* record) {
+  constexpr Milliseconds kRefusal{9'000};  // of each of two disruptions
+  constexpr Milliseconds kOverlap{500};
+  constexpr Milliseconds kInterval{500};
+  constexpr Milliseconds kRunTime{60'000};
+  Deployment deployment({.machines = 3, .workers = 4}, record);
+  deployment.Publish(
+      {.routes = {"quotes", "digest"}, .keys = {"key-1", "key-2"}});
+  if (!deployment.Start()) return Verdict::kCannotRun;
+  const std::string id = IdOf(1);
+  const HttpClientResult accepted =
+      deployment.Call(0, {.method = "POST",
+                          .path = "/quotes/" + id,
+                          .body = JobBody(kRunTime),
+                          .key = "key-2"});
+  if (!accepted.ok()) return Verdict::kCannotRun;
+  deployment.RunFor(kContact);
+  const Time refused_from = Now();
+  const Time refused_until = refused_from + kRefusal * 2 - kOverlap;
+  if (trouble) {
+    record->Line("the store refuses vm-0");
+    deployment.SetStoreRule(0, [refused_until](const HttpRequest&) {
+      return Now() < refused_until ? Treatment::Refuse() : Treatment::Forward();
+    });
+  }
+  deployment.RunFor(kOverlap);
+  deployment.Publish({.routes = {"quotes"}, .keys = {"key-1"}});
+  const Time bound = Now() + kApply + kExtension;
+  int served = 0;
+  int denied = 0;
+  while (Now() < refused_until) {
+    const bool counts = Now() > bound;
+    if (counts && served + denied == 0) record->Line("the bound has passed");
+    for (const ClientCall& call :
+         {ClientCall{.path = "/quotes/" + id, .key = "key-2"},
+          ClientCall{.path = "/quotes/", .key = "key-2"},
+          ClientCall{.path = "/digest/", .key = "key-1"}}) {
+      const HttpClientResult answer = deployment.Call(0, call);
+      if (!counts) continue;
+      if (answer.ok()) ++served;
+      if (answer.status == kUnauthorized || answer.status == kNotFound) {
+        ++denied;
+      }
+    }
+    deployment.RunFor(kInterval);
+  }
+  record->Line(std::to_string(served) +
+               " calls with the withdrawn key or route were served after the "
+               "bound, " +
+               std::to_string(denied) + " denied");
+  return served > 0 ? Verdict::kBroken : Verdict::kHeld;
+}
+
+// A client leaves before its submission is answered, and cancels the job at
+// another machine. The store executes the first write late.
+Verdict RunEarlyCancel(bool trouble, Record* record) {
+  constexpr Milliseconds kLeavesAfter{200};
+  static constexpr Milliseconds kLate{2'000};
+  constexpr Milliseconds kDisruption{4'500};
+  constexpr Milliseconds kRunTime{1'500};
+  Deployment deployment({.machines = 2, .workers = 4}, record);
+  deployment.Publish({.routes = {"quotes"}, .keys = {"key-1"}});
+  if (!deployment.Start()) return Verdict::kCannotRun;
+  deployment.RunFor(kContact);
+  const std::string id = IdOf(1);
+  auto is_lost = std::make_shared<bool>(false);
+  if (trouble) {
+    deployment.SetStoreRule(0, [id, is_lost, record](const HttpRequest& r) {
+      if (r.path != "/kv-txn" || *is_lost ||
+          r.body.find("cell/jobs/" + id) == std::string::npos) {
+        return Treatment::Forward();
+      }
+      *is_lost = true;
+      record->Line("the store executes a write of vm-0 late");
+      return Treatment::ExecuteLate(kLate);
+    });
+  }
+  const Time began = Now();
+  deployment.Call(0, {.method = "POST",
+                      .path = "/quotes/" + id,
+                      .body = JobBody(kRunTime, R"(,"long-running":true)"),
+                      .timeout = kLeavesAfter});
+  const HttpClientResult cancelled =
+      deployment.Call(1, {.method = "DELETE", .path = "/quotes/" + id});
+  if (!cancelled.ok() && cancelled.status != kGone) return Verdict::kCannotRun;
+  const Time cancelled_at = Now();
+  // Until no disruption is near any more.
+  while (Now() < std::max(began + kDisruption + kContact,
+                          cancelled_at + kCancel + kStop)) {
+    deployment.RunFor(kStop);
+  }
+  const int starts_before = deployment.AcceptedStarts(id);
+  deployment.RunFor(kContact);
+  const int starts = deployment.AcceptedStarts(id) - starts_before;
+  record->Line(
+      std::to_string(starts) + " starts of the cancelled job in " +
+      std::to_string(kContact.count()) +
+      " ms without disruption; the last start of it came " +
+      std::to_string((deployment.LastStart(id) - cancelled_at).count()) +
+      " ms after the cancel was acknowledged");
+  return starts > 0 ? Verdict::kBroken : Verdict::kHeld;
+}
+
+}  // namespace
+
+Verdict RunCase(const std::string& name, bool trouble, Record* record) {
+  const std::map<std::string, std::function<Verdict(bool, Record*)>> cases = {
+      {"removed-route", &RunRemovedRoute},
+      {"withdrawn-key", &RunWithdrawnKey},
+      {"early-cancel", &RunEarlyCancel}};
+  const auto found = cases.find(name);
+  if (found == cases.end()) return Verdict::kCannotRun;
+  return found->second(trouble, record);
+}
+
+}  // namespace quetzal::review
--- /dev/null
+++ b/review/standins-2/deployment.h
@@ -0,0 +1,133 @@
+// A small deployment on loopback: the project's programs as separate processes,
+// one entry and one placer a machine, and stand-ins for the platform, the
+// workers and the clients in this process.
+//
+//   Deployment deployment({.machines = 2, .workers = 4}, &record);
+//   deployment.Publish({.routes = {"quotes"}, .keys = {"key-1"}});
+//   if (!deployment.Start()) return kCannotRun;
+//   deployment.Call(0, {.method = "POST", .path = "/quotes/00a1"});
+#ifndef REVIEW_STANDINS_2_DEPLOYMENT_H_
+#define REVIEW_STANDINS_2_DEPLOYMENT_H_
+
+#include <sys/types.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "quetzal/http/http.h"
+#include "quetzal/http_client/http_client.h"
+#include "record.h"
+#include "relay.h"
+#include "standins/users_platform/store_front.h"
+#include "standins/users_platform/worker_pool.h"
+
+namespace quetzal::review {
+
+struct DeploymentSize {
+  int machines = 2;
+  int workers = 4;
+};
+
+// What the operator writes. All routes lead to the same service, and their
+// policy needs advice.
+struct Configuration {
+  std::vector<std::string> routes;  // also the names of their prefixes
+  std::vector<std::string> keys;    // of the only tenant
+};
+
+struct ClientCall {
+  std::string method = "GET";
+  std::string path;
+  std::string body;
+  std::string key = "key-1";
+  Milliseconds timeout{3'000};
+};
+
+class Deployment {
+ public:
+  Deployment(DeploymentSize size, Record* record);
+  ~Deployment();
+  Deployment(const Deployment&) = delete;
+  Deployment& operator=(const Deployment&) = delete;
+
+  // Starts everything. True once all entries are ready and a placer leads.
+  bool Start();
+  // Writes the next version of the configuration.
+  void Publish(const Configuration& configuration);
+  void SetStoreRule(int machine, Relay::Rule rule);
+
+  // Sends a client's call to the machine's entry; `done` gets the answer.
+  void Send(int machine, const ClientCall& call, HttpClient::Callback done);
+  // The same, and waits for the answer.
+  HttpClientResult Call(int machine, const ClientCall& call);
+  // The job's state as the entry reports it, or the status of its answer.
+  std::string StateOf(int machine, const std::string& route,
+                      const std::string& id);
+  // Runs this process's stand-ins for that long, or until the condition holds.
+  void RunFor(Milliseconds time);
+  bool WaitUntil(Milliseconds limit, const std::function<bool()>& condition);
+
+  // How many tasks of the job the workers run now.
+  int RunningTasksOf(const std::string& job) const;
+  int RunningTasks() const;
+  // How many tasks all workers have room for.
+  int Room() const;
+  // Starts of the job's tasks that workers have accepted, and those that they
+  // have refused.
+  int AcceptedStarts(const std::string& job) const;
+  int RefusedStarts(const std::string& job) const;
+  // When a worker last accepted a start of the job's tasks.
+  Time LastStart(const std::string& job) const;
+  bool IsDone(const std::string& task) const {
+    return judgement_.done.contains(task);
+  }
+
+ private:
+  struct Process {
+    std::string program;
+    std::string settings;
+    pid_t pid = 0;
+  };
+  struct Starts {
+    int accepted = 0;
+    int refused = 0;
+    Time last_accepted;
+  };
+
+  bool StartPlatform();
+  bool StartWorker(int index);
+  void WriteHeartbeats();
+  void Advise(HttpCallId call, const HttpRequest& request);
+  void OnWorkerCall(const std::string& worker, const HttpRequest& request,
+                    const HttpClientResult& answer);
+  bool Launch(const std::string& name);
+  std::string WriteSettings(int machine);
+  bool IsReady(int machine);
+  bool Leads(int machine);
+  HttpClientResult Fetch(const HttpClientRequest& request);
+  int PortOf(int machine, int offset) const;
+
+  DeploymentSize size_;
+  Record* record_;
+  std::string folder_;
+  int first_port_;
+  int version_ = 0;
+  std::unique_ptr<HttpClient> client_;
+  standin::StoreFront store_;
+  standin::Judgement judgement_;
+  std::unique_ptr<HttpServer> advice_;
+  std::vector<std::unique_ptr<standin::PoolWorker>> workers_;
+  std::vector<std::unique_ptr<Relay>> worker_relays_;
+  std::vector<std::unique_ptr<Relay>> store_relays_;  // one a machine
+  std::map<std::string, Process> processes_;
+  std::map<std::string, Starts> starts_;  // by job
+};
+
+}  // namespace quetzal::review
+
+#endif  // REVIEW_STANDINS_2_DEPLOYMENT_H_
