--- a/review/standins-2/cases.cc
+++ b/review/standins-2/cases.cc
@@ -212,7 +212,7 @@
   deployment.Call(0, {.method = "POST",
                       .path = "/quotes/" + id,
                       .body = JobBody(kRunTime, R"(,"long-running":true)"),
-                      .timeout = kLeavesAfter});
+                      .leaves_after = kLeavesAfter});
   const HttpClientResult cancelled =
       deployment.Call(1, {.method = "DELETE", .path = "/quotes/" + id});
   if (!cancelled.ok() && cancelled.status != kGone) return Verdict::kCannotRun;
--- a/review/standins-2/deployment.cc
+++ b/review/standins-2/deployment.cc
@@ -316,16 +316,15 @@
 
 void Deployment::Send(int machine, const ClientCall& call,
                       HttpClient::Callback done) {
-  const std::string deadline = std::to_string(call.timeout.count());
   const std::string text = call.method + " " + call.path + " at vm-" +
                            std::to_string(machine) + " by " + call.key;
   client_->Send(
       {.method = call.method,
        .url = "http://" + Address(PortOf(machine, kCallersPort)) + call.path,
        .headers = {"Host: desk.example", "X-Key: " + call.key,
-                   "X-Deadline-Ms: " + deadline},
+                   "X-Deadline-Ms: 3000"},
        .body = call.body,
-       .timeout = call.timeout},
+       .timeout = call.leaves_after},
       [this, text, done = std::move(done)](const HttpClientResult& answer) {
         record_->Line(text + " -> " +
                       (answer.kind == HttpClientResult::Kind::kAnswered
--- a/review/standins-2/deployment.h
+++ b/review/standins-2/deployment.h
@@ -45,7 +45,8 @@
   std::string path;
   std::string body;
   std::string key = "key-1";
-  Milliseconds timeout{3'000};
+  // The client leaves without an answer after this time, before its deadline.
+  Milliseconds leaves_after{3'000};
 };
 
 class Deployment {
