--- a/review/standins-2/cases.cc
+++ b/review/standins-2/cases.cc
@@ -1,9 +1,11 @@
 #include "cases.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <cstdio>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -23,6 +25,10 @@
 constexpr Milliseconds kIdleLimit{3'000};
 // Longer, so that an idle time that is measured surely exceeds the limit.
 constexpr Milliseconds kIdleWatch{4'000};
+// A long-running task has to run again from this time after its last run's end;
+// without disruptions for `kCalm`, it may be idle for `kIdleLimit` only.
+constexpr Milliseconds kRunAgain{6'000};
+constexpr Milliseconds kCalm{4'000};
 // `cancel_ms`, `stop-timeout-ms` and `contact-timeout-ms` of the sites.
 constexpr Milliseconds kCancel{3'000};
 constexpr Milliseconds kStop{900};
@@ -241,10 +247,77 @@
   return starts > 0 ? Verdict::kBroken : Verdict::kHeld;
 }
 
+// A worker is lost for good, and the leading placer is killed twice. A
+// long-running task on another worker fails meanwhile and has to run again.
+Verdict RunRepeatedTakeovers(bool trouble, Record* record) {
+  constexpr int kMachines = 3;
+  constexpr int kWorkers = 6;
+  constexpr int kTasks = 2;
+  constexpr int kKills = 2;
+  constexpr Milliseconds kBeforeKill{300};
+  constexpr Milliseconds kRestartDelay{300};
+  constexpr Milliseconds kBetweenKills{7'500};
+  constexpr Milliseconds kAfterLastKill{12'000};
+  Deployment deployment({.machines = kMachines, .workers = kWorkers}, record);
+  deployment.Publish({.routes = {"quotes"}, .keys = {"key-1"}});
+  if (!deployment.Start()) return Verdict::kCannotRun;
+  const std::string id = IdOf(1);
+  const HttpClientResult accepted = deployment.Call(
+      0, {.method = "POST",
+          .path = PathOf("quotes", id),
+          .body = JobBody(Milliseconds(0), kTasks, R"(,"long-running":true)")});
+  const bool is_running = accepted.ok() && deployment.WaitUntil(kContact, [&] {
+    return deployment.RunningTasksOf(id) == kTasks;
+  });
+  if (!is_running) return Verdict::kCannotRun;
+  deployment.RunFor(kContact);
+  int idle_worker = 0;
+  while (deployment.worker(idle_worker).RunningTasks() > 0) ++idle_worker;
+  // The newest moment of a disruption, and when the task's last run ended.
+  Time disrupted_at = Now();
+  if (trouble) deployment.worker(idle_worker).Vanish();
+  deployment.RunFor(kBeforeKill);
+  std::optional<Time> ended_at;
+  Milliseconds longest{0};
+  for (int kill = 0; kill < kKills; ++kill) {
+    if (trouble) {
+      const int leader = deployment.Leader();
+      if (leader < 0) return Verdict::kCannotRun;
+      const std::string placer = "placer-" + std::to_string(leader);
+      deployment.Kill(placer);
+      deployment.RunFor(kRestartDelay);
+      deployment.Launch(placer);
+      disrupted_at = Now();
+    } else {
+      deployment.RunFor(kRestartDelay);
+    }
+    if (!ended_at) {
+      for (int i = 0; i < kWorkers; ++i) {
+        if (deployment.worker(i).Fail(TaskOf(id, 0))) ended_at = Now();
+      }
+      if (!ended_at) return Verdict::kCannotRun;
+    }
+    Time counts_from = std::max(disrupted_at + kCalm, *ended_at + kRunAgain);
+    const Milliseconds watch =
+        kill + 1 < kKills ? kBetweenKills - kRestartDelay : kAfterLastKill;
+    deployment.WaitUntil(watch, [&] {
+      if (deployment.RunningTasksOf(id) == kTasks) counts_from = Now();
+      longest = std::max(longest, Now() - counts_from);
+      return false;
+    });
+  }
+  record->Line("the failed task wasn't running for up to " +
+               std::to_string(longest.count()) +
+               " ms on end, each time from 6 s after its end and 4 s after a "
+               "disruption");
+  return longest >= kIdleLimit ? Verdict::kBroken : Verdict::kHeld;
+}
+
 }  // namespace
 
 Verdict RunCase(const std::string& name, bool trouble, Record* record) {
   const std::map<std::string, std::function<Verdict(bool, Record*)>> cases = {
+      {"repeated-takeovers", &RunRepeatedTakeovers},
       {"removed-route", &RunRemovedRoute},
       {"withdrawn-key", &RunWithdrawnKey},
       {"early-cancel", &RunEarlyCancel}};
--- a/review/standins-2/deployment.cc
+++ b/review/standins-2/deployment.cc
@@ -25,10 +25,11 @@
 
 constexpr int kOk = 200;
 constexpr Milliseconds kStartLimit{15'000};
-constexpr Milliseconds kHeartbeatInterval{500};
+// `heartbeat-interval-ms` of the sites. An entry is removed after three of them
+// without a heartbeat.
+constexpr Milliseconds kHeartbeatInterval{1'500};
+constexpr Milliseconds kHeartbeatCheck{500};
 constexpr Milliseconds kAdviceDelay{3};
-// Of each worker, by its entry.
-constexpr int kTasksPerWorker = 4;
 // Refused starts of a job that the record shows.
 constexpr int kMaxRecordedRefusals = 3;
 
@@ -126,7 +127,7 @@
     if (!StartWorker(i)) return false;
   }
   WriteHeartbeats();
-  RunEvery(kHeartbeatInterval, [this] { WriteHeartbeats(); });
+  RunEvery(kHeartbeatCheck, [this] { WriteHeartbeats(); });
   for (int i = 0; i < size_.machines; ++i) {
     const std::string settings = WriteSettings(i);
     const std::string number = std::to_string(i);
@@ -165,24 +166,26 @@
 }
 
 bool Deployment::StartWorker(int index) {
-  const int port = PortOf(size_.machines, 2 * index);
-  const std::string id = "i-" + std::to_string(index);
-  auto worker = std::make_unique<standin::PoolWorker>(id, &judgement_);
-  if (!worker->Listen(port, port + 1)) return false;
+  auto worker = std::make_unique<Worker>(
+      "i-" + std::to_string(index),
+      [this](const WorkerEvent& event) { OnWorkerEvent(event); });
+  if (!worker->Listen(PortOf(size_.machines, index))) return false;
   workers_.push_back(std::move(worker));
-  auto relay = std::make_unique<Relay>(client_.get(), Address(port));
-  relay->SetObserver(
-      [this, id](const HttpRequest& request, const HttpClientResult& answer) {
-        OnWorkerCall(id, request, answer);
-      });
-  if (!relay->Listen(Address(port + 1))) return false;
-  worker_relays_.push_back(std::move(relay));
   return true;
 }
 
 void Deployment::WriteHeartbeats() {
   for (const auto& worker : workers_) {
-    store_.Put("servers/" + worker->id(), worker->Entry().dump());
+    const std::string key = "servers/" + worker->id();
+    const auto last = heartbeat_at_.find(key);
+    const Milliseconds age =
+        last == heartbeat_at_.end() ? kHeartbeatInterval : Now() - last->second;
+    if (worker->is_lost()) {
+      if (age >= 3 * kHeartbeatInterval) store_.Remove(key);
+    } else if (age >= kHeartbeatInterval) {
+      heartbeat_at_[key] = Now();
+      store_.Put(key, worker->Entry().dump());
+    }
   }
 }
 
@@ -201,23 +204,18 @@
            [this, call, body] { advice_->Reply(call, {.body = body}); });
 }
 
-void Deployment::OnWorkerCall(const std::string& worker,
-                              const HttpRequest& request,
-                              const HttpClientResult& answer) {
-  if (request.path != "/run-start" && request.path != "/run-stop") return;
-  const Json order = Json::parse(request.body, nullptr, false);
-  const std::string task = order.value("task", "");
-  const std::string text =
-      request.path + " " + task + " run " +
-      std::to_string(order.value("run", 0)) + " at " + worker + ", " +
-      (order.contains("ticket") ? "with" : "without") + " a ticket -> " +
-      std::to_string(answer.status) + " " + answer.body;
-  if (request.path == "/run-stop") {
+void Deployment::OnWorkerEvent(const WorkerEvent& event) {
+  std::string text = event.worker + ": " + event.what + " " + event.task +
+                     " run " + std::to_string(event.run);
+  if (event.what != "start") {
+    if (event.what == "done") done_.insert(event.task);
     record_->Line(text);
     return;
   }
-  Starts& starts = starts_[JobOf(task)];
-  if (answer.status == kOk) {
+  text += std::string(event.has_ticket ? ", with" : ", without") +
+          " a ticket -> " + std::to_string(event.status) + " " + event.answer;
+  Starts& starts = starts_[JobOf(event.task)];
+  if (event.status == kOk) {
     ++starts.accepted;
     starts.last_accepted = Now();
     record_->Line(text);
@@ -269,7 +267,7 @@
       {"file_descriptors", 4'200},
       {"grace_s", "6"},
       {"configuration_apply_ms", 3'000},
-      {"most_lease_ms", 3'000},
+      {"most_lease_ms", 6'000},
       {"keep_finished_s", "120"}};
   std::ofstream(file) << settings.dump(2);
   return file;
@@ -382,19 +380,17 @@
 
 int Deployment::RunningTasksOf(const std::string& job) const {
   int running = 0;
-  for (const auto& [task, runs] : judgement_.running) {
-    if (JobOf(task) == job) running += runs;
-  }
+  for (const auto& worker : workers_) running += worker->RunningTasksOf(job);
   return running;
 }
 
 int Deployment::RunningTasks() const {
   int running = 0;
-  for (const auto& [task, runs] : judgement_.running) running += runs;
+  for (const auto& worker : workers_) running += worker->RunningTasks();
   return running;
 }
 
-int Deployment::Room() const { return size_.workers * kTasksPerWorker; }
+int Deployment::Room() const { return size_.workers * Worker::kMaxTasks; }
 
 int Deployment::AcceptedStarts(const std::string& job) const {
   const auto found = starts_.find(job);
--- a/review/standins-2/deployment.h
+++ b/review/standins-2/deployment.h
@@ -16,6 +16,7 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -24,7 +25,7 @@
 #include "record.h"
 #include "relay.h"
 #include "standins/users_platform/store_front.h"
-#include "standins/users_platform/worker_pool.h"
+#include "worker.h"
 
 namespace quetzal::review {
 
@@ -78,6 +79,7 @@
   void RunFor(Milliseconds time);
   bool WaitUntil(Milliseconds limit, const std::function<bool()>& condition);
 
+  Worker& worker(int index) { return *workers_[static_cast<size_t>(index)]; }
   // How many tasks of the job the workers run now.
   int RunningTasksOf(const std::string& job) const;
   int RunningTasks() const;
@@ -89,9 +91,7 @@
   int RefusedStarts(const std::string& job) const;
   // When a worker last accepted a start of the job's tasks.
   Time LastStart(const std::string& job) const;
-  bool IsDone(const std::string& task) const {
-    return judgement_.done.contains(task);
-  }
+  bool IsDone(const std::string& task) const { return done_.contains(task); }
 
  private:
   struct Process {
@@ -109,8 +109,7 @@
   bool StartWorker(int index);
   void WriteHeartbeats();
   void Advise(HttpCallId call, const HttpRequest& request);
-  void OnWorkerCall(const std::string& worker, const HttpRequest& request,
-                    const HttpClientResult& answer);
+  void OnWorkerEvent(const WorkerEvent& event);
   std::string WriteSettings(int machine);
   bool IsReady(int machine);
   HttpClientResult Fetch(const HttpClientRequest& request);
@@ -123,13 +122,13 @@
   int version_ = 0;
   std::unique_ptr<HttpClient> client_;
   standin::StoreFront store_;
-  standin::Judgement judgement_;
   std::unique_ptr<HttpServer> advice_;
-  std::vector<std::unique_ptr<standin::PoolWorker>> workers_;
-  std::vector<std::unique_ptr<Relay>> worker_relays_;
+  std::vector<std::unique_ptr<Worker>> workers_;
+  std::map<std::string, Time> heartbeat_at_;          // the newest, by worker
   std::vector<std::unique_ptr<Relay>> store_relays_;  // one a machine
   std::map<std::string, Process> processes_;
   std::map<std::string, Starts> starts_;  // by job
+  std::set<std::string> done_;            // tasks
 };
 
 }  // namespace quetzal::review
