--- a/review/standins-2/cases.cc
+++ b/review/standins-2/cases.cc
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -313,10 +314,82 @@
   return longest >= kIdleLimit ? Verdict::kBroken : Verdict::kHeld;
 }
 
+// A gang may run on two workers that are busy for long, and on ten others that
+// are idle soon.
+Verdict RunGangBesideIdleWorkers(bool trouble, Record* record) {
+  constexpr int kBusy = 16;
+  constexpr int kOthers = 10;
+  constexpr int kGangs = 3;
+  constexpr int kMembers = 4;
+  constexpr Milliseconds kLong{20'000};
+  constexpr Milliseconds kShort{5'000};
+  constexpr Milliseconds kSettle{1'000};
+  constexpr Milliseconds kEnd{8'000};
+  Deployment deployment(
+      {.machines = 2, .workers = kBusy + kOthers, .workers_of_kind_a = kBusy},
+      record);
+  deployment.Publish({.routes = {"bulk", "gangs"}, .keys = {"key-1"}});
+  std::vector<std::string> gangs(kGangs);
+  int next_gang = 1'000;
+  for (std::string& gang : gangs) gang = IdOf(next_gang++);
+  std::set<std::string> allowed = {"i-0", "i-1"};
+  for (int i = kBusy; i < kBusy + kOthers; ++i) {
+    allowed.insert("i-" + std::to_string(i));
+  }
+  deployment.SetPolicy([&](const std::string& job, const std::string& worker) {
+    return std::find(gangs.begin(), gangs.end(), job) == gangs.end() ||
+           allowed.contains(worker);
+  });
+  if (!deployment.Start()) return Verdict::kCannotRun;
+  const auto submit = [&](const std::string& route, const std::string& id,
+                          const std::string& body) {
+    return deployment
+        .Call(0, {.method = "POST", .path = PathOf(route, id), .body = body})
+        .ok();
+  };
+  const auto bulk = [&](int number, int cpu, Milliseconds time,
+                        const std::string& kind) {
+    const std::string ms = std::to_string(time.count());
+    return submit("bulk", IdOf(number),
+                  R"({"specification":")" + ms +
+                      R"(","steps":[{"count":1,"cpu":)" + std::to_string(cpu) +
+                      R"(,"task-memory-mb":10,"requirements":")" + kind +
+                      R"(","estimated-duration-ms":)" + ms + "}]}");
+  };
+  bool is_accepted = true;
+  for (int i = 1; i <= kBusy && trouble; ++i) {
+    is_accepted = is_accepted && bulk(i, 3'000, kLong, "a");
+  }
+  for (int i = 1; i <= kOthers; ++i) {
+    is_accepted = is_accepted && bulk(100 + i, 4'000, kShort, "b");
+  }
+  deployment.RunFor(kSettle);
+  deployment.Publish({.routes = {"bulk", "gangs"},
+                      .keys = {"key-1"},
+                      .decision_ms = 300,
+                      .worker_ms = 4.4});
+  deployment.RunFor(kSettle);
+  for (const std::string& gang : gangs) {
+    is_accepted =
+        is_accepted &&
+        submit("gangs", gang,
+               R"({"specification":"1000","steps":[{"count":)" +
+                   std::to_string(kMembers) +
+                   R"(,"cpu":2000,"task-memory-mb":10,"gang-scheduled":true,)"
+                   R"("estimated-duration-ms":1000}]})");
+  }
+  if (!is_accepted) return Verdict::kCannotRun;
+  deployment.RunFor(kFinish);
+  const Verdict verdict = JudgeIdleJobs(&deployment, gangs, kMembers, record);
+  deployment.RunFor(kEnd);
+  return verdict;
+}
+
 }  // namespace
 
 Verdict RunCase(const std::string& name, bool trouble, Record* record) {
   const std::map<std::string, std::function<Verdict(bool, Record*)>> cases = {
+      {"gang-beside-idle-workers", &RunGangBesideIdleWorkers},
       {"repeated-takeovers", &RunRepeatedTakeovers},
       {"removed-route", &RunRemovedRoute},
       {"withdrawn-key", &RunWithdrawnKey},
--- a/review/standins-2/deployment.cc
+++ b/review/standins-2/deployment.cc
@@ -29,7 +29,6 @@
 // without a heartbeat.
 constexpr Milliseconds kHeartbeatInterval{1'500};
 constexpr Milliseconds kHeartbeatCheck{500};
-constexpr Milliseconds kAdviceDelay{3};
 // Refused starts of a job that the record shows.
 constexpr int kMaxRecordedRefusals = 3;
 
@@ -41,8 +40,8 @@
 constexpr int kInternalPort = 2;
 constexpr int kPlacerMetricsPort = 4;
 constexpr int kStoreRelayPort = 6;
+constexpr int kAdvicePort = 7;
 constexpr int kStorePort = 0;
-constexpr int kAdvicePort = 1;
 
 std::string Address(int port) { return "127.0.0.1:" + std::to_string(port); }
 
@@ -74,7 +73,7 @@
   return kFirst;
 }
 
-Json RouteNamed(const std::string& name) {
+Json RouteNamed(const std::string& name, const Configuration& configuration) {
   return {{"name", name},
           {"host", "desk.example"},
           {"prefix", "/" + name + "/"},
@@ -86,7 +85,9 @@
           {"slack-factor", 2.0},
           {"target-latency-ms", 1'000},
           {"recommendation",
-           {{"decision-ms", 3}, {"period-ms", 0.1}, {"validity-ms", 2'500}}},
+           {{"decision-ms", configuration.decision_ms},
+            {"period-ms", configuration.worker_ms},
+            {"validity-ms", 2'500}}},
           {"public", false}};
 }
 
@@ -149,12 +150,15 @@
 
 bool Deployment::StartPlatform() {
   if (!store_.Listen(Address(first_port_ + kStorePort))) return false;
-  advice_ = ListenForHttp(
-      Address(first_port_ + kAdvicePort), {},
-      {.on_request = [this](HttpCallId call,
-                            const HttpRequest& r) { Advise(call, r); },
-       .on_disconnect = [](HttpCallId) {}});
-  if (!advice_) return false;
+  for (int i = 0; i < size_.machines; ++i) {
+    advice_.push_back(ListenForHttp(
+        Address(PortOf(i, kAdvicePort)), {},
+        {.on_request = [this, i](HttpCallId call,
+                                 const HttpRequest& r) { Advise(i, call, r); },
+         .on_disconnect = [](HttpCallId) {}}));
+    if (!advice_.back()) return false;
+    advice_free_at_.push_back(Now());
+  }
   for (int i = 0; i < size_.machines; ++i) {
     store_relays_.push_back(std::make_unique<Relay>(
         client_.get(), Address(first_port_ + kStorePort)));
@@ -167,7 +171,7 @@
 
 bool Deployment::StartWorker(int index) {
   auto worker = std::make_unique<Worker>(
-      "i-" + std::to_string(index),
+      "i-" + std::to_string(index), index < size_.workers_of_kind_a ? "a" : "b",
       [this](const WorkerEvent& event) { OnWorkerEvent(event); });
   if (!worker->Listen(PortOf(size_.machines, index))) return false;
   workers_.push_back(std::move(worker));
@@ -189,19 +193,36 @@
   }
 }
 
-void Deployment::Advise(HttpCallId call, const HttpRequest& request) {
+void Deployment::Advise(int machine, HttpCallId call,
+                        const HttpRequest& request) {
   Json allowed = Json::array();
+  size_t named = 0;
   const Json query = Json::parse(request.body, nullptr, false);
   if (query.is_object()) {
+    const std::string job = JobOf(query.value("step", ""));
+    std::string asked;
     for (const Json& worker : query.value("workers", Json::array())) {
       const std::string id = worker.get<std::string>();
+      asked += " " + id;
+      ++named;
+      if (policy_ && !policy_(job, id)) continue;
       allowed.push_back(Json::array({id, "t-" + id}));
     }
+    if (policy_) {
+      record_->Line("advice for " + job + ":" + asked + " -> " +
+                    std::to_string(allowed.size()) + " allowed");
+    }
   }
   const std::string body =
       Json{{"allowed", std::move(allowed)}, {"validity-ms", 2'500}}.dump();
-  RunAfter(kAdviceDelay,
-           [this, call, body] { advice_->Reply(call, {.body = body}); });
+  Time& free_at = advice_free_at_[static_cast<size_t>(machine)];
+  free_at = std::max(free_at, Now()) +
+            Milliseconds(static_cast<int64_t>(configuration_.decision_ms +
+                                              configuration_.worker_ms *
+                                                  static_cast<double>(named)));
+  RunAfter(free_at - Now(), [this, machine, call, body] {
+    advice_[static_cast<size_t>(machine)]->Reply(call, {.body = body});
+  });
 }
 
 void Deployment::OnWorkerEvent(const WorkerEvent& event) {
@@ -225,9 +246,10 @@
 }
 
 void Deployment::Publish(const Configuration& configuration) {
+  configuration_ = configuration;
   Json routes = Json::array();
   for (const std::string& name : configuration.routes) {
-    routes.push_back(RouteNamed(name));
+    routes.push_back(RouteNamed(name, configuration));
   }
   ++version_;
   store_.Put(
@@ -259,7 +281,7 @@
       {"machine", name},
       {"ip", "127.0.0.1"},
       {"store_address", Address(PortOf(machine, kStoreRelayPort))},
-      {"advice_address", Address(first_port_ + kAdvicePort)},
+      {"advice_address", Address(PortOf(machine, kAdvicePort))},
       {"callers_address", Address(PortOf(machine, kCallersPort))},
       {"readiness_address", Address(PortOf(machine, kReadinessPort))},
       {"first_internal_port", PortOf(machine, kInternalPort)},
--- a/review/standins-2/deployment.h
+++ b/review/standins-2/deployment.h
@@ -18,6 +18,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "quetzal/http/http.h"
@@ -32,13 +33,22 @@
 struct DeploymentSize {
   int machines = 2;
   int workers = 4;
+  // The first ones are of kind "a", the others of kind "b".
+  int workers_of_kind_a = 0;
 };
 
+// Whether the worker may run tasks of the job.
+using Policy =
+    std::function<bool(const std::string& job, const std::string& worker)>;
+
 // What the operator writes. All routes lead to the same service, and their
 // policy needs advice.
 struct Configuration {
   std::vector<std::string> routes;  // also the names of their prefixes
   std::vector<std::string> keys;    // of the only tenant
+  // How long a call for advice takes, and more for each worker that it names.
+  double decision_ms = 3;
+  double worker_ms = 0.1;
 };
 
 struct ClientCall {
@@ -61,6 +71,8 @@
   bool Start();
   // Writes the next version of the configuration.
   void Publish(const Configuration& configuration);
+  // Without a policy each worker may run each job. To be set once, before jobs.
+  void SetPolicy(Policy policy) { policy_ = std::move(policy); }
   void SetStoreRule(int machine, Relay::Rule rule);
   // Index of the machine whose placer leads; -1 if none does.
   int Leader();
@@ -108,7 +120,7 @@
   bool StartPlatform();
   bool StartWorker(int index);
   void WriteHeartbeats();
-  void Advise(HttpCallId call, const HttpRequest& request);
+  void Advise(int machine, HttpCallId call, const HttpRequest& request);
   void OnWorkerEvent(const WorkerEvent& event);
   std::string WriteSettings(int machine);
   bool IsReady(int machine);
@@ -122,7 +134,11 @@
   int version_ = 0;
   std::unique_ptr<HttpClient> client_;
   standin::StoreFront store_;
-  std::unique_ptr<HttpServer> advice_;
+  // One a machine: the service handles one call of each machine at a time.
+  std::vector<std::unique_ptr<HttpServer>> advice_;
+  std::vector<Time> advice_free_at_;
+  Configuration configuration_;
+  Policy policy_;
   std::vector<std::unique_ptr<Worker>> workers_;
   std::map<std::string, Time> heartbeat_at_;          // the newest, by worker
   std::vector<std::unique_ptr<Relay>> store_relays_;  // one a machine
--- a/review/standins-2/worker.cc
+++ b/review/standins-2/worker.cc
@@ -34,8 +34,9 @@
 
 }  // namespace
 
-Worker::Worker(std::string id, Observer observer)
+Worker::Worker(std::string id, std::string kind, Observer observer)
     : id_(std::move(id)),
+      kind_(std::move(kind)),
       observer_(std::move(observer)),
       began_(Now()),
       born_ms_(g_get_real_time() / kMicrosecondsInMillisecond) {}
@@ -73,7 +74,7 @@
            {{"cpu", kCoreMilli * kMaxTasks},
             {"task-memory-mb", 4'096},
             {"gpu", 0}}},
-          {"labels", {"k", "r1"}},
+          {"labels", {kind_, "r1"}},
           {"born", born_ms_},
           {"sequence", ClockMs()}};
 }
--- a/review/standins-2/worker.h
+++ b/review/standins-2/worker.h
@@ -37,7 +37,8 @@
   // By its entry, each task takes one core.
   static constexpr int kMaxTasks = 4;
 
-  Worker(std::string id, Observer observer);
+  // `kind` is its label beside that of its rack.
+  Worker(std::string id, std::string kind, Observer observer);
 
   bool Listen(int port);
   // It is lost for good: nothing runs and nothing is answered any more.
@@ -70,6 +71,7 @@
   int64_t ClockMs() const;
 
   std::string id_;
+  std::string kind_;
   Observer observer_;
   std::unique_ptr<HttpServer> server_;
   std::string address_;
