--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 program=build/review-2/review-case
 [ -x "$program" ] || exit 2
-exec "$program" withdrawn-key review/9/record.txt
+exec "$program" early-cancel review/9/record.txt
