A cancel is answered 410 only once the store keeps its job from being accepted

The submission went on, or its write was carried out late; the job was accepted after the 410 and ran. A long-running job never ended.

Cause: JobApi::Cancel answered 410 on a read that found no job and wrote nothing. An acceptance requires only that the job's record is absent, so it could follow: from the entry's retries, from a write that the store carries out late, also if the entry that sent it was killed, or from a later attempt.

Change: such a cancel writes a tombstone into the job's record, on the condition that there is none, and then answers 410. Each acceptance has always required that record to be absent, so no write of any entry, also of an earlier version, can be carried out after it. A submission that meets the tombstone is answered 410. If the job was accepted meanwhile, the conflict leads to an ordinary cancel; a cancel without a definite outcome is tried again and at last answered 504.

Weighed: a condition on the cancel's own key in each acceptance takes a fifth of the jobs out of a commit and is missing in entries of earlier versions; a list of cancelled ids in the entry doesn't outlive it.

--- a/programs/job_entry/job_api.cc
+++ b/programs/job_entry/job_api.cc
@@ -37,13 +37,13 @@
   return found == request.headers.end() ? "" : found->second;
 }
 
-Time DeadlineOf(const HttpRequest& request) {
+Milliseconds TimeToAnswer(const HttpRequest& request) {
   const std::string text = HeaderOf(request, platform::kDeadlineHeader);
   const guint64 ms = g_ascii_strtoull(text.c_str(), nullptr, 10);
   const Milliseconds wait = ms == 0 || ms > G_MAXINT32
                                 ? kDefaultTimeout
                                 : Milliseconds(static_cast<int64_t>(ms));
-  return Now() + std::max(wait - kReplyMargin, kReplyMargin);
+  return std::max(wait - kReplyMargin, kReplyMargin);
 }
 
 std::string HostOf(const HttpRequest& request) {
@@ -62,13 +62,14 @@
 
 JobApi::JobApi(const CurrentCatalog* catalogs, const JobIndex* job_index,
                JobIntake* intake, Store* store, StoreWatcher::Timer after,
-               EventLog* log, Metrics* metrics,
+               Clock clock, EventLog* log, Metrics* metrics,
                Milliseconds max_configuration_age)
     : catalogs_(catalogs),
       job_index_(job_index),
       intake_(intake),
       store_(store),
       after_(std::move(after)),
+      clock_(std::move(clock)),
       log_(log),
       metrics_(metrics),
       max_configuration_age_(max_configuration_age) {}
@@ -114,7 +115,7 @@
   call->request = request;
   call->answer = std::move(answer);
   call->catalog = catalogs_->current();
-  call->deadline = DeadlineOf(request);
+  call->deadline = clock_() + TimeToAnswer(request);
   if (!call->catalog) {
     Refuse(*call, kUnavailable, "no_configuration",
            "try again; this machine has just started");
@@ -163,6 +164,10 @@
     call->answer({.status = kOk, .body = "{}"});
     return;
   }
+  if (job_index_->HasTombstone(call->id)) {
+    RefuseCancelled(*call);
+    return;
+  }
   Checked<JobSpec> spec = platform::DecodeJobBody(call->request.body);
   if (!spec) {
     Refuse(*call, kBadRequest, "malformed_job", Describe(spec.error()));
@@ -201,6 +206,9 @@
         Refuse(*call, kUnavailable, "store_refused",
                "try again, at another machine if you can");
         return;
+      case IntakeOutcome::kCancelled:
+        RefuseCancelled(*call);
+        return;
       case IntakeOutcome::kUnknown:
         Refuse(*call, kGatewayTimeout, "store_silent",
                "send the job again under the same id");
@@ -216,13 +224,16 @@
   }
   // Another entry may have accepted the job a moment ago.
   store_->Read(JobKey(call->id), [this, call](const ReadAnswer& answer) {
-    if (answer.outcome == StoreOutcome::kDone) {
+    const bool exists = answer.outcome == StoreOutcome::kDone &&
+                        !IsTombstone(answer.items[0].value);
+    if (exists) {
       const JobState stored =
           DecodeState(answer.items[0].value).value_or(JobState::kQueued);
       const JobState state = job_index_->StateOf(call->id).value_or(stored);
       call->answer({.status = kOk, .body = platform::EncodeJobState(state)});
-    } else if (answer.outcome == StoreOutcome::kMissing) {
-      call->answer(ErrorResponse(kGone, "no_such_job", "check the id"));
+    } else if (answer.outcome == StoreOutcome::kDone ||
+               answer.outcome == StoreOutcome::kMissing) {
+      AnswerNoSuchJob(*call);
     } else {
       Refuse(*call, kUnavailable, "store_unreachable", "ask again");
     }
@@ -243,6 +254,10 @@
   }
   store_->Read(JobKey(call->id), [this, call](const ReadAnswer& answer) {
     if (answer.outcome == StoreOutcome::kDone) {
+      if (IsTombstone(answer.items[0].value)) {
+        AnswerNoSuchJob(*call);
+        return;
+      }
       const auto stored = DecodeState(answer.items[0].value);
       if (stored && IsFinal(*stored)) {
         call->answer(
@@ -251,15 +266,53 @@
       }
       WriteCancel(call, answer.items[0].revision);
     } else if (answer.outcome == StoreOutcome::kMissing) {
-      call->answer(ErrorResponse(kGone, "no_such_job", "check the id"));
-    } else if (Now() + kCancelRetryDelay < call->deadline) {
-      after_(kCancelRetryDelay, [this, call] { Cancel(call); });
+      WriteTombstone(call);
     } else {
-      Refuse(*call, kGatewayTimeout, "store_unreachable", "cancel again");
+      RetryCancel(call);
     }
   });
 }
 
+// A submission of the job may be under way, here or at another entry, or its
+// transaction may be carried out late. So the job is reported as gone only once
+// the store keeps it from being accepted.
+void JobApi::WriteTombstone(const std::shared_ptr<Call>& call) {
+  store_->Apply(
+      {.conditions = {{JobKey(call->id), kAbsent}},
+       .puts = {{.key = JobKey(call->id),
+                 .value = EncodeTombstone(call->queue->name)}}},
+      [this, call](const TransactionAnswer& answer) {
+        if (answer.outcome == StoreOutcome::kDone) {
+          log_->Line("cancelled_before_acceptance",
+                     {{"job", call->id.text()}, {"team", call->team.text()}});
+          AnswerNoSuchJob(*call);
+        } else if (answer.outcome == StoreOutcome::kConflict &&
+                   clock_() < call->deadline) {
+          // The job was accepted or cancelled meanwhile.
+          Cancel(call);
+        } else {
+          RetryCancel(call);
+        }
+      });
+}
+
+void JobApi::RetryCancel(const std::shared_ptr<Call>& call) {
+  if (clock_() + kCancelRetryDelay < call->deadline) {
+    after_(kCancelRetryDelay, [this, call] { Cancel(call); });
+  } else {
+    Refuse(*call, kGatewayTimeout, "store_unreachable", "cancel again");
+  }
+}
+
+void JobApi::AnswerNoSuchJob(const Call& call) {
+  call.answer(ErrorResponse(kGone, "no_such_job", "check the id"));
+}
+
+void JobApi::RefuseCancelled(const Call& call) {
+  Refuse(call, kGone, "cancelled_before_acceptance",
+         "submit the job under a new id if you want it");
+}
+
 void JobApi::WriteCancel(const std::shared_ptr<Call>& call, Revision accepted) {
   store_->Apply(
       {.conditions = {{JobKey(call->id), accepted},
@@ -274,7 +327,7 @@
                                  item.revision != kAbsent;
                         });
         if (answer.outcome == StoreOutcome::kConflict && !was_cancelled &&
-            Now() < call->deadline) {
+            clock_() < call->deadline) {
           // The record changed meanwhile: the job started or ended.
           Cancel(call);
           return;
@@ -285,10 +338,8 @@
           call->answer(
               {.status = kOk,
                .body = platform::EncodeJobState(JobState::kCancelled)});
-        } else if (Now() + kCancelRetryDelay < call->deadline) {
-          after_(kCancelRetryDelay, [this, call] { Cancel(call); });
         } else {
-          Refuse(*call, kGatewayTimeout, "store_unreachable", "cancel again");
+          RetryCancel(call);
         }
       });
 }
--- a/programs/job_entry/job_api.h
+++ b/programs/job_entry/job_api.h
@@ -25,10 +25,13 @@
 class JobApi {
  public:
   using Answer = std::function<void(const HttpResponse& reply)>;
+  using Clock = std::function<Time()>;
 
+  // `clock` is the intake's, too.
   JobApi(const CurrentCatalog* catalogs, const JobIndex* job_index,
          JobIntake* intake, Store* store, StoreWatcher::Timer after,
-         EventLog* log, Metrics* metrics, Milliseconds max_configuration_age);
+         Clock clock, EventLog* log, Metrics* metrics,
+         Milliseconds max_configuration_age);
 
   void Serve(const HttpRequest& request, Answer answer);
   // Submissions are refused while the store can't be reached.
@@ -51,6 +54,12 @@
   void ReportPending(const Call& call);
   void Cancel(const std::shared_ptr<Call>& call);
   void WriteCancel(const std::shared_ptr<Call>& call, Revision accepted);
+  // Keeps a job that isn't accepted from being so later.
+  void WriteTombstone(const std::shared_ptr<Call>& call);
+  void RetryCancel(const std::shared_ptr<Call>& call);
+  void AnswerNoSuchJob(const Call& call);
+  // Refuses a submission of a job that was cancelled before it was accepted.
+  void RefuseCancelled(const Call& call);
   bool IsConfigurationConfirmed() const;
   // Refuses a call that the configuration doesn't allow.
   void Deny(const Call& call, int status, const char* reason,
@@ -64,6 +73,7 @@
   JobIntake* intake_;
   Store* store_;
   StoreWatcher::Timer after_;
+  Clock clock_;
   EventLog* log_;
   Metrics* metrics_;
   const Milliseconds max_configuration_age_;
--- a/programs/job_entry/job_api_test.cc
+++ b/programs/job_entry/job_api_test.cc
@@ -207,8 +207,9 @@
   JobIndex job_index_;
   JobIntake intake_{&store_, clock_.Timer(), [this] { return clock_.now(); },
                     &log_, &metrics_};
-  JobApi api_{&catalogs_,     &job_index_, &intake_,  &store_,
-              clock_.Timer(), &log_,       &metrics_, kMaxConfigurationAge};
+  JobApi api_{&catalogs_, &job_index_,    &intake_,
+              &store_,    clock_.Timer(), [this] { return clock_.now(); },
+              &log_,      &metrics_,      kMaxConfigurationAge};
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(JobApiTest);
--- a/programs/job_entry/main.cc
+++ b/programs/job_entry/main.cc
@@ -61,8 +61,9 @@
                           .metrics = &metrics_},
                          &catalogs_, [] {}),
         intake_(store_.get(), &RunAfter, &Now, &log_, &metrics_),
-        api_(&catalogs_, &job_index_, &intake_, store_.get(), &RunAfter, &log_,
-             &metrics_, MaxUsableAge(settings_.configuration_apply_bound)) {}
+        api_(&catalogs_, &job_index_, &intake_, store_.get(), &RunAfter, &Now,
+             &log_, &metrics_,
+             MaxUsableAge(settings_.configuration_apply_bound)) {}
 
   bool Start() {
     log_.Line("start", {{"store", settings_.store_address}});
--- a/quetzal/job/job.h
+++ b/quetzal/job/job.h
@@ -114,6 +114,11 @@
 // thousands are read at a takeover, but enough to answer queries about the
 // job's state and to recognise its id when it is submitted again.
 std::string EncodeJobRecord(const QueueId& queue, JobState state);
+// The record of an id whose job was cancelled before it was accepted: no such
+// job exists, and none can be accepted while the record exists. To earlier
+// versions it is a cancelled job's.
+std::string EncodeTombstone(const QueueId& queue);
+bool IsTombstone(const std::string& text);
 // True for an encoded job, which an earlier version stored as its record.
 bool HoldsRequest(const std::string& text);
 // The state in an encoded record or progress; nothing for a job that is only
--- a/quetzal/job/job_codec.cc
+++ b/quetzal/job/job_codec.cc
@@ -11,6 +11,8 @@
 // Version of the stored forms, so that readers can tell older ones apart.
 constexpr int kSchemaVersion = 1;
 
+constexpr char kNeverAccepted[] = "never_accepted";
+
 constexpr const char* kStateNames[] = {"queued", "running", "completed",
                                        "failed", "cancelled"};
 
@@ -96,6 +98,19 @@
   return task;
 }
 
+Json RecordJson(const QueueId& queue, JobState state) {
+  Json json = {{"schema", kSchemaVersion}, {"queue", queue.text()}};
+  // Earlier versions take any record with a state for that of an ended job.
+  if (state != JobState::kQueued) {
+    json["state"] = kStateNames[static_cast<size_t>(state)];
+  }
+  return json;
+}
+
+std::string Dump(const Json& json) {
+  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
 Problems Malformed(const std::string& what, const std::string& why) {
   return {{what, why, "a value that this program wrote"}};
 }
@@ -119,7 +134,7 @@
                         {"first_ms", static_cast<int64_t>(schedule.first)},
                         {"interval_ms", schedule.interval.count()}};
   }
-  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+  return Dump(json);
 }
 
 Checked<AcceptedJob> DecodeJob(const JobId& id, const std::string& text) {
@@ -166,7 +181,7 @@
       steps.push_back(std::move(tasks));
     }
   }
-  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+  return Dump(json);
 }
 
 Checked<JobProgress> DecodeProgress(const JobSpec& spec,
@@ -191,12 +206,18 @@
 }
 
 std::string EncodeJobRecord(const QueueId& queue, JobState state) {
-  Json json = {{"schema", kSchemaVersion}, {"queue", queue.text()}};
-  // Earlier versions take any record with a state for that of an ended job.
-  if (state != JobState::kQueued) {
-    json["state"] = kStateNames[static_cast<size_t>(state)];
-  }
-  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+  return Dump(RecordJson(queue, state));
+}
+
+std::string EncodeTombstone(const QueueId& queue) {
+  Json json = RecordJson(queue, JobState::kCancelled);
+  json[kNeverAccepted] = true;
+  return Dump(json);
+}
+
+bool IsTombstone(const std::string& text) {
+  const Json json = Json::parse(text, nullptr, false);
+  return json.is_object() && json.contains(kNeverAccepted);
 }
 
 bool HoldsRequest(const std::string& text) {
--- a/quetzal/job_index/job_index.cc
+++ b/quetzal/job_index/job_index.cc
@@ -11,7 +11,9 @@
       if (!queue) return false;
       const std::optional<JobState> state = DecodeState(item.value);
       JobStatus& status = jobs_[id];
-      status.accepted = true;
+      status.has_tombstone =
+          state == JobState::kCancelled && IsTombstone(item.value);
+      status.accepted = !status.has_tombstone;
       status.queue = *queue;
       if (state) status.progress = *state;
       UpdatePendingCount(&status);
@@ -68,6 +70,11 @@
   return status.cancelled ? JobState::kCancelled : status.progress;
 }
 
+bool JobIndex::HasTombstone(const JobId& id) const {
+  const auto found = jobs_.find(id);
+  return found != jobs_.end() && found->second.has_tombstone;
+}
+
 int64_t JobIndex::PendingCount(const QueueId& queue) const {
   const auto found = pending_.find(queue);
   return found == pending_.end() ? 0 : found->second;
--- a/quetzal/job_index/job_index.h
+++ b/quetzal/job_index/job_index.h
@@ -30,6 +30,9 @@
 
   // Nothing if the job's acceptance wasn't received.
   std::optional<JobState> StateOf(const JobId& id) const;
+  // True if the id's job was cancelled before it was accepted, so that it can't
+  // be accepted any more.
+  bool HasTombstone(const JobId& id) const;
   // Number of the queue's accepted jobs of which no task has started. Cancelled
   // jobs don't count; scheduled jobs are never accepted.
   int64_t PendingCount(const QueueId& queue) const;
@@ -38,6 +41,7 @@
  private:
   struct JobStatus {
     bool accepted = false;
+    bool has_tombstone = false;
     bool cancelled = false;
     JobState progress = JobState::kQueued;
     QueueId queue;
--- a/quetzal/job_intake/job_intake.cc
+++ b/quetzal/job_intake/job_intake.cc
@@ -1,7 +1,7 @@
 #include "quetzal/job_intake/job_intake.h"
 
 #include <algorithm>
-#include <unordered_set>
+#include <unordered_map>
 #include <utility>
 
 namespace quetzal {
@@ -132,17 +132,21 @@
   }
 }
 
-// Some jobs were accepted before; the others are retried without them.
+// Some jobs were accepted or cancelled before; the others are retried without
+// them.
 void JobIntake::OnConflict(const Batch& batch,
                            const TransactionAnswer& answer) {
-  std::unordered_set<std::string> present;
+  std::unordered_map<std::string, IntakeOutcome> decided;
   for (const StoreItem& item : answer.current) {
-    if (item.revision != kAbsent) present.insert(item.key);
+    if (item.revision == kAbsent) continue;
+    decided[item.key] = IsTombstone(item.value) ? IntakeOutcome::kCancelled
+                                                : IntakeOutcome::kAccepted;
   }
   Batch remaining;
   for (const JobId& id : batch) {
-    if (present.contains(JobKey(id))) {
-      Finish(id, IntakeOutcome::kAccepted);
+    const auto found = decided.find(JobKey(id));
+    if (found != decided.end()) {
+      Finish(id, found->second);
     } else {
       remaining.push_back(id);
     }
--- a/quetzal/job_intake/job_intake.h
+++ b/quetzal/job_intake/job_intake.h
@@ -4,10 +4,11 @@
 //
 // A job is written under its own key on the condition that the key is absent,
 // so that it is accepted once even if it is submitted several times or to
-// several entries. The outcome is `kUnknown` if the store didn't answer in
-// time, or hasn't answered any transaction for a while: the job may have been
-// accepted or may be later, and its caller should submit it again to another
-// entry.
+// several entries, and never after a cancel stored a tombstone there, even if
+// the transaction is carried out late. The outcome is `kUnknown` if the store
+// didn't answer in time, or hasn't answered any transaction for a while: the
+// job may have been accepted or may be later, and its caller should submit it
+// again to another entry.
 #ifndef QUETZAL_JOB_INTAKE_JOB_INTAKE_H_
 #define QUETZAL_JOB_INTAKE_JOB_INTAKE_H_
 
@@ -26,7 +27,12 @@
 
 namespace quetzal {
 
-enum class IntakeOutcome { kAccepted, kNotAccepted, kUnknown };
+enum class IntakeOutcome {
+  kAccepted,
+  kNotAccepted,
+  kCancelled,  // before it was accepted: a tombstone keeps it from being so
+  kUnknown,
+};
 
 class JobIntake {
  public:
--- a/quetzal/store/testing/memory_store.cc
+++ b/quetzal/store/testing/memory_store.cc
@@ -122,6 +122,7 @@
       const Failure failure = failures_.front();
       failures_.pop_front();
       if (failure.is_applied) Execute(transaction);
+      if (failure.is_held) held_transactions_.push_back(transaction);
       answer.outcome = failure.outcome;
       is_answered = !failure.is_unanswered;
     }
@@ -130,6 +131,13 @@
   AnswerWatchers();
 }
 
+void MemoryStore::ExecuteHeldTransactions() {
+  for (const Transaction& held : std::exchange(held_transactions_, {})) {
+    Execute(held);
+  }
+  AnswerWatchers();
+}
+
 void MemoryStore::GrantLease(Milliseconds ttl,
                              std::function<void(const LeaseAnswer&)> done) {
   LeaseAnswer answer{.outcome = StoreOutcome::kRefused};
--- a/quetzal/store/testing/memory_store.h
+++ b/quetzal/store/testing/memory_store.h
@@ -11,6 +11,7 @@
 #include <list>
 #include <map>
 #include <string>
+#include <vector>
 
 #include "quetzal/store/store.h"
 
@@ -45,6 +46,12 @@
   void DropNextAnswer(bool is_applied) {
     failures_.push_back({StoreOutcome::kUnknown, is_applied, true});
   }
+  // The next transaction gets no answer; it is executed, if its conditions hold
+  // then, by `ExecuteHeldTransactions`.
+  void HoldNextTransaction() {
+    failures_.push_back({StoreOutcome::kUnknown, false, true, true});
+  }
+  void ExecuteHeldTransactions();
   // The next `count` lease renewals have no effect and get no answer.
   void DropRenewals(int count) { renewals_to_drop_ = count; }
   // All calls are refused while it is set.
@@ -71,6 +78,7 @@
     StoreOutcome outcome;
     bool is_applied;
     bool is_unanswered = false;
+    bool is_held = false;
   };
   struct Watcher {
     std::string prefix;
@@ -97,6 +105,7 @@
   std::deque<StoreEvent> history_;
   std::list<Watcher> watchers_;
   std::deque<Failure> failures_;
+  std::vector<Transaction> held_transactions_;
 };
 
 }  // namespace quetzal::testing
