Tombstones are removed by their revision, and each cancel begins their time anew

What callers would see: a cancel that finds the tombstone of an earlier one is answered 410, the tombstone's time ends a moment later, and a submission whose write is still under way is accepted and runs.

Cause: tombstones were removed as records of ended jobs are, a fixed time after the placer first received them, by key alone.

Change: a cancel that finds a tombstone writes it again, if it is unchanged. quetzal/tombstone_remover removes tombstones in transactions that are conditional on the revision received, so that a removal, also one that is carried out late, leaves a tombstone that was written again. They no longer count among the ended jobs that the cell keeps.

--- a/programs/cell_placer/term.cc
+++ b/programs/cell_placer/term.cc
@@ -62,8 +62,12 @@
                          ScheduleDecision();
                        }),
       progress_writer_(&cell_, dependencies_.store, dependencies_.log,
-                       dependencies_.metrics, [this] { ScheduleDecision(); }) {
+                       dependencies_.metrics, [this] { ScheduleDecision(); }),
+      tombstone_remover_(dependencies_.store,
+                         {.retention = settings.finished_job_retention},
+                         &RunAfter, &Now, dependencies_.log) {
   progress_writer_.SetFence(fence);
+  tombstone_remover_.SetFence(fence);
 }
 
 Term::~Term() = default;
@@ -81,6 +85,7 @@
   ReadFormerTermTimer();
   Defer(kMaxDecisionInterval, [this] { DecidePeriodically(); });
   progress_writer_.Start();
+  tombstone_remover_.Start();
 }
 
 void Term::SetHelpers(const std::vector<HelperId>& helpers) {
@@ -91,6 +96,7 @@
 void Term::RaiseFence(Fence fence) {
   fence_ = fence;
   progress_writer_.SetFence(fence);
+  tombstone_remover_.SetFence(fence);
   cell_.OnFenceRaised(fence);
 }
 
@@ -136,6 +142,10 @@
             .on_removed =
                 [this](const std::string& key) {
                   progress_writer_.OnRemoved(key);
+                  const CellKey removed = ParseCellKey(key);
+                  if (removed.kind == CellKeyKind::kJob) {
+                    tombstone_remover_.OnGone(JobId(removed.name));
+                  }
                 },
             .on_listed = [this] { OnListed(); }},
         &RunAfter);
@@ -259,7 +269,9 @@
 
 void Term::AddRecord(const JobId& id, const StoreItem& item) {
   const std::optional<JobState> state = DecodeState(item.value);
-  if (state && IsFinal(*state)) {
+  if (state == JobState::kCancelled && IsTombstone(item.value)) {
+    tombstone_remover_.OnTombstone(id, item.revision);
+  } else if (state && IsFinal(*state)) {
     // Ended, in this term or an earlier one.
     cell_.OnEndedJob(id, Now());
   } else if (HoldsRequest(item.value)) {
--- a/programs/cell_placer/term.h
+++ b/programs/cell_placer/term.h
@@ -23,6 +23,7 @@
 #include "quetzal/cell/cell.h"
 #include "quetzal/lifetime/lifetime.h"
 #include "quetzal/store/store.h"
+#include "quetzal/tombstone_remover/tombstone_remover.h"
 
 namespace quetzal {
 
@@ -64,8 +65,8 @@
   void OnRosterWritten(const TransactionAnswer& answer);
   void OnCellItem(const StoreItem& item);
   void OnListed();
-  // A job's record: tells of jobs that ended in an earlier term. Holds the
-  // whole request if an earlier version accepted the job.
+  // A job's record, or a tombstone: tells of jobs that ended in an earlier
+  // term. Holds the whole request if an earlier version accepted the job.
   void AddRecord(const JobId& id, const StoreItem& item);
   void AddRequest(const JobId& id, const StoreItem& item);
   bool IsListed() const;
@@ -99,6 +100,7 @@
   Revision roster_revision_ = kAbsent;
   bool decision_pending_ = false;
   ProgressWriter progress_writer_;
+  TombstoneRemover tombstone_remover_;
 };
 
 }  // namespace quetzal
--- a/programs/job_entry/cancel_before_acceptance_test.cc
+++ b/programs/job_entry/cancel_before_acceptance_test.cc
@@ -242,6 +242,7 @@
   CPPUNIT_TEST(ACancelWithoutAnAnswerIsTriedAgain);
   CPPUNIT_TEST(AnUnreachableStoreLeavesACancelUnanswered);
   CPPUNIT_TEST(OtherJobsOfTheBatchAreAccepted);
+  CPPUNIT_TEST(ARepeatedCancelWritesTheTombstoneAgain);
   CPPUNIT_TEST(CancelsHoldInRandomHistories);
   CPPUNIT_TEST_SUITE_END();
 
@@ -348,6 +349,20 @@
     CPPUNIT_ASSERT_EQUAL(kOk, StatusOf(accepted));
   }
 
+  // The tombstone that the first cancel left may be removed at any time.
+  void ARepeatedCancelWritesTheTombstoneAgain() {
+    first_.WatchJobs();
+    Revision written{0};
+    for (TestEntry* const entry : {&first_, &second_, &first_}) {
+      const Reply cancelled = entry->Cancel();
+      clock_.Advance(kUntilAnswered);
+      CPPUNIT_ASSERT_EQUAL(kGone, StatusOf(cancelled));
+      const StoreItem* const record = store_.Find(JobKey(JobId(kId)));
+      CPPUNIT_ASSERT(record->revision > written);
+      written = record->revision;
+    }
+  }
+
   void CancelsHoldInRandomHistories() {
     setenv("RC_PARAMS", "seed=20261206 max_success=2000", 0);
     const bool holds = rc::check([] {
--- a/programs/job_entry/job_api.cc
+++ b/programs/job_entry/job_api.cc
@@ -255,7 +255,7 @@
   store_->Read(JobKey(call->id), [this, call](const ReadAnswer& answer) {
     if (answer.outcome == StoreOutcome::kDone) {
       if (IsTombstone(answer.items[0].value)) {
-        AnswerNoSuchJob(*call);
+        WriteTombstone(call, answer.items[0].revision);
         return;
       }
       const auto stored = DecodeState(answer.items[0].value);
@@ -266,7 +266,7 @@
       }
       WriteCancel(call, answer.items[0].revision);
     } else if (answer.outcome == StoreOutcome::kMissing) {
-      WriteTombstone(call);
+      WriteTombstone(call, kAbsent);
     } else {
       RetryCancel(call);
     }
@@ -275,10 +275,11 @@
 
 // A submission of the job may be under way, here or at another entry, or its
 // transaction may be carried out late. So the job is reported as gone only once
-// the store keeps it from being accepted.
-void JobApi::WriteTombstone(const std::shared_ptr<Call>& call) {
+// the store keeps it from being accepted. An earlier tombstone may be about to
+// be removed, so it is written again.
+void JobApi::WriteTombstone(const std::shared_ptr<Call>& call, Revision found) {
   store_->Apply(
-      {.conditions = {{JobKey(call->id), kAbsent}},
+      {.conditions = {{JobKey(call->id), found}},
        .puts = {{.key = JobKey(call->id),
                  .value = EncodeTombstone(call->queue->name)}}},
       [this, call](const TransactionAnswer& answer) {
--- a/programs/job_entry/job_api.h
+++ b/programs/job_entry/job_api.h
@@ -54,8 +54,9 @@
   void ReportPending(const Call& call);
   void Cancel(const std::shared_ptr<Call>& call);
   void WriteCancel(const std::shared_ptr<Call>& call, Revision accepted);
-  // Keeps a job that isn't accepted from being so later.
-  void WriteTombstone(const std::shared_ptr<Call>& call);
+  // Keeps a job that isn't accepted from being so later. `found` is the
+  // revision of an earlier tombstone.
+  void WriteTombstone(const std::shared_ptr<Call>& call, Revision found);
   void RetryCancel(const std::shared_ptr<Call>& call);
   void AnswerNoSuchJob(const Call& call);
   // Refuses a submission of a job that was cancelled before it was accepted.
