Entries send nothing for a submission later than 10 s after it came

What callers would see: a machine is suspended with a submission under way, or a submission with a long deadline is repeated for long. Its write is sent or carried out once the tombstone of its cancel, or the record of the ended job, was removed: the job is accepted and runs, after a cancel that was answered 410, or a second time.

Cause: the entry's deadlines didn't count the time of a suspension, jobs that waited for a transaction were sent whatever the time, deadlines were as long as callers said, and records were kept as long as the site's setting says, however short.

Change: JobIntake sends nothing for a submission after its deadline or after 10 s (kMaxSubmissionTime); entry and intake use the clock that counts suspensions. Records are kept for 22 s at least: these 10 s and the 12 s in which a call without an answer may be carried out (kMaxCallDelay). That holds for a machine that is suspended before it sends; a write that is on its way for longer than 12 s isn't covered.

The first version of the latter passed before: it left the store without other calls, which the intake takes for an outage.

--- a/programs/cell_settings/cell_settings.cc
+++ b/programs/cell_settings/cell_settings.cc
@@ -2,6 +2,8 @@
 
 #include <glib.h>
 
+#include <algorithm>
+
 namespace quetzal {
 namespace {
 
@@ -79,7 +81,7 @@
   // Settings of earlier versions may hold it; it has no effect.
   reader.Integer("worker_beat_ms", {.min = 1, .default_value = 1'500});
   settings.cell.finished_job_retention =
-      ReadSeconds(&reader, "keep_finished_s");
+      std::max(ReadSeconds(&reader, "keep_finished_s"), kMinRecordRetention);
   settings.log_lines_per_second =
       reader.Integer("log_lines_per_second", {.min = 1, .default_value = 100});
   reader.ReportUnknownFields();
--- a/programs/cell_settings/cell_settings.h
+++ b/programs/cell_settings/cell_settings.h
@@ -12,10 +12,17 @@
 
 #include "quetzal/cell/cell.h"
 #include "quetzal/ids/ids.h"
+#include "quetzal/job_intake/job_intake.h"
 #include "quetzal/settings/settings.h"
+#include "quetzal/store/store.h"
 
 namespace quetzal {
 
+// The record of an ended job, or the tombstone of a cancelled one, keeps writes
+// of earlier submissions of its id from being carried out after it.
+inline constexpr Milliseconds kMinRecordRetention =
+    kMaxSubmissionTime + kMaxCallDelay;
+
 struct CellProgramSettings {
   std::string machine;
   std::string ip;
--- a/programs/job_entry/cancel_before_acceptance_test.cc
+++ b/programs/job_entry/cancel_before_acceptance_test.cc
@@ -15,7 +15,6 @@
 #include <vector>
 
 #include "programs/job_entry/job_api.h"
-#include "quetzal/program/program.h"
 #include "quetzal/store/testing/memory_store.h"
 #include "quetzal/store/testing/store_link.h"
 #include "quetzal/store/testing/virtual_clock.h"
@@ -44,7 +43,8 @@
 class TestEntry {
  public:
   TestEntry(testing::VirtualClock* clock, Store* store)
-      : link_(store, clock->Timer()),
+      : clock_(clock),
+        link_(store, clock->Timer()),
         intake_(
             &link_, clock->Timer(), [clock] { return clock->now(); }, &log_,
             &metrics_),
@@ -80,7 +80,7 @@
 
   Reply Call(const std::string& method, const std::string& path,
              const std::string& body = "") {
-    catalogs_.Confirm(NowWithSuspensions());
+    catalogs_.Confirm(clock_->now());
     auto reply = std::make_shared<std::optional<HttpResponse>>();
     api_.Serve({.method = method,
                 .path = path,
@@ -104,6 +104,7 @@
   int64_t PendingCount() const { return job_index_.PendingCount(QueueId("q")); }
 
  private:
+  testing::VirtualClock* clock_;
   testing::StoreLink link_;
   std::shared_ptr<bool> is_alive_ = std::make_shared<bool>(true);
   EventLog log_{"test", {.lines_per_second = 0}};
--- a/programs/job_entry/job_api.cc
+++ b/programs/job_entry/job_api.cc
@@ -7,7 +7,6 @@
 #include <utility>
 
 #include "platform/adapter.h"
-#include "quetzal/program/program.h"
 
 namespace quetzal {
 namespace {
@@ -84,15 +83,14 @@
        {"status", status},
        {"reason", reason},
        {"version", call.catalog ? call.catalog->version() : int64_t{0}},
-       {"copy_age_ms",
-        catalogs_->AgeAt(NowWithSuspensions()).value_or(kNoAge).count()}});
+       {"copy_age_ms", catalogs_->AgeAt(clock_()).value_or(kNoAge).count()}});
   HttpResponse reply = ErrorResponse(status, reason, remedy);
   if (status == kUnavailable) reply.retry_after = kRetryAfter;
   call.answer(reply);
 }
 
 bool JobApi::IsConfigurationConfirmed() const {
-  const auto age = catalogs_->AgeAt(NowWithSuspensions());
+  const auto age = catalogs_->AgeAt(clock_());
   return age && *age <= max_configuration_age_;
 }
 
--- a/programs/job_entry/job_api.h
+++ b/programs/job_entry/job_api.h
@@ -27,7 +27,7 @@
   using Answer = std::function<void(const HttpResponse& reply)>;
   using Clock = std::function<Time()>;
 
-  // `clock` is the intake's, too.
+  // `clock` is also the intake's, and that of the configuration's age.
   JobApi(const CurrentCatalog* catalogs, const JobIndex* job_index,
          JobIntake* intake, Store* store, StoreWatcher::Timer after,
          Clock clock, EventLog* log, Metrics* metrics,
--- a/programs/job_entry/job_api_test.cc
+++ b/programs/job_entry/job_api_test.cc
@@ -9,7 +9,6 @@
 #include <utility>
 #include <vector>
 
-#include "quetzal/program/program.h"
 #include "quetzal/store/testing/memory_store.h"
 #include "quetzal/store/testing/virtual_clock.h"
 
@@ -56,7 +55,7 @@
         std::vector{Team{.name = TeamId("t"), .keys = {"Key1", "Key2"}},
                     Team{.name = TeamId("without-keys")}},
         CatalogLimits{}));
-    catalogs_.Confirm(NowWithSuspensions());
+    catalogs_.Confirm(clock_.now());
     api_.SetStoreReachable(true);
   }
 
@@ -101,7 +100,7 @@
     CPPUNIT_ASSERT_EQUAL(kUnavailable, (*refused)->status);
     clock_.Advance(Milliseconds(50));
     CPPUNIT_ASSERT(store_.Find(JobKey(JobId(kId))) == nullptr);
-    catalogs_.Confirm(NowWithSuspensions());
+    catalogs_.Confirm(clock_.now());
     const auto accepted = Call("POST", path, kTaskJob);
     clock_.Advance(Milliseconds(50));
     CPPUNIT_ASSERT_EQUAL(kOk, (*accepted)->status);
@@ -195,8 +194,7 @@
     const auto catalog = catalogs_.current();
     catalogs_ = CurrentCatalog();
     catalogs_.UpdateIfNewer(catalog);
-    catalogs_.Confirm(NowWithSuspensions() - kMaxConfigurationAge -
-                      Milliseconds(1));
+    catalogs_.Confirm(clock_.now() - kMaxConfigurationAge - Milliseconds(1));
   }
 
   testing::VirtualClock clock_;
--- a/programs/job_entry/main.cc
+++ b/programs/job_entry/main.cc
@@ -60,9 +60,9 @@
                           .log = &log_,
                           .metrics = &metrics_},
                          &catalogs_, [] {}),
-        intake_(store_.get(), &RunAfter, &Now, &log_, &metrics_),
-        api_(&catalogs_, &job_index_, &intake_, store_.get(), &RunAfter, &Now,
-             &log_, &metrics_,
+        intake_(store_.get(), &RunAfter, &NowWithSuspensions, &log_, &metrics_),
+        api_(&catalogs_, &job_index_, &intake_, store_.get(), &RunAfter,
+             &NowWithSuspensions, &log_, &metrics_,
              MaxUsableAge(settings_.configuration_apply_bound)) {}
 
   bool Start() {
--- a/quetzal/job_intake/job_intake.cc
+++ b/quetzal/job_intake/job_intake.cc
@@ -33,6 +33,7 @@
       metrics_(metrics) {}
 
 void JobIntake::Submit(const AcceptedJob& job, Time deadline, Callback done) {
+  deadline = std::min(deadline, clock_() + kMaxSubmissionTime);
   const auto found = open_.find(job.id);
   if (found != open_.end()) {
     found->second.callbacks.push_back(std::move(done));
@@ -59,8 +60,16 @@
   while (!queue_.empty() && in_flight_ < kMaxInFlight) {
     Batch batch;
     while (!queue_.empty() && batch.size() < kMaxBatchSize) {
-      if (open_.contains(queue_.front())) batch.push_back(queue_.front());
+      const JobId id = queue_.front();
       queue_.pop_front();
+      const auto found = open_.find(id);
+      if (found == open_.end()) continue;
+      if (clock_() > found->second.deadline) {
+        Finish(id, found->second.may_be_written ? IntakeOutcome::kUnknown
+                                                : IntakeOutcome::kNotAccepted);
+        continue;
+      }
+      batch.push_back(id);
     }
     if (!batch.empty()) Send(batch);
   }
--- a/quetzal/job_intake/job_intake.h
+++ b/quetzal/job_intake/job_intake.h
@@ -9,6 +9,10 @@
 // didn't answer in time, or hasn't answered any transaction for a while: the
 // job may have been accepted or may be later, and its caller should submit it
 // again to another entry.
+//
+// Nothing is sent for a submission after its deadline, or later than
+// `kMaxSubmissionTime` after it came. The clock has to count the time in which
+// this machine was suspended.
 #ifndef QUETZAL_JOB_INTAKE_JOB_INTAKE_H_
 #define QUETZAL_JOB_INTAKE_JOB_INTAKE_H_
 
@@ -34,6 +38,8 @@
   kUnknown,
 };
 
+inline constexpr Milliseconds kMaxSubmissionTime{10'000};
+
 class JobIntake {
  public:
   using Callback = std::function<void(IntakeOutcome outcome)>;
--- a/quetzal/job_intake/job_intake_test.cc
+++ b/quetzal/job_intake/job_intake_test.cc
@@ -29,6 +29,8 @@
   CPPUNIT_TEST(ARefusalAfterALostAnswerIsUnknown);
   CPPUNIT_TEST(AMissingAnswerIsRetriedSoon);
   CPPUNIT_TEST(AnUnresponsiveStoreIsReportedBeforeTheDeadline);
+  CPPUNIT_TEST(ASuspendedSubmissionIsNotSentAgain);
+  CPPUNIT_TEST(ASubmissionIsSentForALimitedTime);
   CPPUNIT_TEST(WhatEveryEntryFollowsIsSmall);
   CPPUNIT_TEST_SUITE_END();
 
@@ -166,23 +168,89 @@
     CPPUNIT_ASSERT(is_reported);
   }
 
+  // Guards against jobs that are accepted after a suspension of any length,
+  // when the records that would keep them from it may have been removed.
+  void ASuspendedSubmissionIsNotSentAgain() {
+    for (const bool is_sent : {true, false}) {
+      const std::string id = is_sent ? "sent" : "queued";
+      if (is_sent) {
+        store_.DropNextAnswer(/*is_applied=*/false);
+      } else {
+        // Uses up the transactions in flight.
+        for (int i = 0; i < 4; ++i) Submit("x" + std::to_string(i));
+      }
+      const auto outcome = Submit(id);
+      suspended_ += Milliseconds(300'000);
+      clock_.Advance(Milliseconds(3'000));
+      CPPUNIT_ASSERT(outcome->has_value());
+      CPPUNIT_ASSERT(**outcome == (is_sent ? IntakeOutcome::kUnknown
+                                           : IntakeOutcome::kNotAccepted));
+      CPPUNIT_ASSERT(store_.Find(JobKey(JobId(id))) == nullptr);
+    }
+  }
+
+  // Only the transactions of one job are lost, so that the store isn't taken
+  // for unresponsive. Its caller would wait for a day.
+  void ASubmissionIsSentForALimitedTime() {
+    constexpr Milliseconds kDay{86'400'000};
+    store_.LoseTransactionsOf(JobKey(JobId("a")));
+    const auto outcome = Submit("a", "", kDay);
+    const Time end = start_ + kMaxSubmissionTime + Milliseconds(2'000);
+    for (int i = 0; clock_.now() < end; ++i) {
+      Submit("other " + std::to_string(i));
+      clock_.Advance(Milliseconds(100));
+    }
+    CPPUNIT_ASSERT(outcome->has_value());
+    CPPUNIT_ASSERT(**outcome == IntakeOutcome::kUnknown);
+    const size_t sent = store_.lost_transactions();
+    clock_.Advance(kDay);
+    CPPUNIT_ASSERT_EQUAL(sent, store_.lost_transactions());
+  }
+
  private:
+  // Loses the transactions that write a certain key.
+  class LossyStore : public testing::MemoryStore {
+   public:
+    using MemoryStore::MemoryStore;
+    void LoseTransactionsOf(const std::string& key) { lost_key_ = key; }
+    size_t lost_transactions() const { return lost_transactions_; }
+
+    void Apply(const Transaction& transaction,
+               std::function<void(const TransactionAnswer&)> done) override {
+      for (const StorePut& put : transaction.puts) {
+        if (put.key != lost_key_) continue;
+        ++lost_transactions_;
+        return;
+      }
+      MemoryStore::Apply(transaction, std::move(done));
+    }
+
+   private:
+    std::string lost_key_;
+    size_t lost_transactions_ = 0;
+  };
+
   std::shared_ptr<std::optional<IntakeOutcome>> Submit(
-      const std::string& id, const std::string& specification = "") {
+      const std::string& id, const std::string& specification = "",
+      Milliseconds wait = Milliseconds(2'000)) {
     auto outcome = std::make_shared<std::optional<IntakeOutcome>>();
     AcceptedJob job = MakeJob(id);
     if (!specification.empty()) job.spec.specification = specification;
-    intake_.Submit(job, clock_.now() + Milliseconds(2'000),
+    intake_.Submit(job, Now() + wait,
                    [outcome](IntakeOutcome given) { *outcome = given; });
     return outcome;
   }
 
+  Time Now() const { return clock_.now() + suspended_; }
+
   testing::VirtualClock clock_;
-  testing::MemoryStore store_{clock_.AfterOneMillisecond()};
+  const Time start_ = clock_.now();
+  Milliseconds suspended_{0};
+  LossyStore store_{clock_.AfterOneMillisecond()};
   EventLog log_{"test", {.lines_per_second = 0}};
   Metrics metrics_;
-  JobIntake intake_{&store_, clock_.Timer(), [this] { return clock_.now(); },
-                    &log_, &metrics_};
+  JobIntake intake_{&store_, clock_.Timer(), [this] { return Now(); }, &log_,
+                    &metrics_};
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(JobIntakeTest);
--- a/quetzal/store/store.h
+++ b/quetzal/store/store.h
@@ -87,6 +87,9 @@
     return conditions.size() + puts.size() + removes.size();
   }
 };
+// How long after it was sent a call without an answer may be carried out; the
+// platform's limit.
+inline constexpr Milliseconds kMaxCallDelay{12'000};
 // Limit for the conditions, puts and removes together.
 inline constexpr size_t kMaxTransactionEntries = 32;
 
