A new lease counts only once it is known to hold the leader key

What could happen: the leader key's lease ended, and the placer got a new one and wrote the key again. Until that write was answered, 1.6 s if it was lost, renewals of the new lease counted as the leadership's: the placer said for certain that it leads, while another could be elected, and both could start a task.

Change: renewals don't count while the key is being written again. If the write took effect without an answer, the placer adopts it when its watch shows it; the answer that comes after that no longer ends the term.

Evidence: ALeaseWithoutTheLeaderKeyIsNotValid and ALeaderKeyThatIsWrittenLateIsAdopted failed before and pass now. Two placers that start a task in this window haven't been shown with real processes.

--- a/quetzal/leader_election/leader_election.cc
+++ b/quetzal/leader_election/leader_election.cc
@@ -277,7 +277,8 @@
   if (role_ != Role::kLeader) return;
   if (answer.outcome == StoreOutcome::kMissing) {
     ReacquireLeaderKey();
-  } else if (answer.outcome == StoreOutcome::kDone) {
+  } else if (answer.outcome == StoreOutcome::kDone && !is_reacquiring_) {
+    // A lease counts only once it is known to hold the leader key.
     last_renewal_sent_ = std::max(last_renewal_sent_, sent);
   }
 }
@@ -302,8 +303,9 @@
                                 {TermKey(), std::to_string(term_), kNoLease}}},
                       lifetime_.Guard<TransactionAnswer>(
                           [this, sent](const TransactionAnswer& answer) {
-                            is_reacquiring_ = false;
-                            if (role_ != Role::kLeader) return;
+                            const bool is_adopted =
+                                !std::exchange(is_reacquiring_, false);
+                            if (role_ != Role::kLeader || is_adopted) return;
                             if (answer.outcome != StoreOutcome::kDone) {
                               StepDown("the leader key expired");
                               return;
@@ -335,6 +337,7 @@
 
 void LeaderElection::AdoptFence(Fence fence) {
   if (role_ != Role::kLeader || fence <= fence_) return;
+  is_reacquiring_ = false;
   term_revision_ = Revision{static_cast<uint64_t>(fence)};
   BeginTerm(fence, term_);
 }
--- a/quetzal/leader_election/leader_election_test.cc
+++ b/quetzal/leader_election/leader_election_test.cc
@@ -43,6 +43,8 @@
   CPPUNIT_TEST(AStandbyTakesOverAtOnceAfterAResignation);
   CPPUNIT_TEST(AnUnansweredAcquisitionIsVerifiedByARead);
   CPPUNIT_TEST(ALeaseThatExpiredInAnOutageIsReacquired);
+  CPPUNIT_TEST(ALeaseWithoutTheLeaderKeyIsNotValid);
+  CPPUNIT_TEST(ALeaderKeyThatIsWrittenLateIsAdopted);
   CPPUNIT_TEST(AReplacedLeaderStepsDown);
   CPPUNIT_TEST(TheLeaseIsValidOnlyForItsTtlWithoutTheStore);
   CPPUNIT_TEST(TheTimeWithoutALeaseBeginsAtTheEndOfTheLastValidOne);
@@ -169,6 +171,35 @@
     CPPUNIT_ASSERT(a.election.HasValidLease(clock_.now()));
   }
 
+  // Guards against a placer that counts as the leader for certain while the
+  // write of its leader key has no answer: another may be elected meanwhile.
+  void ALeaseWithoutTheLeaderKeyIsNotValid() {
+    Candidate a("a", &clock_, &store_, &log_);
+    a.election.Start();
+    clock_.Advance(Milliseconds(1'000));
+    store_.DropNextAnswer(/*is_applied=*/false);
+    store_.ExpireLease(store_.Find(LeaderKey())->lease);
+    clock_.Advance(LeaderElectionSettings{}.lease_ttl);
+    CPPUNIT_ASSERT(a.election.is_leader());
+    CPPUNIT_ASSERT(store_.Find(LeaderKey()) == nullptr);
+    CPPUNIT_ASSERT(!a.election.HasValidLease(clock_.now()));
+  }
+
+  void ALeaderKeyThatIsWrittenLateIsAdopted() {
+    Candidate a("a", &clock_, &store_, &log_);
+    a.election.Start();
+    clock_.Advance(Milliseconds(1'000));
+    store_.HoldNextTransaction();
+    store_.ExpireLease(store_.Find(LeaderKey())->lease);
+    clock_.Advance(LeaderElectionSettings{}.lease_ttl);
+    CPPUNIT_ASSERT(!a.election.HasValidLease(clock_.now()));
+    store_.ExecuteHeldTransactions();
+    clock_.Advance(Milliseconds(1'000));
+    CPPUNIT_ASSERT(a.election.is_leader());
+    CPPUNIT_ASSERT(a.election.HasValidLease(clock_.now()));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, a.raised_fences.size());
+  }
+
   void AReplacedLeaderStepsDown() {
     Candidate a("a", &clock_, &store_, &log_);
     a.election.Start();
