A cancel of a removed job doesn't cancel a later job of its id

What callers would see: a job whose id was used before, and whose former job was cancelled and removed, is cancelled at its acceptance without cause.

Cause: a new placer keeps cancels of jobs that it doesn't know, as a cancel may come before its job. Those of jobs that ended in former terms were never dropped; for jobs of its own term they are, when the job is removed.

Evidence: AFormerJobsCancelDoesntHoldForALaterJobOfItsId failed before and passes now. Found by reading, looking for what cancels leave behind.

--- a/quetzal/cell/cell.cc
+++ b/quetzal/cell/cell.cc
@@ -263,6 +263,7 @@
          expired.size() < max_count) {
     const auto& [id, seen] = state.finished_in_former_terms.front();
     if (now - seen < state.settings.finished_job_retention) break;
+    state.early_cancels.erase(id);
     expired.push_back(id);
     state.finished_in_former_terms.pop_front();
   }
--- a/quetzal/cell/takeover_test.cc
+++ b/quetzal/cell/takeover_test.cc
@@ -20,6 +20,7 @@
   CPPUNIT_TEST(AnEndOfAnUnknownJobIsNotLost);
   CPPUNIT_TEST(FailuresReportedInAnyOrderCountOnceEach);
   CPPUNIT_TEST(AppliesACancelThatArrivesBeforeItsJob);
+  CPPUNIT_TEST(AFormerJobsCancelDoesntHoldForALaterJobOfItsId);
   CPPUNIT_TEST(AFormerPlacerDoesntStartJobsOfItsSuccessor);
   CPPUNIT_TEST(AStartThatOurOwnHigherFenceRejectedIsRepeated);
   CPPUNIT_TEST(EntriesThatNeverAnsweredHoldUpNoTakeover);
@@ -195,6 +196,22 @@
     CPPUNIT_ASSERT(fleet.StoredState("a") == JobState::kCancelled);
   }
 
+  // Guards against a job that is cancelled without cause: what is left of the
+  // first job with that id was removed from the store.
+  void AFormerJobsCancelDoesntHoldForALaterJobOfItsId() {
+    FakeFleet fleet(1);
+    fleet.cell()->OnEndedJob(JobId("a"), fleet.now());
+    fleet.cell()->OnCancel(JobId("a"), fleet.now());
+    fleet.Recover();
+    const std::vector<JobId> expired = fleet.cell()->TakeExpiredJobs(
+        10, fleet.now() + CellSettings{}.finished_job_retention);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, expired.size());
+    fleet.cell()->OnJob(FakeFleet::MakeJob("a", {FakeFleet::MakeStep(1)}),
+                        Revision{1}, std::nullopt, fleet.now());
+    fleet.Run(Milliseconds(500));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, fleet.starts_.size());
+  }
+
   // Its lease of the leader key has ended, but workers obey it until they learn
   // of the successor.
   void AFormerPlacerDoesntStartJobsOfItsSuccessor() {
