Submissions aren't refused with 503 while an earlier attempt may be carried out

What callers saw: a second attempt at the same entry was answered 503, which says that the job never runs, while the first attempt's write was still under way or had no answer; the job could then be accepted and run.

Cause: the intake forgot a submission once its outcome was unknown, and refusals for other reasons (store unreachable, configuration unconfirmed) didn't ask it.

Change: the intake remembers submissions without a definite outcome for 120 s, or until one of the job has one. While a submission of a job is under way or unresolved, another one that isn't accepted is answered 504: send it again under the same id.

Evidence: NoRefusalFollowsAnAttemptThatMayBeCarriedOut and NoRefusalComesWhileAnEarlierAttemptIsUnderWay failed before and pass now; ARefusalWithoutAnEarlierAttemptIsDefinite holds before and after.

Not covered: an attempt at another entry, or at this one before it was started again. No entry can know of those without the store; the 503 is then true of the attempt that it answers only.

--- a/programs/job_entry/job_api.cc
+++ b/programs/job_entry/job_api.cc
@@ -177,12 +177,11 @@
     return;
   }
   if (!store_reachable_) {
-    Refuse(*call, kUnavailable, "store_unreachable",
-           "try again, at another machine if you can");
+    RefuseSubmission(*call, "store_unreachable");
     return;
   }
   if (!IsConfigurationConfirmed()) {
-    RefuseUnconfirmed(*call);
+    RefuseSubmission(*call, "configuration_unconfirmed");
     return;
   }
   const AcceptedJob job = call->queue->Accept(
@@ -201,20 +200,33 @@
         call->answer({.status = kOk, .body = "{}"});
         return;
       case IntakeOutcome::kNotAccepted:
-        Refuse(*call, kUnavailable, "store_refused",
-               "try again, at another machine if you can");
+        RefuseSubmission(*call, "store_refused");
         return;
       case IntakeOutcome::kCancelled:
         RefuseCancelled(*call);
         return;
       case IntakeOutcome::kUnknown:
-        Refuse(*call, kGatewayTimeout, "store_silent",
-               "send the job again under the same id");
+        RefuseUnresolved(*call);
         return;
     }
   });
 }
 
+// 503 tells a caller that the job never runs.
+void JobApi::RefuseSubmission(const Call& call, const char* reason) {
+  if (intake_->MayBeAccepted(call.id)) {
+    RefuseUnresolved(call);
+  } else {
+    Refuse(call, kUnavailable, reason,
+           "try again, at another machine if you can");
+  }
+}
+
+void JobApi::RefuseUnresolved(const Call& call) {
+  Refuse(call, kGatewayTimeout, "store_silent",
+         "send the job again under the same id");
+}
+
 void JobApi::ReportState(const std::shared_ptr<Call>& call) {
   if (const auto state = job_index_->StateOf(call->id)) {
     call->answer({.status = kOk, .body = platform::EncodeJobState(*state)});
--- a/programs/job_entry/job_api.h
+++ b/programs/job_entry/job_api.h
@@ -59,6 +59,10 @@
   void WriteTombstone(const std::shared_ptr<Call>& call, Revision found);
   void RetryCancel(const std::shared_ptr<Call>& call);
   void AnswerNoSuchJob(const Call& call);
+  // Refuses a submission that wasn't accepted, unless an earlier one of the job
+  // may be: then its outcome is unknown.
+  void RefuseSubmission(const Call& call, const char* reason);
+  void RefuseUnresolved(const Call& call);
   // Refuses a submission of a job that was cancelled before it was accepted.
   void RefuseCancelled(const Call& call);
   bool IsConfigurationConfirmed() const;
--- a/programs/job_entry/job_api_test.cc
+++ b/programs/job_entry/job_api_test.cc
@@ -21,6 +21,7 @@
 constexpr int kNotFound = 404;
 constexpr int kGone = 410;
 constexpr int kUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
 constexpr int kAttempts = 3;
 constexpr Milliseconds kMaxConfigurationAge{2'500};
 constexpr char kTaskJob[] =
@@ -39,6 +40,9 @@
   CPPUNIT_TEST(AnUnconfirmedConfigurationAcceptsNoJob);
   CPPUNIT_TEST(AnUnconfirmedConfigurationReportsStates);
   CPPUNIT_TEST(AnAcceptedJobHoldsItsQueuesServiceAndAttempts);
+  CPPUNIT_TEST(NoRefusalFollowsAnAttemptThatMayBeCarriedOut);
+  CPPUNIT_TEST(NoRefusalComesWhileAnEarlierAttemptIsUnderWay);
+  CPPUNIT_TEST(ARefusalWithoutAnEarlierAttemptIsDefinite);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -128,6 +132,57 @@
     CPPUNIT_ASSERT_EQUAL(kAttempts, job.value().max_attempts);
   }
 
+  // Guards against callers that are told that their job never runs, which 503
+  // means, while an earlier attempt's write may still be carried out.
+  void NoRefusalFollowsAnAttemptThatMayBeCarriedOut() {
+    const std::string path = std::string("/p/") + kId;
+    for (int i = 0; i < 10; ++i) store_.DropNextAnswer(/*is_applied=*/false);
+    const auto first = Call("POST", path, kTaskJob);
+    clock_.Advance(Milliseconds(3'000));
+    CPPUNIT_ASSERT_EQUAL(kGatewayTimeout, (*first)->status);
+    store_.SetDown(true);
+    const auto refused_by_store = Call("POST", path, kTaskJob);
+    clock_.Advance(Milliseconds(3'000));
+    CPPUNIT_ASSERT_EQUAL(kGatewayTimeout, (*refused_by_store)->status);
+    api_.SetStoreReachable(false);
+    CPPUNIT_ASSERT_EQUAL(kGatewayTimeout,
+                         Call("POST", path, kTaskJob)->value().status);
+    api_.SetStoreReachable(true);
+    MakeUnconfirmed();
+    CPPUNIT_ASSERT_EQUAL(kGatewayTimeout,
+                         Call("POST", path, kTaskJob)->value().status);
+    // A later attempt that is accepted settles it.
+    store_.SetDown(false);
+    for (int i = 0; i < 10; ++i) {
+      store_.Apply({}, [](const TransactionAnswer&) {});
+    }
+    catalogs_.Confirm(clock_.now());
+    const auto accepted = Call("POST", path, kTaskJob);
+    clock_.Advance(Milliseconds(50));
+    CPPUNIT_ASSERT_EQUAL(kOk, (*accepted)->status);
+    CPPUNIT_ASSERT(!intake_.MayBeAccepted(JobId(kId)));
+  }
+
+  void NoRefusalComesWhileAnEarlierAttemptIsUnderWay() {
+    const std::string path = std::string("/p/") + kId;
+    const auto first = Call("POST", path, kTaskJob);
+    api_.SetStoreReachable(false);
+    CPPUNIT_ASSERT_EQUAL(kGatewayTimeout,
+                         Call("POST", path, kTaskJob)->value().status);
+    clock_.Advance(Milliseconds(50));
+    CPPUNIT_ASSERT_EQUAL(kOk, (*first)->status);
+  }
+
+  void ARefusalWithoutAnEarlierAttemptIsDefinite() {
+    store_.SetDown(true);
+    for (int i = 0; i < 2; ++i) {
+      const auto refused = Call("POST", std::string("/p/") + kId, kTaskJob);
+      clock_.Advance(Milliseconds(3'000));
+      CPPUNIT_ASSERT_EQUAL(kUnavailable, (*refused)->status);
+      CPPUNIT_ASSERT((*refused)->retry_after.has_value());
+    }
+  }
+
   // The record changes between the cancel's read and its write. A response that
   // reports a cancelled job requires a stored cancel.
   void ACancelThatMeetsTheStartIsStored() {
--- a/quetzal/job_intake/job_intake.cc
+++ b/quetzal/job_intake/job_intake.cc
@@ -21,6 +21,8 @@
 // time, and leaves the caller time to submit the job to another entry, which
 // may reach the store.
 constexpr Milliseconds kUnresponsiveAfter{850};
+// How long callers may submit a job again.
+constexpr Milliseconds kUnresolvedRetention{120'000};
 
 }  // namespace
 
@@ -40,7 +42,9 @@
     found->second.deadline = std::max(found->second.deadline, deadline);
     return;
   }
-  OpenJob open{.job = job, .deadline = deadline};
+  OpenJob open{.job = job,
+               .deadline = deadline,
+               .may_be_written = unresolved_.contains(job.id)};
   open.callbacks.push_back(std::move(done));
   open_.emplace(job.id, std::move(open));
   queue_.push_back(job.id);
@@ -215,7 +219,31 @@
   if (found == open_.end()) return;
   const std::vector<Callback> callbacks = std::move(found->second.callbacks);
   open_.erase(found);
+  if (outcome == IntakeOutcome::kUnknown) {
+    RememberUnresolved(id);
+  } else {
+    unresolved_.erase(id);
+  }
   for (const Callback& callback : callbacks) callback(outcome);
 }
 
+void JobIntake::RememberUnresolved(const JobId& id) {
+  const Time now = clock_();
+  while (!unresolved_order_.empty() &&
+         now - unresolved_order_.front().first >= kUnresolvedRetention) {
+    const auto& [since, expired] = unresolved_order_.front();
+    const auto found = unresolved_.find(expired);
+    if (found != unresolved_.end() && found->second == since) {
+      unresolved_.erase(found);
+    }
+    unresolved_order_.pop_front();
+  }
+  unresolved_[id] = now;
+  unresolved_order_.emplace_back(now, id);
+}
+
+bool JobIntake::MayBeAccepted(const JobId& id) const {
+  return open_.contains(id) || unresolved_.contains(id);
+}
+
 }  // namespace quetzal
--- a/quetzal/job_intake/job_intake.h
+++ b/quetzal/job_intake/job_intake.h
@@ -21,6 +21,7 @@
 #include <memory>
 #include <optional>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "quetzal/event_log/event_log.h"
@@ -55,6 +56,10 @@
   void SetUnresponsiveHandler(std::function<void()> on_unresponsive) {
     on_unresponsive_ = std::move(on_unresponsive);
   }
+  // True if an earlier submission of the job to this entry may still lead to
+  // its acceptance, or had no definite outcome, so that the job can't be
+  // reported as not accepted.
+  bool MayBeAccepted(const JobId& id) const;
   size_t open_jobs() const { return open_.size(); }
 
  private:
@@ -77,6 +82,7 @@
   void OnUnknown(const Batch& batch);
   void Retry(const Batch& batch, Milliseconds delay);
   void Finish(const JobId& id, IntakeOutcome outcome);
+  void RememberUnresolved(const JobId& id);
 
   Store* store_;
   StoreWatcher::Timer after_;
@@ -85,6 +91,10 @@
   Metrics* metrics_;
   std::unordered_map<JobId, OpenJob> open_;
   std::deque<JobId> queue_;
+  // When the submissions of jobs ended whose transactions may have been carried
+  // out, or may be later, and these jobs in the order of those times.
+  std::unordered_map<JobId, Time> unresolved_;
+  std::deque<std::pair<Time, JobId>> unresolved_order_;
   int in_flight_ = 0;
   bool flush_pending_ = false;
   AdaptiveTimeout answer_timeout_;
