An entry counts pending jobs only once all jobs are listed

What callers saw: an entry that had just started, with a configuration but before its first listing of the jobs ended, answered 0 pending jobs, however many there were.

States and cancels aren't concerned, as they read the store when the index has nothing.

Evidence: PendingJobsAreCountedOnlyOnceAllAreListed failed before and passes now.

--- a/programs/job_entry/job_api.cc
+++ b/programs/job_entry/job_api.cc
@@ -251,6 +251,11 @@
 }
 
 void JobApi::ReportPending(const Call& call) {
+  if (!job_index_->is_listed()) {
+    Refuse(call, kUnavailable, "jobs_not_listed",
+           "ask again; this machine has just started");
+    return;
+  }
   call.answer({.status = kOk,
                .body = platform::EncodePendingCount(
                    job_index_->PendingCount(call.queue->name))});
--- a/programs/job_entry/job_api_test.cc
+++ b/programs/job_entry/job_api_test.cc
@@ -40,6 +40,7 @@
   CPPUNIT_TEST(AnUnconfirmedConfigurationAcceptsNoJob);
   CPPUNIT_TEST(AnUnconfirmedConfigurationReportsStates);
   CPPUNIT_TEST(AnAcceptedJobHoldsItsQueuesServiceAndAttempts);
+  CPPUNIT_TEST(PendingJobsAreCountedOnlyOnceAllAreListed);
   CPPUNIT_TEST(NoRefusalFollowsAnAttemptThatMayBeCarriedOut);
   CPPUNIT_TEST(NoRefusalComesWhileAnEarlierAttemptIsUnderWay);
   CPPUNIT_TEST(ARefusalWithoutAnEarlierAttemptIsDefinite);
@@ -86,6 +87,7 @@
   }
 
   void AKeyThatIsOnlySimilarIsUnknown() {
+    job_index_.OnListed();
     for (const std::string key : {"Key1", "Key2"}) {
       CPPUNIT_ASSERT_EQUAL(kOk,
                            Call("GET", "/keyed/", "", key)->value().status);
@@ -132,6 +134,13 @@
     CPPUNIT_ASSERT_EQUAL(kAttempts, job.value().max_attempts);
   }
 
+  // Guards against counts of 0 from an entry that was started again.
+  void PendingJobsAreCountedOnlyOnceAllAreListed() {
+    CPPUNIT_ASSERT_EQUAL(kUnavailable, Call("GET", "/p/")->value().status);
+    job_index_.OnListed();
+    CPPUNIT_ASSERT_EQUAL(kOk, Call("GET", "/p/")->value().status);
+  }
+
   // Guards against callers that are told that their job never runs, which 503
   // means, while an earlier attempt's write may still be carried out.
   void NoRefusalFollowsAnAttemptThatMayBeCarriedOut() {
--- a/programs/job_entry/main.cc
+++ b/programs/job_entry/main.cc
@@ -180,6 +180,7 @@
                 [this](const std::string& key) { job_index_.OnRemoved(key); },
             .on_listed =
                 [this] {
+                  job_index_.OnListed();
                   log_.Line(
                       "jobs_listed",
                       {{"jobs", static_cast<int64_t>(job_index_.size())}});
--- a/quetzal/job_index/job_index.h
+++ b/quetzal/job_index/job_index.h
@@ -6,8 +6,9 @@
 //   std::optional<JobState> state = index.StateOf(id);
 //   int64_t pending = index.PendingCount(queue);
 //
-// A job is in the index once its acceptance was received; its progress and its
-// cancellation may be received before or after that.
+// Counts are complete once all keys were listed. A job is in the index once its
+// acceptance was received; its progress and its cancellation may be received
+// before or after that.
 #ifndef QUETZAL_JOB_INDEX_JOB_INDEX_H_
 #define QUETZAL_JOB_INDEX_JOB_INDEX_H_
 
@@ -27,6 +28,9 @@
   // Returns false, and changes nothing, if the value can't be decoded.
   bool OnPut(const StoreItem& item);
   void OnRemoved(const std::string& key);
+  // All keys that the store held were passed to the index.
+  void OnListed() { is_listed_ = true; }
+  bool is_listed() const { return is_listed_; }
 
   // Nothing if the job's acceptance wasn't received.
   std::optional<JobState> StateOf(const JobId& id) const;
@@ -52,6 +56,7 @@
 
   std::unordered_map<JobId, JobStatus> jobs_;
   std::unordered_map<QueueId, int64_t> pending_;
+  bool is_listed_ = false;
 };
 
 }  // namespace quetzal
