Soak: clients that leave early and cancel, at any entry, beside all other faults

Now some leave their submission after 1 to 6 ms and cancel it at any entry, also at one that can't be reached; some submit it once more afterwards. A job whose cancel was answered 410 must neither run nor be accepted. The draws have a generator of their own, so the series of faults and jobs of a seed is as before.

--- a/tests/soak/cell_soak.cc
+++ b/tests/soak/cell_soak.cc
@@ -4,7 +4,9 @@
 // are lost, and proxies that delay, block in one or both directions, reset or
 // refuse machines' links to the store and placers' links to single workers. The
 // soak checks what workers and callers see while it runs, also on workers that
-// can't be reached; afterwards, every accepted job must end.
+// can't be reached; afterwards, every accepted job must end. Some clients leave
+// their submission early and cancel the job: once that is answered 410, it must
+// never run.
 //
 //   cell_soak --seed 7 --seconds 30
 //
@@ -58,7 +60,9 @@
 class Soak {
  public:
   explicit Soak(uint64_t seed)
-      : random_(seed), cluster_(kMachines, LinkKind::kThroughProxies) {}
+      : random_(seed),
+        client_random_(seed),
+        cluster_(kMachines, LinkKind::kThroughProxies) {}
 
   // Returns the number of violated guarantees.
   int Run(int seconds) {
@@ -83,6 +87,7 @@
       if (Chance(kFaultProbability)) InjectFault();
       Submit();
       if (Chance(kCancelProbability)) CancelOne();
+      LeaveAndCancel();
       CheckWorkers();
       if (Chance(kPublishProbability)) Publish();
       CheckConfiguration();
@@ -93,8 +98,11 @@
     CheckNewestConfiguration();
     CheckWorkers();
     CheckRefusedNeverRan();
-    std::printf("jobs %zu, faults %d, broken promises %d\n", jobs_.size(),
-                faults_, violations_);
+    CheckCancelledNeverRan();
+    std::printf(
+        "jobs %zu, faults %d, cancelled before acceptance %zu of %d early "
+        "cancels, broken promises %d\n",
+        jobs_.size(), faults_, gone_.size(), early_cancels_, violations_);
     return violations_;
   }
 
@@ -105,6 +113,10 @@
   static constexpr int kStretchRounds = 80;
   static constexpr double kCancelProbability = 0.05;
   static constexpr double kPublishProbability = 0.1;
+  static constexpr int kRoundsPerEarlyCancel = 2;
+  static constexpr int kFirstEarlyId = 0x1000'0000;
+  static constexpr int kMaxEarlyLeaveMs = 6;
+  static constexpr Milliseconds kEarlyCancelTimeout{1'000};
 
   int ReportViolation(const std::string& what, const std::string& detail) {
     std::printf("BROKEN: %s %s\n", what.c_str(), detail.c_str());
@@ -309,6 +321,35 @@
     }
   }
 
+  // Leaves a submission early and cancels the job at any entry, also at one
+  // that can't be reached. Some such clients submit the job once more
+  // afterwards.
+  void LeaveAndCancel() {
+    const auto draw = [this](int from, int to) {
+      return std::uniform_int_distribution<int>(from, to)(client_random_);
+    };
+    if (draw(0, kRoundsPerEarlyCancel) != 0) return;
+    ++early_cancels_;
+    char id[17];
+    std::snprintf(id, sizeof(id), "%016x", kFirstEarlyId + early_cancels_);
+    const std::string path = std::string("/quotes/") + id;
+    const std::string body =
+        R"({"specification":"50","steps":[{"count":1,"cpu":1000,)"
+        R"("task-memory-mb":10,"estimated-duration-ms":50}]})";
+    cluster_.Call(draw(0, kMachines - 1), "POST", path, body, CellCluster::kKey,
+                  Milliseconds(draw(1, kMaxEarlyLeaveMs)));
+    const HttpClientResult answer =
+        cluster_.Call(draw(0, kMachines - 1), "DELETE", path, "",
+                      CellCluster::kKey, kEarlyCancelTimeout);
+    if (answer.status != kGone) return;
+    gone_.insert(id);
+    if (draw(0, 1) == 0) return;
+    const HttpClientResult again =
+        cluster_.Call(draw(0, kMachines - 1), "POST", path, body,
+                      CellCluster::kKey, kEarlyCancelTimeout);
+    if (again.ok()) ReportViolation("a cancelled job is accepted:", id);
+  }
+
   void CheckWorkers() {
     const nlohmann::json judgement = cluster_.StandinReport();
     for (const char* const rule :
@@ -379,7 +420,19 @@
     }
   }
 
+  // A job that was accepted before its cancel is answered 200, not 410.
+  void CheckCancelledNeverRan() {
+    const std::set<std::string> started = cluster_.StartedJobs();
+    for (const std::string& id : gone_) {
+      if (started.contains(id)) {
+        ReportViolation("a job whose cancel was answered 410 has run:", id);
+      }
+    }
+  }
+
   std::mt19937_64 random_;
+  // Apart, so that the series of faults and jobs doesn't depend on it.
+  std::mt19937_64 client_random_;
   CellCluster cluster_;
   Links store_links_;
   Links worker_links_;
@@ -389,6 +442,9 @@
   // "store" during an outage.
   std::set<std::string> unavailable_;
   std::vector<SentJob> jobs_;
+  int early_cancels_ = 0;
+  // Whose cancel was answered 410.
+  std::set<std::string> gone_;
   std::map<std::string, int> last_counts_;
   // When versions of the configuration were confirmed, in microseconds.
   std::map<int, gint64> published_;
--- a/tests/support/cell_cluster.cc
+++ b/tests/support/cell_cluster.cc
@@ -190,7 +190,8 @@
 HttpClientResult CellCluster::Call(int machine, const std::string& method,
                                    const std::string& path,
                                    const std::string& body,
-                                   const std::string& key) {
+                                   const std::string& key,
+                                   Milliseconds leaves_after) {
   const int port =
       first_port_ + (machine + 1) * kPortsPerMachine + kCallersPort;
   return Send({.method = method,
@@ -198,7 +199,7 @@
                .headers = {"Host: desk.example", "X-Key: " + key,
                            "X-Deadline-Ms: 3000"},
                .body = body,
-               .timeout = Milliseconds(4'000)});
+               .timeout = leaves_after});
 }
 
 HttpClientResult CellCluster::Submit(int machine, const std::string& id,
--- a/tests/support/cell_cluster.h
+++ b/tests/support/cell_cluster.h
@@ -30,6 +30,8 @@
 class CellCluster {
  public:
   static constexpr int kWorkers = 6;
+  static constexpr char kKey[] = "key-1";
+  static constexpr Milliseconds kCallTimeout{4'000};
 
   explicit CellCluster(int machines, LinkKind links = LinkKind::kDirect);
   ~CellCluster();
@@ -42,9 +44,11 @@
   // to end. Returns the exit code if the process exited.
   std::optional<int> Signal(const std::string& name, int signal);
 
+  // The client leaves after `leaves_after` if it has no answer then.
   HttpClientResult Call(int machine, const std::string& method,
                         const std::string& path, const std::string& body = "",
-                        const std::string& key = "key-1");
+                        const std::string& key = kKey,
+                        Milliseconds leaves_after = kCallTimeout);
   HttpClientResult Submit(int machine, const std::string& id,
                           const std::string& body);
   // The state of the job that the entry reports; empty if it reports none.
