--- a/tests/soak/cell_soak.cc
+++ b/tests/soak/cell_soak.cc
@@ -352,6 +352,10 @@
 
   void CheckWorkers() {
     const nlohmann::json judgement = cluster_.StandinReport();
+    if (!judgement.is_object()) {
+      ReportViolation("the stand-in doesn't answer", "");
+      return;
+    }
     for (const char* const rule :
          {"started_twice", "started_after_end", "over_capacity"}) {
       const int count = judgement.value(rule, -1);
