Reacquisition: only the new lease's key makes it count, and it ends with the term

Change: the reacquisition has two stages, and the watch ends it only in the second, when the lease that it shows is the new one. The end of the term ends it, too, so that it can't affect a later term.

Evidence: AFenceRenewedBeforeTheLeaseEndedMakesNoLeaseValid, which shows that fence at each millisecond, failed before and passes now. ATermAfterAFailedReacquisitionHasAValidLease holds before and after.

--- a/quetzal/leader_election/leader_election.cc
+++ b/quetzal/leader_election/leader_election.cc
@@ -277,14 +277,16 @@
   if (role_ != Role::kLeader) return;
   if (answer.outcome == StoreOutcome::kMissing) {
     ReacquireLeaderKey();
-  } else if (answer.outcome == StoreOutcome::kDone && !is_reacquiring_) {
+  } else if (answer.outcome == StoreOutcome::kDone &&
+             reacquisition_ == Reacquisition::kNone) {
     // A lease counts only once it is known to hold the leader key.
     last_renewal_sent_ = std::max(last_renewal_sent_, sent);
   }
 }
 
 void LeaderElection::ReacquireLeaderKey() {
-  if (std::exchange(is_reacquiring_, true)) return;
+  if (reacquisition_ != Reacquisition::kNone) return;
+  reacquisition_ = Reacquisition::kGrantingLease;
   log_->ImportantLine("seat_lapsed", {{"term", term_}});
   const Time sent = clock_();
   store_->GrantLease(
@@ -292,30 +294,34 @@
       lifetime_.Guard<LeaseAnswer>([this, sent](const LeaseAnswer& lease) {
         if (role_ != Role::kLeader || lease.outcome != StoreOutcome::kDone) {
           // The next renewal finds the lease missing and tries again.
-          is_reacquiring_ = false;
+          reacquisition_ = Reacquisition::kNone;
           return;
         }
         lease_ = lease.lease;
+        reacquisition_ = Reacquisition::kWritingKey;
         // If the term key is unchanged, no other placer was elected in between.
-        store_->Apply({.conditions = {{LeaderKey(), kAbsent},
-                                      {TermKey(), term_revision_}},
-                       .puts = {{LeaderKey(), leader_value_, lease_},
-                                {TermKey(), std::to_string(term_), kNoLease}}},
-                      lifetime_.Guard<TransactionAnswer>(
-                          [this, sent](const TransactionAnswer& answer) {
-                            const bool is_adopted =
-                                !std::exchange(is_reacquiring_, false);
-                            if (role_ != Role::kLeader || is_adopted) return;
-                            if (answer.outcome != StoreOutcome::kDone) {
-                              StepDown("the leader key expired");
-                              return;
-                            }
-                            last_renewal_sent_ = sent;
-                            term_revision_ = answer.revision;
-                            BeginTerm(
-                                Fence{static_cast<uint64_t>(answer.revision)},
-                                term_);
-                          }));
+        store_->Apply(
+            {.conditions = {{LeaderKey(), kAbsent},
+                            {TermKey(), term_revision_}},
+             .puts = {{LeaderKey(), leader_value_, lease_},
+                      {TermKey(), std::to_string(term_), kNoLease}}},
+            lifetime_.Guard<TransactionAnswer>(
+                [this, sent, lease = lease_](const TransactionAnswer& answer) {
+                  const bool is_adopted =
+                      reacquisition_ != Reacquisition::kWritingKey ||
+                      lease != lease_;
+                  if (is_adopted) return;
+                  reacquisition_ = Reacquisition::kNone;
+                  if (role_ != Role::kLeader) return;
+                  if (answer.outcome != StoreOutcome::kDone) {
+                    StepDown("the leader key expired");
+                    return;
+                  }
+                  last_renewal_sent_ = sent;
+                  term_revision_ = answer.revision;
+                  BeginTerm(Fence{static_cast<uint64_t>(answer.revision)},
+                            term_);
+                }));
       }));
 }
 
@@ -337,7 +343,9 @@
 
 void LeaderElection::AdoptFence(Fence fence) {
   if (role_ != Role::kLeader || fence <= fence_) return;
-  is_reacquiring_ = false;
+  if (reacquisition_ == Reacquisition::kWritingKey) {
+    reacquisition_ = Reacquisition::kNone;
+  }
   term_revision_ = Revision{static_cast<uint64_t>(fence)};
   BeginTerm(fence, term_);
 }
@@ -353,6 +361,7 @@
 void LeaderElection::StepDown(const std::string& reason) {
   if (role_ != Role::kLeader) return;
   role_ = Role::kStandby;
+  reacquisition_ = Reacquisition::kNone;
   log_->ImportantLine("seat_lost", {{"term", term_}, {"why", reason}});
   if (lease_ != kNoLease) {
     store_->RevokeLease(std::exchange(lease_, kNoLease), [](StoreOutcome) {});
--- a/quetzal/leader_election/leader_election.h
+++ b/quetzal/leader_election/leader_election.h
@@ -84,6 +84,8 @@
 
  private:
   enum class Role { kStandby, kCandidate, kLeader, kResigned };
+  // Of the leader key, after its lease ended.
+  enum class Reacquisition { kNone, kGrantingLease, kWritingKey };
 
   // The number of the term that a campaign would begin, and the revision that
   // the term key must still have.
@@ -130,7 +132,7 @@
   int64_t term_ = 0;
   Revision term_revision_{0};
   uint64_t renewal_round_ = 0;  // renewals of earlier rounds stop
-  bool is_reacquiring_ = false;
+  Reacquisition reacquisition_ = Reacquisition::kNone;
   Time no_campaign_before_;
   Time last_renewal_sent_;  // when the newest successful renewal was sent
   CampaignTerm campaign_;
--- a/quetzal/leader_election/leader_election_test.cc
+++ b/quetzal/leader_election/leader_election_test.cc
@@ -45,6 +45,8 @@
   CPPUNIT_TEST(ALeaseThatExpiredInAnOutageIsReacquired);
   CPPUNIT_TEST(ALeaseWithoutTheLeaderKeyIsNotValid);
   CPPUNIT_TEST(ALeaderKeyThatIsWrittenLateIsAdopted);
+  CPPUNIT_TEST(AFenceRenewedBeforeTheLeaseEndedMakesNoLeaseValid);
+  CPPUNIT_TEST(ATermAfterAFailedReacquisitionHasAValidLease);
   CPPUNIT_TEST(AReplacedLeaderStepsDown);
   CPPUNIT_TEST(TheLeaseIsValidOnlyForItsTtlWithoutTheStore);
   CPPUNIT_TEST(TheTimeWithoutALeaseBeginsAtTheEndOfTheLastValidOne);
@@ -200,6 +202,42 @@
     CPPUNIT_ASSERT_EQUAL(size_t{1}, a.raised_fences.size());
   }
 
+  // The watch shows the renewed fence, under the former lease, at any moment of
+  // the reacquisition.
+  void AFenceRenewedBeforeTheLeaseEndedMakesNoLeaseValid() {
+    const Milliseconds ttl = LeaderElectionSettings{}.lease_ttl;
+    for (Milliseconds shown_after{0}; shown_after < ttl;
+         shown_after += Milliseconds(1)) {
+      testing::VirtualClock clock;
+      testing::MemoryStore store(clock.AfterOneMillisecond());
+      Candidate a("a", &clock, &store, &log_);
+      a.election.Start();
+      clock.Advance(Milliseconds(1'000));
+      store.SetWatchesStalled(true);
+      store.DropNextAnswer(/*is_applied=*/true);
+      a.election.RenewFence();
+      store.DropNextAnswer(/*is_applied=*/false);
+      store.ExpireLease(store.Find(LeaderKey())->lease);
+      clock.Advance(shown_after);
+      store.SetWatchesStalled(false);
+      clock.Advance(ttl - shown_after);
+      CPPUNIT_ASSERT(store.Find(LeaderKey()) == nullptr);
+      CPPUNIT_ASSERT(!a.election.HasValidLease(clock.now()));
+    }
+  }
+
+  void ATermAfterAFailedReacquisitionHasAValidLease() {
+    Candidate a("a", &clock_, &store_, &log_);
+    a.election.Start();
+    clock_.Advance(Milliseconds(1'000));
+    store_.FailNextTransaction(StoreOutcome::kUnknown, /*is_applied=*/false);
+    store_.ExpireLease(store_.Find(LeaderKey())->lease);
+    clock_.Advance(Milliseconds(5'000));
+    CPPUNIT_ASSERT_EQUAL(1, a.lost_terms);
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, a.fences.size());
+    CPPUNIT_ASSERT(a.election.HasValidLease(clock_.now()));
+  }
+
   void AReplacedLeaderStepsDown() {
     Candidate a("a", &clock_, &store_, &log_);
     a.election.Start();
