--- a/programs/job_entry/job_api_test.cc
+++ b/programs/job_entry/job_api_test.cc
@@ -141,8 +141,8 @@
     CPPUNIT_ASSERT_EQUAL(kOk, Call("GET", "/p/")->value().status);
   }
 
-  // Guards against callers that are told that their job never runs, which 503
-  // means, while an earlier attempt's write may still be carried out.
+  // Guards against a 503, which means that the job never runs, while an earlier
+  // attempt's write may still be carried out.
   void NoRefusalFollowsAnAttemptThatMayBeCarriedOut() {
     const std::string path = std::string("/p/") + kId;
     for (int i = 0; i < 10; ++i) store_.DropNextAnswer(/*is_applied=*/false);
